base: add the library base, wire schemas and the design page

Starting point of the project: typed errors, settings checked against a table, key=value logging through a bounded queue, counters, protobuf-c codecs that decode into an arena, SipHash seals and route tokens, ZeroMQ links in a GLib main context, UDP sockets and the HTTP admin endpoint. docs/design.md states requirements, modules and protocols.

--- /dev/null
+++ b/lib/adapters/udp.c
@@ -0,0 +1,87 @@
+#include "adapters/udp.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  SOCKET_BUFFER_BYTES = 4 << 20, /* a burst of 3,000 datagrams of the greatest size */
+};
+
+static struct sockaddr_in
+to_sockaddr (oh_address_t address)
+{
+  return (struct sockaddr_in){
+    .sin_family = AF_INET,
+    .sin_port = htons (address.port),
+    .sin_addr.s_addr = htonl (address.ipv4),
+  };
+}
+
+static oh_address_t
+from_sockaddr (const struct sockaddr_in *sockaddr)
+{
+  return (oh_address_t){ .ipv4 = ntohl (sockaddr->sin_addr.s_addr), .port = ntohs (sockaddr->sin_port) };
+}
+
+int
+oh_udp_open (oh_address_t address, oh_error_t *error)
+{
+  const struct sockaddr_in sockaddr = to_sockaddr (address);
+  const int buffer_bytes = SOCKET_BUFFER_BYTES;
+  char text[OH_ADDRESS_TEXT_BYTES];
+  int fd;
+
+  fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    goto fail;
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof buffer_bytes);
+  setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &buffer_bytes, sizeof buffer_bytes);
+  if (bind (fd, (const struct sockaddr *)&sockaddr, sizeof sockaddr) != 0)
+    goto fail;
+  return fd;
+
+fail:
+  oh_error_set (error, OH_ERROR_IO, OH_ERROR_CODE_SYSTEM, "udp socket %s: %s",
+                oh_address_format (address, text), strerror (errno));
+  if (fd >= 0)
+    close (fd);
+  return -1;
+}
+
+oh_address_t
+oh_udp_local_address (int fd)
+{
+  struct sockaddr_in sockaddr = { 0 };
+  socklen_t length = sizeof sockaddr;
+
+  getsockname (fd, (struct sockaddr *)&sockaddr, &length);
+  return from_sockaddr (&sockaddr);
+}
+
+bool
+oh_udp_send (int fd, oh_address_t to, const void *bytes, size_t length)
+{
+  const struct sockaddr_in sockaddr = to_sockaddr (to);
+
+  return sendto (fd, bytes, length, 0, (const struct sockaddr *)&sockaddr, sizeof sockaddr)
+         == (ssize_t)length;
+}
+
+ssize_t
+oh_udp_receive (int fd, oh_address_t *from, void *buffer, size_t capacity)
+{
+  struct sockaddr_in sockaddr = { 0 };
+  socklen_t sockaddr_length = sizeof sockaddr;
+  ssize_t length;
+
+  do
+    length = recvfrom (fd, buffer, capacity, MSG_TRUNC, (struct sockaddr *)&sockaddr, &sockaddr_length);
+  while (length < 0 && errno == EINTR);
+  if (length >= 0 && from != NULL)
+    *from = from_sockaddr (&sockaddr);
+  return length;
+}
--- /dev/null
+++ b/lib/base/log.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Key=value logging through GLib. A file defines OH_LOG_MODULE before it includes this header:
+ *
+ *   #define OH_LOG_MODULE "balancer"
+ *   oh_log_info ("placement", "service=%s upstream=%s reason=%s", ...);
+ *
+ * A line reads: level, module, event=NAME, then the pairs. Without oh_log_start lines go to GLib's default
+ * writer.
+ */
+
+#ifndef OH_LOG_MODULE
+#error "define OH_LOG_MODULE before including base/log.h"
+#endif
+
+typedef enum
+{
+  OH_LOG_ERROR,
+  OH_LOG_WARNING,
+  OH_LOG_INFO,
+  OH_LOG_DEBUG,
+} oh_log_level_t;
+
+/*
+ * Starts the writer thread: lines go to standard error through a bounded queue. A line that finds the queue
+ * full is dropped and counted; the writer reports the number of dropped lines.
+ */
+void oh_log_start (oh_log_level_t level);
+
+/* Writes what is queued and stops the thread. */
+void oh_log_stop (void);
+
+bool oh_log_level_parse (const char *name, oh_log_level_t *level);
+bool oh_log_enabled (oh_log_level_t level);
+uint64_t oh_log_dropped (void);
+
+void oh_log_event (const char *module, oh_log_level_t level, const char *event, const char *format, ...)
+  G_GNUC_PRINTF (4, 5);
+
+#define oh_log_at(level, event, ...)                                                                         \
+  G_STMT_START                                                                                               \
+  {                                                                                                          \
+    if (oh_log_enabled (level))                                                                              \
+      oh_log_event (OH_LOG_MODULE, level, event, __VA_ARGS__);                                               \
+  }                                                                                                          \
+  G_STMT_END
+
+#define oh_log_error(event, ...) oh_log_at (OH_LOG_ERROR, event, __VA_ARGS__)
+#define oh_log_warning(event, ...) oh_log_at (OH_LOG_WARNING, event, __VA_ARGS__)
+#define oh_log_info(event, ...) oh_log_at (OH_LOG_INFO, event, __VA_ARGS__)
+#define oh_log_debug(event, ...) oh_log_at (OH_LOG_DEBUG, event, __VA_ARGS__)
--- /dev/null
+++ b/lib/core/config_text.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "base/error.h"
+#include "base/settings.h"
+
+/*
+ * The operators' text: services and what each depends on, in INI. The whole text is accepted or rejected; an
+ * error names file, section, key, value and the expected form.
+ */
+
+enum
+{
+  OH_CONFIG_TEXT_MAX_BYTES = 64 * 1024,
+  OH_CONFIG_NAME_MAX_BYTES = 63,
+};
+
+typedef struct
+{
+  char *name;
+  uint64_t id;             /* oh_service_id of the name */
+  GArray *addresses;       /* of oh_address_t */
+  GPtrArray *depends;      /* of oh_config_service_t *, borrowed, direct dependencies */
+  unsigned max_class;      /* lowest priority number that callers may use: 0 command, 1 normal, 2 bulk */
+  unsigned queue_per_slot; /* waiting requests for each slot of an upstream */
+} oh_config_service_t;
+
+typedef struct
+{
+  char *name;
+  GPtrArray *services; /* of oh_config_service_t *, owned, in the order of the text */
+} oh_config_t;
+
+/* file is the name used in errors. On failure the config is left empty. */
+bool oh_config_parse (oh_config_t *config, const char *file, const char *text, oh_error_t *error);
+void oh_config_finish (oh_config_t *config);
+
+/* NULL if no such service. */
+const oh_config_service_t *oh_config_find (const oh_config_t *config, uint64_t service);
+
+/* True if service is other, or depends on it, directly or through others. */
+bool oh_config_depends_on (const oh_config_service_t *service, const oh_config_service_t *other);
--- /dev/null
+++ b/lib/ports/clock.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <stdint.h>
+
+/* Monotonic time in microseconds. Cores take the time from their events; adapters take it from here. */
+
+typedef struct oh_clock oh_clock_t;
+
+typedef struct
+{
+  int64_t (*now_us) (oh_clock_t *clock);
+} oh_clock_ops_t;
+
+struct oh_clock
+{
+  const oh_clock_ops_t *ops;
+};
+
+static inline int64_t
+oh_clock_now_us (oh_clock_t *clock)
+{
+  return clock->ops->now_us (clock);
+}
--- /dev/null
+++ b/tests/test_base.c
@@ -0,0 +1,127 @@
+#define OH_LOG_MODULE "test"
+#include "base/log.h"
+
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include "base/counters.h"
+#include "base/list.h"
+#include "base/seeded_random.h"
+#include "base/settings.h"
+
+typedef struct
+{
+  char *name;
+  int64_t slots;
+  oh_address_t listen;
+  bool cold;
+} sample_settings_t;
+
+static const oh_setting_t sample_table[] = {
+  { "agent", "name", OH_SETTING_STRING, offsetof (sample_settings_t, name), true, NULL, 0, 0 },
+  { "agent", "slots", OH_SETTING_INTEGER, offsetof (sample_settings_t, slots), false, "4", 1, 64 },
+  { "agent", "listen", OH_SETTING_ADDRESS, offsetof (sample_settings_t, listen), false, NULL, 0, 0 },
+  { "agent", "cold", OH_SETTING_BOOLEAN, offsetof (sample_settings_t, cold), false, "false", 0, 0 },
+};
+
+/* Guards against a settings mistake that is accepted, or reported without its place. */
+static void
+test_settings (void)
+{
+  static const struct
+  {
+    const char *text;
+    oh_error_code_t code; /* 0: accepted */
+    const char *names[4]; /* what the message must contain */
+  } cases[] = {
+    { "[agent]\nname=a\nslots=8\nlisten=127.0.0.1:70\n", 0, { NULL } },
+    { "[agent]\nslots=8\n", OH_ERROR_CODE_MISSING_KEY, { "[agent]", "name" } },
+    { "[agent]\nname=a\nslot=8\n", OH_ERROR_CODE_UNKNOWN_KEY, { "[agent]", "slot", "8" } },
+    { "[agent]\nname=a\nslots=65\n", OH_ERROR_CODE_BAD_VALUE, { "slots", "65", "1 to 64" } },
+    { "[agent]\nname=a\nlisten=127.0.0.1\n",
+      OH_ERROR_CODE_BAD_VALUE,
+      { "listen", "127.0.0.1", "IPV4:PORT" } },
+    { "[agent]\nname=a\nlisten=127.0.0.1:0\n", OH_ERROR_CODE_BAD_VALUE, { "listen" } },
+    { "[agent]\nname=a\ncold=yes\n", OH_ERROR_CODE_BAD_VALUE, { "cold", "yes" } },
+    { "[agent\n", OH_ERROR_CODE_MALFORMED, { NULL } },
+  };
+  g_autofree char *path = g_strdup_printf ("%s/oh-settings-%d.ini", g_get_tmp_dir (), (int)g_random_int ());
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      sample_settings_t settings = { 0 };
+      oh_error_t error = { 0 };
+
+      g_assert_true (g_file_set_contents (path, cases[i].text, -1, NULL));
+      const bool ok = oh_settings_load (path, sample_table, G_N_ELEMENTS (sample_table), &settings, &error);
+      g_assert_cmpint (ok, ==, cases[i].code == 0);
+      g_assert_cmpint (error.code, ==, cases[i].code);
+      for (size_t j = 0; j < 4 && cases[i].names[j] != NULL; j++)
+        g_assert_nonnull (strstr (error.message, cases[i].names[j]));
+      oh_settings_clear (sample_table, G_N_ELEMENTS (sample_table), &settings);
+    }
+  g_unlink (path);
+}
+
+/* Guards against a link that stays reachable after its removal. */
+static void
+test_list (void)
+{
+  oh_list_t head;
+  oh_list_t links[3];
+  unsigned count = 0;
+
+  oh_list_init (&head);
+  for (size_t i = 0; i < 3; i++)
+    oh_list_append (&head, &links[i]);
+  oh_list_remove (&links[1]);
+  oh_list_remove (&links[1]);
+  oh_list_foreach (&head, link)
+    count++;
+  g_assert_cmpuint (count, ==, 2);
+  oh_list_foreach_safe (&head, link, following)
+    oh_list_remove (link);
+  g_assert_true (oh_list_is_empty (&head));
+}
+
+/* Guards against runs that cannot be repeated. */
+static void
+test_seeded_random (void)
+{
+  oh_seeded_random_t a;
+  oh_seeded_random_t b;
+
+  oh_seeded_random_init (&a, 7);
+  oh_seeded_random_init (&b, 7);
+  for (unsigned i = 0; i < 10; i++)
+    g_assert_cmpuint (oh_random_u64 (&a.base), ==, oh_random_u64 (&b.base));
+  oh_seeded_random_finish (&a);
+  oh_seeded_random_finish (&b);
+}
+
+static void
+test_counters (void)
+{
+  oh_counters_t counters;
+  oh_counter_t packets;
+  g_autofree char *text = NULL;
+
+  oh_counters_init (&counters);
+  oh_counters_add (&counters, &packets, "packets");
+  oh_counter_add (&packets, 3);
+  oh_counter_increment (&packets);
+  text = oh_counters_format (&counters);
+  g_assert_cmpstr (text, ==, "packets 4\n");
+  oh_counters_finish (&counters);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/base/settings", test_settings);
+  g_test_add_func ("/base/list", test_list);
+  g_test_add_func ("/base/seeded-random", test_seeded_random);
+  g_test_add_func ("/base/counters", test_counters);
+  return g_test_run ();
+}
