config_text: parse the operators' text

The whole text is accepted or rejected. An error names file, section, key, value and the expected form. GKeyFile merges repeated sections and keys, so lines are checked for repetitions first; a dependency is accepted only if it closes no cycle. The walk over dependencies visits each service once.

--- /dev/null
+++ b/lib/core/config_text.c
@@ -0,0 +1,341 @@
+#include "core/config_text.h"
+
+#include <string.h>
+
+#include "core/keyring.h"
+
+enum
+{
+  MAX_CLASS = 2,
+  MAX_QUEUE_PER_SLOT = 64, /* with 4 slots and 100 ms each, the last of 256 requests waits over 6 s */
+  DEFAULT_QUEUE_PER_SLOT = 8,
+};
+
+static const char service_prefix[] = "service ";
+static const char global_section[] = "oriolehaven";
+static const char name_form[] = "1 to 63 of a-z, 0-9 and -, starting with a letter";
+static const char address_form[] = "IPV4:PORT, or several separated by commas";
+
+typedef struct
+{
+  const char *file;
+  const char *section;
+  oh_error_t *error;
+} place_t;
+
+static bool
+fail (const place_t *place, oh_error_code_t code, const char *key, const char *value, const char *expected)
+{
+  return oh_error_set (place->error, OH_ERROR_SETTINGS, code,
+                       "%s: section [%s], key %s, value \"%.96s\": expected %s", place->file, place->section,
+                       key, value, expected);
+}
+
+static bool
+name_valid (const char *name)
+{
+  const size_t length = strlen (name);
+
+  if (length == 0 || length > OH_CONFIG_NAME_MAX_BYTES || !g_ascii_islower (name[0]))
+    return false;
+  return strspn (name, "abcdefghijklmnopqrstuvwxyz0123456789-") == length;
+}
+
+static void
+free_service (gpointer data)
+{
+  oh_config_service_t *service = data;
+
+  g_free (service->name);
+  g_array_unref (service->addresses);
+  g_ptr_array_unref (service->depends);
+  g_free (service);
+}
+
+/* GKeyFile merges repeated sections and keeps the last of repeated keys, which hides an operator's mistake.
+ */
+static bool
+check_lines (const char *file, const char *text, oh_error_t *error)
+{
+  g_autoptr (GHashTable) sections = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_autoptr (GHashTable) keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+  g_autofree char *section = g_strdup ("");
+  place_t place = { .file = file, .section = section, .error = error };
+
+  for (char **next = lines; *next != NULL; next++)
+    {
+      char *line = g_strstrip (*next);
+      char *equals = strchr (line, '=');
+
+      if (line[0] == '\0' || line[0] == '#')
+        continue;
+      if (line[0] == '[' && g_str_has_suffix (line, "]"))
+        {
+          g_free (section);
+          section = g_strndup (line + 1, strlen (line) - 2);
+          place.section = section;
+          g_hash_table_remove_all (keys);
+          if (!g_hash_table_add (sections, g_strdup (section)))
+            return fail (&place, OH_ERROR_CODE_DUPLICATE, "-", line, "each section once");
+          continue;
+        }
+      if (equals == NULL || equals == line)
+        return fail (&place, OH_ERROR_CODE_MALFORMED, "-", line, "[section], key=value or # comment");
+      *equals = '\0';
+      if (!g_hash_table_add (keys, g_strdup (g_strchomp (line))))
+        return fail (&place, OH_ERROR_CODE_DUPLICATE, line, equals + 1, "each key once in a section");
+    }
+  return true;
+}
+
+static bool
+check_keys (const place_t *place, GKeyFile *file, const char *const *known)
+{
+  g_auto (GStrv) keys = g_key_file_get_keys (file, place->section, NULL, NULL);
+
+  for (char **key = keys; key != NULL && *key != NULL; key++)
+    if (!g_strv_contains (known, *key))
+      {
+        g_autofree char *value = g_key_file_get_value (file, place->section, *key, NULL);
+        g_autofree char *names = g_strjoinv (", ", (char **)known);
+        g_autofree char *expected = g_strdup_printf ("one of the keys %s", names);
+
+        return fail (place, OH_ERROR_CODE_UNKNOWN_KEY, *key, value != NULL ? value : "", expected);
+      }
+  return true;
+}
+
+/* The value without surrounding white space; an empty string if the key is missing. */
+static char *
+get_value (const place_t *place, GKeyFile *file, const char *key)
+{
+  char *value = g_key_file_get_string (file, place->section, key, NULL);
+
+  return value != NULL ? g_strstrip (value) : g_strdup ("");
+}
+
+static bool
+parse_number (const place_t *place, GKeyFile *file, const char *key, unsigned minimum, unsigned maximum,
+              unsigned *number)
+{
+  g_autofree char *value = get_value (place, file, key);
+  g_autofree char *expected = g_strdup_printf ("an integer from %u to %u", minimum, maximum);
+  guint64 parsed;
+
+  if (!g_key_file_has_key (file, place->section, key, NULL))
+    return true;
+  if (!g_ascii_string_to_unsigned (value, 10, minimum, maximum, &parsed, NULL))
+    return fail (place, OH_ERROR_CODE_BAD_VALUE, key, value, expected);
+  *number = (unsigned)parsed;
+  return true;
+}
+
+static bool
+parse_addresses (const place_t *place, GKeyFile *file, const oh_config_t *config, GArray *addresses)
+{
+  g_autofree char *value = get_value (place, file, "address");
+  g_auto (GStrv) items = g_strsplit (value, ",", -1);
+
+  if (!g_key_file_has_key (file, place->section, "address", NULL))
+    return fail (place, OH_ERROR_CODE_MISSING_KEY, "address", "", address_form);
+  for (char **item = items; *item != NULL || item == items; item++)
+    {
+      oh_address_t address;
+
+      if (*item == NULL || !oh_address_parse (g_strstrip (*item), &address))
+        return fail (place, OH_ERROR_CODE_BAD_VALUE, "address", value, address_form);
+      for (guint i = 0; i < addresses->len; i++)
+        if (oh_address_equal (g_array_index (addresses, oh_address_t, i), address))
+          return fail (place, OH_ERROR_CODE_DUPLICATE, "address", value, "each address once");
+      for (guint i = 0; i < config->services->len; i++)
+        {
+          const oh_config_service_t *other = g_ptr_array_index (config->services, i);
+
+          for (guint j = 0; j < other->addresses->len; j++)
+            if (oh_address_equal (g_array_index (other->addresses, oh_address_t, j), address))
+              return fail (place, OH_ERROR_CODE_DUPLICATE, "address", value,
+                           "an address that no other service has");
+        }
+      g_array_append_val (addresses, address);
+    }
+  return true;
+}
+
+static bool
+parse_service (const place_t *place, GKeyFile *file, oh_config_t *config)
+{
+  static const char *const known[] = { "address", "depends", "max_class", "queue_per_slot", NULL };
+  const char *name = place->section + strlen (service_prefix);
+  oh_config_service_t *service;
+
+  if (!name_valid (name))
+    return fail (place, OH_ERROR_CODE_BAD_VALUE, "-", name, name_form);
+  if (!check_keys (place, file, known))
+    return false;
+  if (oh_config_find (config, oh_service_id (name)) != NULL)
+    return fail (place, OH_ERROR_CODE_DUPLICATE, "-", name, "a name whose identifier no other service has");
+  service = g_new0 (oh_config_service_t, 1);
+  service->name = g_strdup (name);
+  service->id = oh_service_id (name);
+  service->addresses = g_array_new (FALSE, FALSE, sizeof (oh_address_t));
+  service->depends = g_ptr_array_new ();
+  service->queue_per_slot = DEFAULT_QUEUE_PER_SLOT;
+  if (!parse_addresses (place, file, config, service->addresses)
+      || !parse_number (place, file, "max_class", 0, MAX_CLASS, &service->max_class)
+      || !parse_number (place, file, "queue_per_slot", 1, MAX_QUEUE_PER_SLOT, &service->queue_per_slot))
+    {
+      free_service (service);
+      return false;
+    }
+  g_ptr_array_add (config->services, service);
+  return true;
+}
+
+/* Runs after all services are known. */
+static bool
+parse_depends (const place_t *place, GKeyFile *file, oh_config_t *config, oh_config_service_t *service)
+{
+  g_autofree char *value = get_value (place, file, "depends");
+  g_auto (GStrv) items = g_strsplit (value, ",", -1);
+
+  for (char **item = items; *item != NULL; item++)
+    {
+      const oh_config_service_t *other = oh_config_find (config, oh_service_id (g_strstrip (*item)));
+
+      if (other == NULL)
+        return fail (place, OH_ERROR_CODE_BAD_VALUE, "depends", value,
+                     "names of services in this text, separated by commas");
+      if (g_ptr_array_find (service->depends, other, NULL))
+        return fail (place, OH_ERROR_CODE_DUPLICATE, "depends", value, "each service once");
+      /* Edges are added one by one to an acyclic graph, so the walk ends. */
+      if (oh_config_depends_on (other, service))
+        return fail (place, OH_ERROR_CODE_CYCLE, "depends", value,
+                     "services that do not depend on this one, directly or through others");
+      g_ptr_array_add (service->depends, (gpointer)other);
+    }
+  return true;
+}
+
+static bool
+parse_sections (oh_config_t *config, GKeyFile *file, place_t *place)
+{
+  static const char *const known[] = { "name", NULL };
+  g_auto (GStrv) sections = g_key_file_get_groups (file, NULL);
+
+  place->section = global_section;
+  config->name = get_value (place, file, "name");
+  if (!g_key_file_has_key (file, global_section, "name", NULL))
+    return fail (place, OH_ERROR_CODE_MISSING_KEY, "name", "", name_form);
+  if (!name_valid (config->name))
+    return fail (place, OH_ERROR_CODE_BAD_VALUE, "name", config->name, name_form);
+  if (!check_keys (place, file, known))
+    return false;
+  for (char **section = sections; *section != NULL; section++)
+    {
+      place->section = *section;
+      if (strcmp (*section, global_section) == 0)
+        continue;
+      if (!g_str_has_prefix (*section, service_prefix))
+        return fail (place, OH_ERROR_CODE_UNKNOWN_KEY, "-", *section, "[oriolehaven] or [service NAME]");
+      if (!parse_service (place, file, config))
+        return false;
+    }
+  place->section = "service NAME";
+  if (config->services->len == 0)
+    return fail (place, OH_ERROR_CODE_MISSING_KEY, "-", "", "at least one section of this form");
+  for (guint i = 0; i < config->services->len; i++)
+    {
+      oh_config_service_t *service = g_ptr_array_index (config->services, i);
+      g_autofree char *section = g_strconcat (service_prefix, service->name, NULL);
+
+      place->section = section;
+      if (!parse_depends (place, file, config, service))
+        return false;
+    }
+  return true;
+}
+
+bool
+oh_config_parse (oh_config_t *config, const char *file, const char *text, oh_error_t *error)
+{
+  g_autoptr (GKeyFile) key_file = g_key_file_new ();
+  g_autoptr (GError) gerror = NULL;
+  place_t place = { .file = file, .section = "-", .error = error };
+  oh_config_t parsed = { 0 };
+
+  *config = (oh_config_t){ 0 };
+  parsed.services = g_ptr_array_new_with_free_func (free_service);
+  if (strlen (text) > OH_CONFIG_TEXT_MAX_BYTES)
+    {
+      fail (&place, OH_ERROR_CODE_TOO_LARGE, "-", "", "a text of at most 65536 bytes");
+      goto fail;
+    }
+  if (!g_utf8_validate (text, -1, NULL))
+    {
+      fail (&place, OH_ERROR_CODE_MALFORMED, "-", "", "a text in UTF-8");
+      goto fail;
+    }
+  if (!check_lines (file, text, error))
+    goto fail;
+  if (!g_key_file_load_from_data (key_file, text, strlen (text), G_KEY_FILE_NONE, &gerror))
+    {
+      fail (&place, OH_ERROR_CODE_MALFORMED, "-", gerror->message, "an INI text");
+      goto fail;
+    }
+  if (!parse_sections (&parsed, key_file, &place))
+    goto fail;
+  *config = parsed;
+  return true;
+
+fail:
+  oh_config_finish (&parsed);
+  return false;
+}
+
+void
+oh_config_finish (oh_config_t *config)
+{
+  g_clear_pointer (&config->name, g_free);
+  g_clear_pointer (&config->services, g_ptr_array_unref);
+}
+
+const oh_config_service_t *
+oh_config_find (const oh_config_t *config, uint64_t service)
+{
+  for (guint i = 0; config->services != NULL && i < config->services->len; i++)
+    {
+      const oh_config_service_t *candidate = g_ptr_array_index (config->services, i);
+
+      if (candidate->id == service)
+        return candidate;
+    }
+  return NULL;
+}
+
+bool
+oh_config_depends_on (const oh_config_service_t *service, const oh_config_service_t *other)
+{
+  /* Each service is visited once: the number of paths can grow exponentially with the number of services. */
+  g_autoptr (GHashTable) seen = g_hash_table_new (NULL, NULL);
+  g_autoptr (GPtrArray) pending = g_ptr_array_new ();
+
+  if (service == other)
+    return true;
+  g_ptr_array_add (pending, (gpointer)service);
+  while (pending->len > 0)
+    {
+      const oh_config_service_t *next = g_ptr_array_steal_index_fast (pending, pending->len - 1);
+
+      for (guint i = 0; i < next->depends->len; i++)
+        {
+          gpointer dependency = g_ptr_array_index (next->depends, i);
+
+          if (dependency == other)
+            return true;
+          if (g_hash_table_add (seen, dependency))
+            g_ptr_array_add (pending, dependency);
+        }
+    }
+  return false;
+}
