view: merge the views of several replicas

Keeps per replica what it lists. Versions and key generations only grow; the view is confirmed once a replica confirms the version the node has. Incarnations are random, so the later one is taken from the replica that replaced the earlier one, then by the number of replicas that list it: a replica that was cut off cannot bring an earlier incarnation back.

--- /dev/null
+++ b/lib/core/view.c
@@ -0,0 +1,430 @@
+#include "core/view.h"
+
+#include <string.h>
+
+#include "core/codec.h"
+
+enum
+{
+  MAX_REPLICAS = 32, /* bits of listed_by */
+  /* Incarnations of one member remembered as replaced; a replica that was cut off may still list them. */
+  RETIRED_INCARNATIONS = 4,
+};
+
+/* The public part comes first, so that view->members holds records. */
+typedef struct
+{
+  oh_view_member_t member;
+  oh_view_member_t *listed[MAX_REPLICAS]; /* what each replica says; NULL if it does not list the member */
+  uint64_t retired[RETIRED_INCARNATIONS];
+  unsigned n_retired;
+} member_record_t;
+
+static void
+clear_member (oh_view_member_t *member)
+{
+  g_clear_pointer (&member->name, g_free);
+  g_clear_pointer (&member->zone, g_free);
+  g_clear_pointer (&member->peer_endpoint, g_free);
+}
+
+static void
+free_member (oh_view_member_t *member)
+{
+  if (member == NULL)
+    return;
+  clear_member (member);
+  g_free (member);
+}
+
+static void
+free_record (gpointer data)
+{
+  member_record_t *record = data;
+
+  clear_member (&record->member);
+  for (unsigned i = 0; i < MAX_REPLICAS; i++)
+    free_member (record->listed[i]);
+  g_free (record);
+}
+
+static void
+free_balancer (gpointer data)
+{
+  oh_view_balancer_t *balancer = data;
+
+  g_free (balancer->name);
+  g_free (balancer->zone);
+  g_free (balancer);
+}
+
+static oh_view_member_t *
+member_from_wire (const Oh__Member *wire)
+{
+  oh_view_member_t *member;
+  oh_address_t agent;
+
+  if (wire->load == NULL || wire->load->upstream[0] == '\0')
+    return NULL;
+  if (!oh_address_from_wire (wire->load->agent, &agent)
+      || wire->load->service != oh_service_id (wire->service_name))
+    return NULL;
+  member = g_new0 (oh_view_member_t, 1);
+  member->name = g_strdup (wire->load->upstream);
+  member->service = wire->load->service;
+  member->zone = g_strdup (wire->zone);
+  member->peer_endpoint = g_strdup (wire->peer_endpoint);
+  member->agent = agent;
+  member->incarnation = wire->load->incarnation;
+  member->sequence = wire->load->sequence;
+  member->slots = wire->load->slots;
+  member->busy = wire->load->busy;
+  member->queued = wire->load->queued;
+  member->flows = wire->load->flows;
+  member->max_flows = wire->load->max_flows;
+  member->state = wire->load->state;
+  return member;
+}
+
+static bool
+member_equal (const oh_view_member_t *a, const oh_view_member_t *b)
+{
+  return g_strcmp0 (a->zone, b->zone) == 0 && g_strcmp0 (a->peer_endpoint, b->peer_endpoint) == 0
+         && oh_address_equal (a->agent, b->agent) && a->service == b->service
+         && a->incarnation == b->incarnation && a->sequence == b->sequence && a->slots == b->slots
+         && a->busy == b->busy && a->queued == b->queued && a->flows == b->flows
+         && a->max_flows == b->max_flows && a->state == b->state;
+}
+
+/* Names come first in both records, so that one search serves members and balancers. */
+static const char *
+name_at (const GPtrArray *array, guint i)
+{
+  return *(char **)g_ptr_array_index (array, i);
+}
+
+G_STATIC_ASSERT (offsetof (oh_view_member_t, name) == 0);
+G_STATIC_ASSERT (offsetof (oh_view_balancer_t, name) == 0);
+
+/* Position of the name, or the one at which it has to be inserted. */
+static bool
+find_position (const GPtrArray *array, const char *name, guint *position)
+{
+  guint low = 0;
+  guint high = array->len;
+
+  while (low < high)
+    {
+      const guint middle = low + (high - low) / 2;
+      const int order = strcmp (name_at (array, middle), name);
+
+      if (order == 0)
+        {
+          *position = middle;
+          return true;
+        }
+      if (order < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  *position = low;
+  return false;
+}
+
+static bool
+is_retired (const member_record_t *record, uint64_t incarnation)
+{
+  for (unsigned i = 0; i < MIN (record->n_retired, RETIRED_INCARNATIONS); i++)
+    if (record->retired[i] == incarnation)
+      return true;
+  return false;
+}
+
+static void
+retire (member_record_t *record, uint64_t incarnation)
+{
+  if (!is_retired (record, incarnation))
+    record->retired[record->n_retired++ % RETIRED_INCARNATIONS] = incarnation;
+}
+
+static unsigned
+count_listings (const member_record_t *record, uint64_t incarnation)
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < MAX_REPLICAS; i++)
+    count += record->listed[i] != NULL && record->listed[i]->incarnation == incarnation;
+  return count;
+}
+
+/*
+ * Incarnations are random and have no order of their own. The later one is known when a replica replaces the
+ * earlier one; until then the one that more replicas list counts, and among equals the one in use.
+ */
+static bool
+is_better (const member_record_t *record, const oh_view_member_t *candidate, const oh_view_member_t *best)
+{
+  if (best == NULL)
+    return true;
+  if (candidate->incarnation == best->incarnation)
+    return candidate->sequence > best->sequence;
+
+  const bool candidate_retired = is_retired (record, candidate->incarnation);
+  const bool best_retired = is_retired (record, best->incarnation);
+  const unsigned candidate_count = count_listings (record, candidate->incarnation);
+  const unsigned best_count = count_listings (record, best->incarnation);
+
+  if (candidate_retired != best_retired)
+    return best_retired;
+  if (candidate_count != best_count)
+    return candidate_count > best_count;
+  return candidate->incarnation == record->member.incarnation;
+}
+
+/* Chooses the entry that counts. Returns true if the member differs from before. */
+static bool
+select_entry (member_record_t *record)
+{
+  const oh_view_member_t *best = NULL;
+  oh_view_member_t chosen;
+
+  record->member.listed_by = 0;
+  for (unsigned i = 0; i < MAX_REPLICAS; i++)
+    if (record->listed[i] != NULL)
+      {
+        record->member.listed_by |= 1U << i;
+        if (is_better (record, record->listed[i], best))
+          best = record->listed[i];
+      }
+  if (best == NULL || member_equal (best, &record->member))
+    return false;
+  chosen = *best;
+  chosen.name = g_strdup (best->name);
+  chosen.zone = g_strdup (best->zone);
+  chosen.peer_endpoint = g_strdup (best->peer_endpoint);
+  chosen.drained = record->member.drained;
+  chosen.listed_by = record->member.listed_by;
+  clear_member (&record->member);
+  record->member = chosen;
+  return true;
+}
+
+static bool
+is_drained (const oh_view_t *view, const char *name)
+{
+  return g_ptr_array_find_with_equal_func (view->drained, name, g_str_equal, NULL);
+}
+
+static bool
+list_member (oh_view_t *view, unsigned replica, const Oh__Member *wire)
+{
+  oh_view_member_t *entry = member_from_wire (wire);
+  member_record_t *record;
+  guint position;
+  bool added;
+
+  if (entry == NULL)
+    return false;
+  added = !find_position (view->members, entry->name, &position);
+  if (added)
+    {
+      record = g_new0 (member_record_t, 1);
+      record->member.name = g_strdup (entry->name);
+      record->member.drained = is_drained (view, entry->name);
+      g_ptr_array_insert (view->members, (gint)position, record);
+    }
+  record = g_ptr_array_index (view->members, position);
+  if (record->listed[replica] != NULL && record->listed[replica]->incarnation != entry->incarnation)
+    retire (record, record->listed[replica]->incarnation);
+  free_member (record->listed[replica]);
+  record->listed[replica] = entry;
+  return select_entry (record) || added;
+}
+
+static bool
+unlist_member (oh_view_t *view, unsigned replica, guint position)
+{
+  member_record_t *record = g_ptr_array_index (view->members, position);
+
+  if (record->listed[replica] == NULL)
+    return false;
+  g_clear_pointer (&record->listed[replica], free_member);
+
+  const bool changed = select_entry (record);
+
+  if (record->member.listed_by != 0)
+    return changed;
+  g_ptr_array_remove_index (view->members, position);
+  return true;
+}
+
+static bool
+list_balancer (oh_view_t *view, unsigned replica, const Oh__BalancerEntry *wire)
+{
+  oh_view_balancer_t *balancer;
+  oh_address_t relay;
+  guint position;
+  bool changed = false;
+
+  if (wire->name[0] == '\0' || !oh_address_from_wire (wire->relay, &relay))
+    return false;
+  if (!find_position (view->balancers, wire->name, &position))
+    {
+      balancer = g_new0 (oh_view_balancer_t, 1);
+      balancer->name = g_strdup (wire->name);
+      g_ptr_array_insert (view->balancers, (gint)position, balancer);
+      changed = true;
+    }
+  balancer = g_ptr_array_index (view->balancers, position);
+  if (!oh_address_equal (balancer->relay, relay) || g_strcmp0 (balancer->zone, wire->zone) != 0)
+    {
+      balancer->relay = relay;
+      g_free (balancer->zone);
+      balancer->zone = g_strdup (wire->zone);
+      changed = true;
+    }
+  balancer->listed_by |= 1U << replica;
+  return changed;
+}
+
+static bool
+unlist_balancer (oh_view_t *view, unsigned replica, guint position)
+{
+  oh_view_balancer_t *balancer = g_ptr_array_index (view->balancers, position);
+
+  balancer->listed_by &= ~(1U << replica);
+  if (balancer->listed_by != 0)
+    return false;
+  g_ptr_array_remove_index (view->balancers, position);
+  return true;
+}
+
+/* Drops what the replica listed before and the snapshot does not contain. */
+static bool
+apply_snapshot (oh_view_t *view, unsigned replica, const Oh__View *message)
+{
+  g_autoptr (GHashTable) names = g_hash_table_new (g_str_hash, g_str_equal);
+  bool changed = false;
+
+  for (size_t i = 0; i < message->n_members; i++)
+    if (message->members[i]->load != NULL)
+      g_hash_table_add (names, message->members[i]->load->upstream);
+  for (guint i = view->members->len; i-- > 0;)
+    if (!g_hash_table_contains (names, name_at (view->members, i)))
+      changed |= unlist_member (view, replica, i);
+  g_hash_table_remove_all (names);
+  for (size_t i = 0; i < message->n_balancers; i++)
+    g_hash_table_add (names, message->balancers[i]->name);
+  for (guint i = view->balancers->len; i-- > 0;)
+    if (!g_hash_table_contains (names, name_at (view->balancers, i)))
+      changed |= unlist_balancer (view, replica, i);
+  return changed;
+}
+
+static bool
+apply_membership (oh_view_t *view, unsigned replica, const Oh__View *message)
+{
+  bool changed = message->snapshot && apply_snapshot (view, replica, message);
+  guint position;
+
+  for (size_t i = 0; i < message->n_removed_members; i++)
+    if (find_position (view->members, message->removed_members[i], &position))
+      changed |= unlist_member (view, replica, position);
+  for (size_t i = 0; i < message->n_removed_balancers; i++)
+    if (find_position (view->balancers, message->removed_balancers[i], &position))
+      changed |= unlist_balancer (view, replica, position);
+  for (size_t i = 0; i < message->n_members; i++)
+    changed |= list_member (view, replica, message->members[i]);
+  for (size_t i = 0; i < message->n_balancers; i++)
+    changed |= list_balancer (view, replica, message->balancers[i]);
+  return changed;
+}
+
+static void
+set_drained (oh_view_t *view, const Oh__View *message)
+{
+  g_ptr_array_set_size (view->drained, 0);
+  for (size_t i = 0; i < message->n_drained; i++)
+    g_ptr_array_add (view->drained, g_strdup (message->drained[i]));
+  for (guint i = 0; i < view->members->len; i++)
+    {
+      oh_view_member_t *member = g_ptr_array_index (view->members, i);
+
+      member->drained = is_drained (view, member->name);
+    }
+}
+
+/* Without a text the message says that the text did not change since the version in the node's last poll. */
+static bool
+apply_version (oh_view_t *view, const Oh__View *message)
+{
+  oh_config_t config;
+
+  if (message->version <= view->version)
+    return false;
+  if (message->has_text)
+    {
+      if (message->text[0] == '\0')
+        config = (oh_config_t){ 0 };
+      else if (!oh_config_parse (&config, "view", message->text, NULL))
+        return false;
+      oh_config_finish (&view->config);
+      view->config = config;
+      g_free (view->text);
+      view->text = g_strdup (message->text);
+    }
+  view->version = message->version;
+  set_drained (view, message);
+  return true;
+}
+
+void
+oh_view_init (oh_view_t *view)
+{
+  *view = (oh_view_t){
+    .key_generation = 1,
+    .text = g_strdup (""),
+    .members = g_ptr_array_new_with_free_func (free_record),
+    .balancers = g_ptr_array_new_with_free_func (free_balancer),
+    .drained = g_ptr_array_new_with_free_func (g_free),
+  };
+}
+
+void
+oh_view_finish (oh_view_t *view)
+{
+  g_clear_pointer (&view->text, g_free);
+  oh_config_finish (&view->config);
+  g_clear_pointer (&view->members, g_ptr_array_unref);
+  g_clear_pointer (&view->balancers, g_ptr_array_unref);
+  g_clear_pointer (&view->drained, g_ptr_array_unref);
+}
+
+bool
+oh_view_merge (oh_view_t *view, unsigned replica, const Oh__View *message)
+{
+  bool changed;
+
+  g_assert (replica < MAX_REPLICAS);
+  changed = apply_version (view, message);
+  if (message->key_generation > view->key_generation)
+    {
+      view->key_generation = message->key_generation;
+      changed = true;
+    }
+  if (message->confirmed && !view->confirmed && message->version == view->version)
+    {
+      view->confirmed = true;
+      changed = true;
+    }
+  return apply_membership (view, replica, message) || changed;
+}
+
+const oh_view_member_t *
+oh_view_find_member (const oh_view_t *view, const char *name)
+{
+  guint position;
+
+  return find_position (view->members, name, &position) ? g_ptr_array_index (view->members, position) : NULL;
+}
--- /dev/null
+++ b/tests/test_view.c
@@ -0,0 +1,173 @@
+#include <glib.h>
+
+#include "core/codec.h"
+#include "core/view.h"
+
+#define TEXT "[oriolehaven]\nname=a\n[service kiln-log]\naddress=127.0.0.1:7000\n"
+
+typedef struct
+{
+  Oh__View view;
+  Oh__Member member;
+  Oh__Load load;
+  Oh__Address agent;
+  Oh__Member *members[1];
+  char *names[1];
+} message_t;
+
+static const Oh__View *
+version_message (message_t *message, uint64_t version, bool confirmed, const char *text)
+{
+  *message = (message_t){ .view = OH__VIEW__INIT };
+  message->view.version = version;
+  message->view.confirmed = confirmed;
+  message->view.has_text = text != NULL;
+  message->view.text = text != NULL ? (char *)text : message->view.text;
+  return &message->view;
+}
+
+static const Oh__View *
+member_message (message_t *message, bool snapshot, uint64_t incarnation, uint64_t sequence)
+{
+  *message = (message_t){ .view = OH__VIEW__INIT, .member = OH__MEMBER__INIT, .load = OH__LOAD__INIT };
+  oh_address_to_wire ((oh_address_t){ .ipv4 = 1, .port = 2 }, &message->agent);
+  message->load.upstream = (char *)"kiln-1";
+  message->load.service = oh_service_id ("kiln-log");
+  message->load.incarnation = incarnation;
+  message->load.sequence = sequence;
+  message->load.agent = &message->agent;
+  message->member.load = &message->load;
+  message->member.service_name = (char *)"kiln-log";
+  message->members[0] = &message->member;
+  message->view.snapshot = snapshot;
+  message->view.n_members = 1;
+  message->view.members = message->members;
+  return &message->view;
+}
+
+static const Oh__View *
+removal_message (message_t *message)
+{
+  *message = (message_t){ .view = OH__VIEW__INIT };
+  message->names[0] = (char *)"kiln-1";
+  message->view.n_removed_members = 1;
+  message->view.removed_members = message->names;
+  return &message->view;
+}
+
+/* Guards against a view that goes back to an older version or counts a stale one as confirmed. */
+static void
+test_versions (void)
+{
+  static const struct
+  {
+    uint64_t version;
+    bool confirmed;
+    const char *text;
+    bool changed;
+    uint64_t expected_version;
+    bool expected_confirmed;
+    bool expected_service;
+  } steps[] = {
+    { 5, false, TEXT, true, 5, false, true },
+    { 4, true, "", false, 5, false, true }, /* confirmed, but older than what the node has */
+    { 6, false, "[broken", false, 5, false, true },
+    { 6, false, NULL, true, 6, false, true }, /* no text: unchanged */
+    { 6, true, NULL, true, 6, true, true },
+    { 5, false, "", false, 6, true, true },
+    { 7, false, "", true, 7, true, false },
+  };
+  message_t message;
+  oh_view_t view;
+
+  oh_view_init (&view);
+  for (size_t i = 0; i < G_N_ELEMENTS (steps); i++)
+    {
+      version_message (&message, steps[i].version, steps[i].confirmed, steps[i].text);
+      g_assert_cmpint (oh_view_merge (&view, 0, &message.view), ==, steps[i].changed);
+      g_assert_cmpuint (view.version, ==, steps[i].expected_version);
+      g_assert_cmpint (view.confirmed, ==, steps[i].expected_confirmed);
+      g_assert_cmpint (oh_config_find (&view.config, oh_service_id ("kiln-log")) != NULL, ==,
+                       steps[i].expected_service);
+    }
+  oh_view_finish (&view);
+}
+
+/* Guards against a replica that was cut off bringing back an earlier incarnation or removing a live member.
+ */
+static void
+test_members (void)
+{
+  static const struct
+  {
+    unsigned replica;
+    uint64_t incarnation; /* 0: removed */
+    uint64_t sequence;
+    uint64_t expected_incarnation; /* 0: absent */
+    uint64_t expected_sequence;
+  } steps[] = {
+    { 0, 70, 1, 70, 1 }, { 1, 70, 3, 70, 3 }, { 0, 70, 2, 70, 3 },
+    { 0, 20, 1, 20, 1 }, /* replica 0 saw the restart; random incarnations have no order */
+    { 2, 70, 9, 20, 1 }, /* cut off: still lists the earlier incarnation */
+    { 1, 0, 0, 20, 1 },  { 2, 0, 0, 20, 1 },  { 0, 0, 0, 0, 0 },
+    { 2, 70, 9, 70, 9 },
+  };
+  message_t message;
+  oh_view_t view;
+
+  oh_view_init (&view);
+  for (size_t i = 0; i < G_N_ELEMENTS (steps); i++)
+    {
+      if (steps[i].incarnation == 0)
+        removal_message (&message);
+      else
+        member_message (&message, false, steps[i].incarnation, steps[i].sequence);
+      oh_view_merge (&view, steps[i].replica, &message.view);
+
+      const oh_view_member_t *member = oh_view_find_member (&view, "kiln-1");
+
+      g_assert_cmpint (member != NULL, ==, steps[i].expected_incarnation != 0);
+      if (member == NULL)
+        continue;
+      g_assert_cmpuint (member->incarnation, ==, steps[i].expected_incarnation);
+      g_assert_cmpuint (member->sequence, ==, steps[i].expected_sequence);
+    }
+  oh_view_finish (&view);
+}
+
+/* Guards against a snapshot that leaves members behind which the replica no longer lists. */
+static void
+test_snapshot (void)
+{
+  char *drained[] = { (char *)"kiln-1" };
+  message_t message;
+  oh_view_t view;
+
+  oh_view_init (&view);
+  g_assert_true (oh_view_merge (&view, 0, member_message (&message, true, 1, 1)));
+  g_assert_false (oh_view_merge (&view, 0, member_message (&message, true, 1, 1)));
+  version_message (&message, 1, false, TEXT);
+  message.view.n_drained = 1;
+  message.view.drained = drained;
+  g_assert_true (oh_view_merge (&view, 0, &message.view));
+  g_assert_true (oh_view_find_member (&view, "kiln-1")->drained);
+  version_message (&message, 0, false, NULL);
+  message.view.snapshot = true;
+  g_assert_false (oh_view_merge (&view, 1, &message.view));
+  g_assert_true (oh_view_merge (&view, 0, &message.view));
+  g_assert_null (oh_view_find_member (&view, "kiln-1"));
+  member_message (&message, false, 1, 1);
+  message.load.service++;
+  g_assert_false (oh_view_merge (&view, 0, &message.view));
+  oh_view_finish (&view);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/view/versions", test_versions);
+  g_test_add_func ("/view/members", test_members);
+  g_test_add_func ("/view/snapshot", test_snapshot);
+  return g_test_run ();
+}
