keyring: let a process catch up over several rotations

A process starts at generation 1 and accepts one generation beside its own, so after two rotations a restarted node could neither read a view nor be read. A message sealed with a later generation of the same master key now advances the keyring.

Tested: tests/test_codec, keyring-follow.

--- a/lib/core/keyring.c
+++ b/lib/core/keyring.c
@@ -132,6 +132,38 @@
   return true;
 }
 
+bool
+oh_keyring_of_message (const oh_keyring_t *keyring, const uint8_t *buffer, size_t length, oh_keyring_t *other)
+{
+  uint32_t generation;
+
+  if (length < OH_SEAL_HEADER_BYTES)
+    return false;
+  memcpy (&generation, buffer + OH_MAC_BYTES, sizeof generation);
+  memcpy (other->master, keyring->master, sizeof other->master);
+  other->generation = GUINT32_FROM_LE (generation);
+  derive_keys (other);
+  return true;
+}
+
+bool
+oh_keyring_follow (oh_keyring_t *keyring, oh_key_purpose_t purpose, const uint8_t *buffer, size_t length)
+{
+  oh_keyring_t other;
+  const uint8_t *body;
+  size_t body_length;
+  bool ok;
+
+  if (!oh_keyring_of_message (keyring, buffer, length, &other))
+    return false;
+  ok = other.generation > keyring->generation
+       && oh_unseal (&other, purpose, buffer, length, &body, &body_length, NULL);
+  if (ok)
+    oh_keyring_advance (keyring, other.generation);
+  oh_keyring_finish (&other);
+  return ok;
+}
+
 void
 oh_token_sign (const oh_keyring_t *keyring, const oh_flow_id_t *flow, oh_token_t *token)
 {
--- a/lib/core/keyring.h
+++ b/lib/core/keyring.h
@@ -73,6 +73,18 @@
 bool oh_unseal (const oh_keyring_t *keyring, oh_key_purpose_t purpose, const uint8_t *buffer, size_t length,
                 const uint8_t **body, size_t *body_length, oh_error_t *error);
 
+/*
+ * Advances to the generation of a message that was sealed with a later one of the same master key. A process
+ * that missed rotations, or has just started, catches up in this way. Returns false if the message is not
+ * such a one.
+ */
+bool oh_keyring_follow (oh_keyring_t *keyring, oh_key_purpose_t purpose, const uint8_t *buffer,
+                        size_t length);
+
+/* Fills a keyring of the same master key with the generation that the message names. */
+bool oh_keyring_of_message (const oh_keyring_t *keyring, const uint8_t *buffer, size_t length,
+                            oh_keyring_t *other);
+
 /* Sets key_generation and mac of the token for the flow. */
 void oh_token_sign (const oh_keyring_t *keyring, const oh_flow_id_t *flow, oh_token_t *token);
 
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -101,6 +101,33 @@
   oh_keyring_finish (&keyring);
 }
 
+/* Guards against a process that can never join again after several rotations, and against a forged advance.
+ */
+static void
+test_keyring_follow (void)
+{
+  oh_keyring_t current;
+  oh_keyring_t behind;
+  oh_keyring_t stranger;
+  const uint8_t other_master[OH_MASTER_KEY_BYTES] = { 4 };
+  uint8_t buffer[OH_RELAY_MAX_BYTES];
+
+  oh_keyring_init (&current, master);
+  oh_keyring_init (&behind, master);
+  oh_keyring_init (&stranger, other_master);
+  oh_keyring_advance (&current, 9);
+  const size_t length = sample_relay (&current, buffer);
+
+  g_assert_false (oh_keyring_follow (&stranger, OH_KEY_RELAY, buffer, length));
+  g_assert_cmpuint (stranger.generation, ==, 1);
+  g_assert_false (oh_keyring_follow (&behind, OH_KEY_CONTROL, buffer, length));
+  g_assert_false (oh_keyring_follow (&behind, OH_KEY_RELAY, buffer, OH_SEAL_HEADER_BYTES - 1));
+  g_assert_cmpuint (behind.generation, ==, 1);
+  g_assert_true (oh_keyring_follow (&behind, OH_KEY_RELAY, buffer, length));
+  g_assert_cmpuint (behind.generation, ==, 9);
+  g_assert_false (oh_keyring_follow (&current, OH_KEY_RELAY, buffer, length));
+}
+
 /* Guards against a decoder that accepts packets outside their bounds. */
 static void
 test_packet_bounds (void)
@@ -146,6 +173,7 @@
   g_test_add_func ("/codec/token-forgery", test_token_forgery);
   g_test_add_func ("/codec/key-rotation", test_key_rotation);
   g_test_add_func ("/codec/seal", test_seal);
+  g_test_add_func ("/codec/keyring-follow", test_keyring_follow);
   g_test_add_func ("/codec/packet-bounds", test_packet_bounds);
   return g_test_run ();
 }
