view_client: poll the control replicas and keep a merged view

Each poll carries the cursor of the replica and the version in effect; a new version is reported at once. What a replica listed is forgotten after it has been silent for 3 s while another one answers; when none answers, the node keeps what it has.

--- /dev/null
+++ b/lib/adapters/view_client.c
@@ -0,0 +1,288 @@
+#define OH_LOG_MODULE "view_client"
+#include "base/log.h"
+
+#include "adapters/view_client.h"
+
+#include "core/codec.h"
+
+enum
+{
+  POLL_INTERVAL_MS = 1000,
+  MAX_REPLICAS = 32,
+  SILENCE_US = 3 * G_USEC_PER_SEC, /* the lease of a member: what a silent replica lists is older than that */
+  LEAVE_MS = 20,                   /* for the I/O thread to send the last poll; closing discards the rest */
+};
+
+typedef struct
+{
+  oh_view_client_t *client;
+  unsigned index;
+  char *endpoint;
+  oh_link_t *link;
+  uint64_t epoch; /* cursor: the last view taken from this replica; 0: none */
+  uint64_t sequence;
+  int64_t heard_us;       /* last message; 0: never */
+  int64_t heard_since_us; /* start of the present run of messages */
+} replica_t;
+
+struct oh_view_client
+{
+  char *name;
+  Oh__NodeRole role;
+  char *zone;
+  oh_keyring_t *keyring;
+  oh_view_client_callbacks_t callbacks;
+  void *data;
+  oh_view_t view;
+  GPtrArray *replicas; /* of replica_t * */
+  GSource *timer;
+};
+
+static void
+free_replica (gpointer data)
+{
+  replica_t *replica = data;
+
+  oh_link_close (replica->link);
+  g_free (replica->endpoint);
+  g_free (replica);
+}
+
+static void
+send_poll (replica_t *replica, const Oh__Poll *poll)
+{
+  oh_view_client_t *client = replica->client;
+  Oh__Control message = OH__CONTROL__INIT;
+  Oh__Poll own = *poll;
+  g_autofree uint8_t *bytes = NULL;
+  size_t length;
+
+  own.replica_epoch = replica->epoch;
+  own.sequence = replica->sequence;
+  message.sender = client->name;
+  message.body_case = OH__CONTROL__BODY_POLL;
+  message.poll = &own;
+  bytes = oh_control_encode (&message, client->keyring, OH_KEY_CONTROL, &length);
+  if (!oh_link_send (replica->link, NULL, bytes, length))
+    oh_log_debug ("poll_dropped", "replica=%s", replica->endpoint);
+}
+
+static void
+send_polls (oh_view_client_t *client, bool leaving)
+{
+  Oh__Poll poll = OH__POLL__INIT;
+
+  poll.name = client->name;
+  poll.role = client->role;
+  poll.zone = client->zone;
+  poll.version_in_force = client->view.version;
+  poll.leaving = leaving;
+  if (client->callbacks.fill_poll != NULL)
+    client->callbacks.fill_poll (&poll, client->data);
+  for (guint i = 0; i < client->replicas->len; i++)
+    send_poll (g_ptr_array_index (client->replicas, i), &poll);
+}
+
+/* A delta on a cursor that the client does not hold cannot be merged; the next poll asks for a snapshot. */
+static bool
+take_cursor (replica_t *replica, const Oh__View *message)
+{
+  if (message->snapshot || message->replica_epoch == replica->epoch)
+    {
+      replica->epoch = message->replica_epoch;
+      replica->sequence = message->snapshot ? message->sequence : MAX (replica->sequence, message->sequence);
+      return true;
+    }
+  replica->epoch = 0;
+  replica->sequence = 0;
+  return message->n_members == 0 && message->n_balancers == 0 && message->n_removed_members == 0
+         && message->n_removed_balancers == 0;
+}
+
+static void
+merge (replica_t *replica, const Oh__View *message)
+{
+  oh_view_client_t *client = replica->client;
+  const uint64_t version = client->view.version;
+
+  if (!oh_view_merge (&client->view, replica->index, message))
+    return;
+  oh_keyring_advance (client->keyring, client->view.key_generation);
+  if (client->view.version != version)
+    {
+      oh_log_info ("version_in_effect", "version=%" G_GUINT64_FORMAT " confirmed=%d replica=%s",
+                   client->view.version, client->view.confirmed, replica->endpoint);
+      send_polls (client, false); /* the replicas report the version in effect for each node */
+    }
+  if (client->callbacks.changed != NULL)
+    client->callbacks.changed (&client->view, client->data);
+}
+
+static void
+handle_message (oh_link_t *link, GBytes *peer, const uint8_t *bytes, size_t length, void *data)
+{
+  replica_t *replica = data;
+  oh_view_client_t *client = replica->client;
+  oh_error_t error;
+  Oh__Control *message = oh_control_decode (client->keyring, OH_KEY_CONTROL, bytes, length, &error);
+
+  (void)link;
+  (void)peer;
+  if (message == NULL && oh_keyring_follow (client->keyring, OH_KEY_CONTROL, bytes, length))
+    {
+      oh_log_info ("key_generation_followed", "generation=%u replica=%s", client->keyring->generation,
+                   replica->endpoint);
+      message = oh_control_decode (client->keyring, OH_KEY_CONTROL, bytes, length, &error);
+      send_polls (client, false);
+    }
+  if (message == NULL)
+    {
+      oh_log_warning ("message_rejected", "replica=%s reason=\"%s\"", replica->endpoint, error.message);
+      return;
+    }
+  if (message->body_case == OH__CONTROL__BODY_VIEW)
+    {
+      const int64_t now_us = g_get_monotonic_time ();
+
+      if (replica->heard_us == 0 || now_us - replica->heard_us > SILENCE_US)
+        replica->heard_since_us = now_us;
+      replica->heard_us = now_us;
+      if (take_cursor (replica, message->view))
+        merge (replica, message->view);
+    }
+  oh__control__free_unpacked (message, NULL);
+}
+
+static bool
+other_replica_is_steady (const oh_view_client_t *client, const replica_t *silent, int64_t now_us)
+{
+  for (guint i = 0; i < client->replicas->len; i++)
+    {
+      const replica_t *replica = g_ptr_array_index (client->replicas, i);
+
+      if (replica != silent && replica->heard_us != 0 && now_us - replica->heard_us <= SILENCE_US
+          && now_us - replica->heard_since_us > SILENCE_US)
+        return true;
+    }
+  return false;
+}
+
+/*
+ * A member that died after its replica did would stay listed by the dead replica for ever. When no replica
+ * answers, the node keeps what it has.
+ */
+static void
+forget_silent_replicas (oh_view_client_t *client)
+{
+  const int64_t now_us = g_get_monotonic_time ();
+
+  for (guint i = 0; i < client->replicas->len; i++)
+    {
+      replica_t *replica = g_ptr_array_index (client->replicas, i);
+      Oh__View nothing = OH__VIEW__INIT;
+
+      if (replica->heard_us == 0 || now_us - replica->heard_us <= SILENCE_US
+          || !other_replica_is_steady (client, replica, now_us))
+        continue;
+      oh_log_warning ("replica_silent", "replica=%s", replica->endpoint);
+      replica->heard_us = 0;
+      replica->epoch = 0;
+      replica->sequence = 0;
+      nothing.snapshot = true;
+      merge (replica, &nothing);
+    }
+}
+
+static gboolean
+on_timer (gpointer data)
+{
+  oh_view_client_t *client = data;
+
+  forget_silent_replicas (client);
+  send_polls (client, false);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+free_client (oh_view_client_t *client)
+{
+  if (client->timer != NULL)
+    {
+      g_source_destroy (client->timer);
+      g_source_unref (client->timer);
+    }
+  g_ptr_array_unref (client->replicas);
+  oh_view_finish (&client->view);
+  g_free (client->name);
+  g_free (client->zone);
+  g_free (client);
+}
+
+static bool
+connect_replicas (oh_view_client_t *client, GMainContext *context, const char *replicas, oh_error_t *error)
+{
+  g_auto (GStrv) endpoints = g_strsplit (replicas, ",", -1);
+
+  for (char **endpoint = endpoints; *endpoint != NULL; endpoint++)
+    {
+      replica_t *replica = g_new0 (replica_t, 1);
+
+      replica->client = client;
+      replica->index = client->replicas->len;
+      replica->endpoint = g_strdup (g_strstrip (*endpoint));
+      g_ptr_array_add (client->replicas, replica);
+      if (replica->index == MAX_REPLICAS)
+        return oh_error_set (error, OH_ERROR_SETTINGS, OH_ERROR_CODE_TOO_LARGE,
+                             "replicas \"%s\": expected at most %d endpoints", replicas, MAX_REPLICAS);
+      replica->link = oh_link_connect (context, replica->endpoint, handle_message, replica, error);
+      if (replica->link == NULL)
+        return false;
+    }
+  if (client->replicas->len == 0)
+    return oh_error_set (error, OH_ERROR_SETTINGS, OH_ERROR_CODE_BAD_VALUE,
+                         "replicas \"\": expected endpoints tcp://IPV4:PORT, separated by commas");
+  return true;
+}
+
+oh_view_client_t *
+oh_view_client_start (GMainContext *context, const char *name, Oh__NodeRole role, const char *zone,
+                      const char *replicas, oh_keyring_t *keyring,
+                      const oh_view_client_callbacks_t *callbacks, void *data, oh_error_t *error)
+{
+  oh_view_client_t *client = g_new0 (oh_view_client_t, 1);
+
+  client->name = g_strdup (name);
+  client->role = role;
+  client->zone = g_strdup (zone != NULL ? zone : "");
+  client->keyring = keyring;
+  client->callbacks = *callbacks;
+  client->data = data;
+  client->replicas = g_ptr_array_new_with_free_func (free_replica);
+  oh_view_init (&client->view);
+  if (!connect_replicas (client, context, replicas, error))
+    {
+      free_client (client);
+      return NULL;
+    }
+  client->timer = g_timeout_source_new (POLL_INTERVAL_MS);
+  g_source_set_callback (client->timer, on_timer, client, NULL);
+  g_source_attach (client->timer, context);
+  send_polls (client, false);
+  return client;
+}
+
+void
+oh_view_client_poll_now (oh_view_client_t *client)
+{
+  send_polls (client, false);
+}
+
+void
+oh_view_client_stop (oh_view_client_t *client)
+{
+  if (client == NULL)
+    return;
+  send_polls (client, true);
+  g_usleep (LEAVE_MS * 1000);
+  free_client (client);
+}
