--- a/lib/adapters/view_client.c
+++ b/lib/adapters/view_client.c
@@ -83,10 +83,15 @@
     send_poll (g_ptr_array_index (client->replicas, i), &poll);
 }
 
-/* A delta on a cursor that the client does not hold cannot be merged; the next poll asks for a snapshot. */
+/*
+ * A delta on a cursor that the client does not hold cannot be merged; the next poll asks for a snapshot. A
+ * view with epoch 0 only adds to what the replica listed before, and moves no cursor.
+ */
 static bool
 take_cursor (replica_t *replica, const Oh__View *message)
 {
+  if (message->replica_epoch == 0)
+    return true;
   if (message->snapshot || message->replica_epoch == replica->epoch)
     {
       replica->epoch = message->replica_epoch;
@@ -95,8 +100,7 @@
     }
   replica->epoch = 0;
   replica->sequence = 0;
-  return message->n_members == 0 && message->n_balancers == 0 && message->n_removed_members == 0
-         && message->n_removed_balancers == 0;
+  return false;
 }
 
 static void
