--- /dev/null
+++ b/lib/core/raft.h
@@ -0,0 +1,183 @@
+#pragma once
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/error.h"
+#include "ports/random.h"
+#include "ports/storage.h"
+#include "wire/raft.pb-c.h"
+
+/*
+ * Raft without I/O: one event in, actions to a sink. Pre-vote, check-quorum, sync before each vote and append
+ * answer, commit of own-term entries only, snapshots, and membership changes of one replica at a time.
+ *
+ * A replica is identified by its id, not by its name: one that lost its disk is another replica with the same
+ * name. With an empty data folder it sends Hello to the initial set. When all initial replicas are in that
+ * state and know the same ids, they form the cluster. Otherwise the leader adds the new id as a learner,
+ * removes the old id of the same name once the learner has caught up, and then promotes the learner. A name
+ * that is not in the replica set waits until an operator adds it (OH_RAFT_ADD_REPLICA).
+ *
+ * At most one persist request is outstanding; what changes meanwhile goes into the next one.
+ */
+
+enum
+{
+  OH_RAFT_ELECTION_MIN_US = 300000,
+  OH_RAFT_ELECTION_MAX_US = 600000,
+  OH_RAFT_HEARTBEAT_US = 100000,
+  OH_RAFT_CONFIRMED_US = 1000000, /* age of quorum contact up to which a replica is confirmed */
+  OH_RAFT_COMMAND_MAX_BYTES = 256 * 1024,
+  OH_RAFT_REPLICAS_MAX = 16, /* voters, learners and awaited ones */
+};
+
+typedef struct
+{
+  char *name;
+  uint64_t id; /* 0 for an awaited one, and in the initial set */
+  char *endpoint;
+  Oh__ReplicaRole role;
+} oh_raft_replica_t;
+
+typedef enum
+{
+  OH_RAFT_UNFORMED, /* belongs to no cluster yet */
+  OH_RAFT_FOLLOWER, /* learners too */
+  OH_RAFT_CANDIDATE,
+  OH_RAFT_LEADER,
+  OH_RAFT_FAILED, /* storage error; only a restart leaves this state */
+} oh_raft_role_t;
+
+typedef enum
+{
+  OH_RAFT_START,          /* first event */
+  OH_RAFT_TIMER,          /* the armed timer is due; early and repeated ones are harmless */
+  OH_RAFT_MESSAGE,        /* a message from a replica, authenticated by the transport */
+  OH_RAFT_PROPOSE,        /* a command; answered by the proposed action */
+  OH_RAFT_ADD_REPLICA,    /* name and endpoint; answered by the proposed action */
+  OH_RAFT_REMOVE_REPLICA, /* name; answered by the proposed action */
+  OH_RAFT_SYNCED,         /* the persist request with this id is durable */
+  OH_RAFT_STORAGE_FAILED, /* the persist request with this id failed */
+  OH_RAFT_SNAPSHOT_READY, /* answer to take_snapshot */
+} oh_raft_event_kind_t;
+
+/* Everything an event refers to is borrowed for the call. */
+typedef struct
+{
+  oh_raft_event_kind_t kind;
+  int64_t now_us;
+  union
+  {
+    struct
+    {
+      const oh_recovered_t *recovered;
+      const oh_raft_replica_t *initial; /* names and endpoints, this replica included */
+      size_t n_initial;
+      const char *endpoint; /* of this replica */
+      bool join;            /* never form a cluster from an empty data folder */
+    } start;
+    const Oh__RaftMessage *message;
+    struct
+    {
+      uint64_t tag; /* returned in the proposed action */
+      GBytes *data;
+    } propose;
+    struct
+    {
+      uint64_t tag;
+      const char *name;
+      const char *endpoint;
+    } membership;
+    struct
+    {
+      uint64_t id;
+      bool full; /* STORAGE_FAILED: OH_ERROR_CODE_NO_SPACE; otherwise the error is final */
+    } persist;
+    struct
+    {
+      uint64_t index;
+      GBytes *data;
+    } snapshot;
+  };
+} oh_raft_event_t;
+
+typedef enum
+{
+  OH_RAFT_PROPOSED,       /* appended at index; committed if an entry with this index and term is applied */
+  OH_RAFT_NOT_LEADER,     /* not appended: send it to the leader */
+  OH_RAFT_STORAGE_FULL,   /* not appended */
+  OH_RAFT_CHANGE_PENDING, /* not appended: another membership change is under way */
+  OH_RAFT_CHANGE_INVALID, /* not appended: unknown or duplicate name, last voter, too large, set full */
+  OH_RAFT_NOT_READY,      /* not appended: the leader has not committed an entry of its term yet */
+} oh_raft_proposal_t;
+
+typedef struct oh_raft_sink oh_raft_sink_t;
+
+/* Actions. None of them may call oh_raft_handle; what they refer to is borrowed unless stated. */
+typedef struct
+{
+  /* May be lost, delayed, duplicated and reordered. */
+  void (*send) (oh_raft_sink_t *sink, const oh_raft_replica_t *to, const Oh__RaftMessage *message);
+
+  /* The sink owns the request (oh_persist_free) and answers with SYNCED or STORAGE_FAILED. */
+  void (*persist) (oh_raft_sink_t *sink, oh_persist_t *request);
+
+  /* Called in order of the index, for each committed entry, no-ops and replica sets too. */
+  void (*apply) (oh_raft_sink_t *sink, const oh_entry_t *entry);
+
+  /* Replaces the applied state; the next entry applied is snapshot->index + 1. */
+  void (*install) (oh_raft_sink_t *sink, const oh_snapshot_t *snapshot);
+
+  /* Asks for the applied state as bytes, which is the state after the entry at index. Answered by
+   * SNAPSHOT_READY with the same index, at any later time. */
+  void (*take_snapshot) (oh_raft_sink_t *sink, uint64_t index);
+
+  /* Replaces the armed timer. */
+  void (*arm_timer) (oh_raft_sink_t *sink, int64_t due_us);
+
+  /* Role, leader, term, replica set or quorum contact changed. */
+  void (*changed) (oh_raft_sink_t *sink);
+
+  void (*proposed) (oh_raft_sink_t *sink, uint64_t tag, oh_raft_proposal_t result, uint64_t index,
+                    uint64_t term);
+
+  /* One log line in the form of base/log.h: event name and key=value pairs. */
+  void (*log) (oh_raft_sink_t *sink, const char *event, const char *pairs);
+} oh_raft_sink_ops_t;
+
+struct oh_raft_sink
+{
+  const oh_raft_sink_ops_t *ops;
+};
+
+typedef struct oh_raft oh_raft_t;
+
+/* The random source must outlive the core. */
+oh_raft_t *oh_raft_init (oh_random_t *random);
+void oh_raft_finish (oh_raft_t *raft);
+
+void oh_raft_handle (oh_raft_t *raft, const oh_raft_event_t *event, oh_raft_sink_t *sink);
+
+oh_raft_role_t oh_raft_role (const oh_raft_t *raft);
+const char *oh_raft_role_name (oh_raft_role_t role);
+uint64_t oh_raft_id (const oh_raft_t *raft);
+uint64_t oh_raft_term (const oh_raft_t *raft);
+uint64_t oh_raft_commit_index (const oh_raft_t *raft);
+uint64_t oh_raft_applied_index (const oh_raft_t *raft);
+uint64_t oh_raft_last_index (const oh_raft_t *raft);
+bool oh_raft_storage_full (const oh_raft_t *raft);
+
+/* NULL if not known. */
+const char *oh_raft_leader_name (const oh_raft_t *raft);
+const char *oh_raft_leader_endpoint (const oh_raft_t *raft);
+
+/* Latest replica set of the log, committed or not; of oh_raft_replica_t *. */
+const GPtrArray *oh_raft_replicas (const oh_raft_t *raft);
+
+/*
+ * True if the applied state was current within the last second: this replica leads, has committed an entry of
+ * its term and a quorum was in contact within OH_RAFT_CONFIRMED_US, or it has applied everything that such a
+ * leader had committed when it last heard from it within that time.
+ */
+bool oh_raft_confirmed (const oh_raft_t *raft, int64_t now_us);
