--- /dev/null
+++ b/lib/core/placement_view.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "core/view.h"
+
+/*
+ * The part of a view that placement needs, as an immutable copy that one thread builds and another one takes
+ * over.
+ */
+
+enum
+{
+  OH_PLACEMENT_NAME_BYTES = OH_CONFIG_NAME_MAX_BYTES + 1,
+};
+
+typedef struct
+{
+  uint64_t id;
+  char name[OH_PLACEMENT_NAME_BYTES];
+  GArray *depends; /* of uint64_t, service ids, direct and transitive, without the service itself */
+} oh_placement_service_t;
+
+typedef struct
+{
+  char name[OH_PLACEMENT_NAME_BYTES];
+  char zone[OH_PLACEMENT_NAME_BYTES];
+  uint64_t service;
+  oh_address_t agent;
+  uint64_t incarnation;
+  uint64_t sequence;
+  unsigned slots;
+  unsigned busy;
+  unsigned queued;
+  unsigned flows;
+  unsigned max_flows;
+  Oh__UpstreamState state;
+  bool drained;
+} oh_placement_member_t;
+
+typedef struct
+{
+  bool confirmed;
+  uint64_t version;
+  uint32_t key_generation;
+  unsigned n_balancers; /* that the view lists */
+  GArray *services;     /* of oh_placement_service_t */
+  GArray *members;      /* of oh_placement_member_t */
+} oh_placement_view_t;
+
+oh_placement_view_t *oh_placement_view_new (const oh_view_t *view);
+void oh_placement_view_free (oh_placement_view_t *view);
