bench: add the points for the capacity page

Bytes, heap and processor time of views, leases, polls and load reports at four sizes each, as CSV lines.

--- /dev/null
+++ b/bench/capacity_points.c
@@ -0,0 +1,298 @@
+#include <glib.h>
+#include <malloc.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/seeded_random.h"
+#include "core/codec.h"
+#include "core/membership.h"
+#include "core/placement.h"
+#include "core/view.h"
+
+/*
+ * Points for the slopes of docs/CAPACITY.md: "quantity,size,value" on each line. Bytes are exact and
+ * repeatable; processor times are those of one thread on the machine at hand.
+ */
+
+enum
+{
+  REPEATS = 2000,
+  SERVICE_UPSTREAMS = 3, /* 28,000 upstreams behind 8,900 addresses */
+};
+
+typedef struct
+{
+  Oh__Member member;
+  Oh__Load load;
+  Oh__Address agent;
+  char name[32];
+  char service[32];
+  char endpoint[40];
+} sample_member_t;
+
+static void
+emit_point (const char *quantity, unsigned size, double value)
+{
+  printf ("%s,%u,%.3f\n", quantity, size, value);
+}
+
+static double
+cpu_us (void)
+{
+  struct timespec time;
+
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &time);
+  return (double)time.tv_sec * 1e6 + (double)time.tv_nsec / 1e3;
+}
+
+static size_t
+heap_bytes (void)
+{
+  const struct mallinfo2 info = mallinfo2 ();
+
+  return info.uordblks + info.hblkhd;
+}
+
+static void
+fill_member (sample_member_t *sample, unsigned index)
+{
+  const unsigned service = index / SERVICE_UPSTREAMS;
+
+  g_snprintf (sample->service, sizeof sample->service, "service-%05u", service);
+  g_snprintf (sample->name, sizeof sample->name, "service-%05u-%u", service, index % SERVICE_UPSTREAMS);
+  g_snprintf (sample->endpoint, sizeof sample->endpoint, "tcp://10.%u.%u.%u:7301", index >> 16,
+              (index >> 8) & 0xff, index & 0xff);
+  oh__member__init (&sample->member);
+  oh__load__init (&sample->load);
+  oh_address_to_wire ((oh_address_t){ .ipv4 = 0x0a000000 + index, .port = 7300 }, &sample->agent);
+  sample->load.upstream = sample->name;
+  sample->load.service = oh_service_id (sample->service);
+  sample->load.incarnation = G_GUINT64_CONSTANT (0x9e3779b97f4a7c15) * (index + 1);
+  sample->load.sequence = 100000;
+  sample->load.slots = 4;
+  sample->load.busy = 3;
+  sample->load.queued = 2;
+  sample->load.flows = 1900;
+  sample->load.max_flows = 4000;
+  sample->load.agent = &sample->agent;
+  sample->member.load = &sample->load;
+  sample->member.service_name = sample->service;
+  sample->member.zone = (char *)"plv-a";
+  sample->member.peer_endpoint = sample->endpoint;
+}
+
+static char *
+make_text (unsigned services)
+{
+  GString *text = g_string_new ("[oriolehaven]\nname=capacity\n");
+
+  for (unsigned i = 0; i < services; i++)
+    g_string_append_printf (text, "\n[service service-%05u]\naddress=10.%u.%u.%u:7000\n", i, 100 + (i >> 16),
+                            (i >> 8) & 0xff, i & 0xff);
+  return g_string_free (text, FALSE);
+}
+
+static void
+measure_view (unsigned n_members)
+{
+  g_autofree sample_member_t *samples = g_new0 (sample_member_t, n_members);
+  g_autofree Oh__Member **members = g_new (Oh__Member *, n_members);
+  g_autofree char *text = make_text ((n_members + SERVICE_UPSTREAMS - 1) / SERVICE_UPSTREAMS);
+  Oh__View snapshot = OH__VIEW__INIT;
+  Oh__View delta = OH__VIEW__INIT;
+  oh_view_t view;
+  double start_us;
+  size_t before;
+
+  for (unsigned i = 0; i < n_members; i++)
+    {
+      fill_member (&samples[i], i);
+      members[i] = &samples[i].member;
+    }
+  snapshot.replica_epoch = 1;
+  snapshot.sequence = 1;
+  snapshot.snapshot = true;
+  snapshot.confirmed = true;
+  snapshot.version = 1;
+  snapshot.key_generation = 1;
+  snapshot.n_members = n_members;
+  snapshot.members = members;
+  emit_point ("view_snapshot_bytes", n_members, (double)oh__view__get_packed_size (&snapshot));
+  emit_point ("text_bytes", n_members, (double)strlen (text));
+  snapshot.has_text = true;
+  snapshot.text = text;
+
+  before = heap_bytes ();
+  oh_view_init (&view);
+  oh_view_merge (&view, 0, &snapshot);
+  emit_point ("view_heap_bytes", n_members, (double)(heap_bytes () - before));
+
+  delta.replica_epoch = 1;
+  delta.confirmed = true;
+  delta.version = 1;
+  delta.key_generation = 1;
+  delta.n_members = 1;
+  delta.members = members;
+  start_us = cpu_us ();
+  for (unsigned i = 0; i < REPEATS; i++)
+    {
+      delta.sequence = i + 2;
+      samples[0].load.sequence++;
+      samples[0].load.slots = 4 + i % 2;
+      oh_view_merge (&view, 0, &delta);
+    }
+  emit_point ("view_delta_us", n_members, (cpu_us () - start_us) / REPEATS);
+  oh_view_finish (&view);
+}
+
+static void
+fill_poll (Oh__Poll *poll, sample_member_t *sample, const oh_membership_t *membership)
+{
+  oh__poll__init (poll);
+  poll->name = sample->name;
+  poll->role = OH__NODE_ROLE__NODE_AGENT;
+  poll->zone = (char *)"plv-a";
+  poll->version_in_force = 12345;
+  poll->replica_epoch = membership->epoch;
+  poll->sequence = membership->sequence;
+  poll->member = &sample->member;
+}
+
+static void
+measure_membership (unsigned n_members, const oh_keyring_t *keyring)
+{
+  g_autofree sample_member_t *samples = g_new0 (sample_member_t, n_members);
+  g_autoptr (GBytes) route = g_bytes_new_static ("route", 5);
+  Oh__Control control = OH__CONTROL__INIT;
+  Oh__Poll poll;
+  Oh__View view;
+  oh_membership_t membership;
+  int64_t now_us = G_USEC_PER_SEC;
+  g_autofree uint8_t *bytes = NULL;
+  size_t length;
+  size_t before;
+  double start_us;
+
+  before = heap_bytes ();
+  oh_membership_init (&membership, 1, now_us);
+  for (unsigned i = 0; i < n_members; i++)
+    {
+      fill_member (&samples[i], i);
+      fill_poll (&poll, &samples[i], &membership);
+      oh_membership_announce (&membership, &poll, route, now_us);
+    }
+  emit_point ("membership_heap_bytes", n_members, (double)(heap_bytes () - before));
+
+  /* A poll as a replica serves it: unseal and decode, renew the lease, fill, encode and seal the reply. */
+  control.sender = samples[0].name;
+  control.body_case = OH__CONTROL__BODY_POLL;
+  fill_poll (&poll, &samples[0], &membership);
+  control.poll = &poll;
+  bytes = oh_control_encode (&control, keyring, OH_KEY_CONTROL, &length);
+  emit_point ("poll_bytes", n_members, (double)length);
+  start_us = cpu_us ();
+  for (unsigned i = 0; i < REPEATS; i++)
+    {
+      Oh__Control *decoded = oh_control_decode (keyring, OH_KEY_CONTROL, bytes, length, NULL);
+      Oh__Control reply = OH__CONTROL__INIT;
+      size_t reply_length;
+
+      now_us += 100;
+      oh_membership_announce (&membership, decoded->poll, route, now_us);
+      oh__view__init (&view);
+      oh_membership_fill_view (&membership, membership.epoch, membership.sequence,
+                               now_us + 2 * (int64_t)OH_LEASE_US, &view);
+      view.confirmed = true;
+      view.version = 12345;
+      view.key_generation = 1;
+      reply.sender = (char *)"control-a";
+      reply.body_case = OH__CONTROL__BODY_VIEW;
+      reply.view = &view;
+      g_free (oh_control_encode (&reply, keyring, OH_KEY_CONTROL, &reply_length));
+      if (i == 0)
+        emit_point ("poll_reply_bytes", n_members, (double)reply_length);
+      oh_membership_clear_view (&view);
+      oh__control__free_unpacked (decoded, NULL);
+    }
+  emit_point ("poll_us", n_members, (cpu_us () - start_us) / REPEATS);
+  oh_membership_finish (&membership);
+}
+
+static void
+measure_reports (unsigned n_members, const oh_keyring_t *keyring)
+{
+  g_autofree sample_member_t *samples = g_new0 (sample_member_t, n_members);
+  g_autofree Oh__Member **members = g_new (Oh__Member *, n_members);
+  g_autofree char *text = make_text ((n_members + SERVICE_UPSTREAMS - 1) / SERVICE_UPSTREAMS);
+  uint8_t buffer[OH_RELAY_MAX_BYTES];
+  Oh__View snapshot = OH__VIEW__INIT;
+  oh_seeded_random_t random;
+  oh_placement_t placement;
+  oh_arena_t arena;
+  oh_view_t view;
+  size_t length = 0;
+  size_t before;
+  double total_us = 0;
+
+  for (unsigned i = 0; i < n_members; i++)
+    {
+      fill_member (&samples[i], i);
+      members[i] = &samples[i].member;
+    }
+  snapshot.snapshot = true;
+  snapshot.confirmed = true;
+  snapshot.version = 1;
+  snapshot.n_members = n_members;
+  snapshot.members = members;
+  snapshot.has_text = true;
+  snapshot.text = text;
+  oh_view_init (&view);
+  oh_view_merge (&view, 0, &snapshot);
+  oh_seeded_random_init (&random, 1);
+  oh_arena_init (&arena);
+  before = heap_bytes ();
+  oh_placement_init (&placement, "plv-a", &random.base);
+  oh_placement_update (&placement, oh_placement_view_new (&view), 0);
+  emit_point ("placement_heap_bytes", n_members, (double)(heap_bytes () - before));
+  for (unsigned i = 0; i < REPEATS; i++)
+    {
+      Oh__Relay relay = OH__RELAY__INIT;
+      Oh__Load *load = &samples[i % n_members].load;
+      Oh__Relay *decoded;
+      double start_us;
+
+      load->sequence++;
+      relay.load = load;
+      length = oh_relay_encode (&relay, keyring, buffer, sizeof buffer);
+      start_us = cpu_us ();
+      decoded = oh_relay_decode (&arena, keyring, buffer, length, NULL);
+      oh_placement_report (&placement, decoded->load, i);
+      total_us += cpu_us () - start_us;
+    }
+  emit_point ("report_bytes", n_members, (double)length);
+  emit_point ("report_us", n_members, total_us / REPEATS);
+  oh_placement_finish (&placement);
+  oh_view_finish (&view);
+  oh_seeded_random_finish (&random);
+}
+
+int
+main (void)
+{
+  static const unsigned sizes[] = { 30, 300, 1000, 2000 };
+  static const unsigned member_sizes[] = { 1000, 4000, 16000, 32000 };
+  const uint8_t master[OH_MASTER_KEY_BYTES] = { 1 };
+  oh_keyring_t keyring;
+
+  oh_keyring_init (&keyring, master);
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      measure_view (sizes[i]);
+      measure_reports (sizes[i], &keyring);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (member_sizes); i++)
+    measure_membership (member_sizes[i], &keyring);
+  oh_keyring_finish (&keyring);
+  return 0;
+}
