--- /dev/null
+++ b/lib/adapters/file_storage.c
@@ -0,0 +1,514 @@
+#include "adapters/file_storage.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "adapters/records.h"
+#include "wire/raft.pb-c.h"
+
+enum
+{
+  REWRITE_MIN_BYTES = 16 * 1024 * 1024, /* log files of hard state changes alone stay below this */
+};
+
+typedef struct
+{
+  oh_storage_t base;
+  char *path;
+  int directory;
+  int lock;
+  int log;
+  uint64_t log_length;
+  size_t live_bytes; /* of the log when it was last rewritten */
+  oh_recovered_t state;
+  bool rewrite; /* the log file does not continue the snapshot: records must not be appended to it */
+  bool failed;  /* what is on disk is not known any more */
+} oh_file_storage_t;
+
+static bool
+system_error (oh_error_t *error, const char *what, const char *name)
+{
+  const int code = errno;
+  const bool full = code == ENOSPC || code == EDQUOT || code == EFBIG;
+
+  return oh_error_set (error, OH_ERROR_STORAGE, full ? OH_ERROR_CODE_NO_SPACE : OH_ERROR_CODE_SYSTEM,
+                       "%s: cannot %s: %s (errno %d)", name, what, g_strerror (code), code);
+}
+
+static bool
+write_all (int fd, const uint8_t *bytes, size_t length, uint64_t offset)
+{
+  while (length > 0)
+    {
+      const ssize_t written = pwrite (fd, bytes, length, (off_t)offset);
+
+      if (written < 0 && errno == EINTR)
+        continue;
+      if (written < 0)
+        return false;
+      if (written == 0)
+        {
+          errno = ENOSPC;
+          return false;
+        }
+      bytes += written;
+      length -= (size_t)written;
+      offset += (uint64_t)written;
+    }
+  return true;
+}
+
+/* Replaces the file by one with the given bytes. Before the rename a failure leaves everything as it was. */
+static bool
+replace_file (oh_file_storage_t *storage, const char *name, const uint8_t *bytes, size_t length, int *fd_out,
+              oh_error_t *error)
+{
+  g_autofree char *temporary = g_strconcat (name, ".tmp", NULL);
+  bool renamed = false;
+  const int fd = openat (storage->directory, temporary, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+
+  if (fd < 0)
+    return system_error (error, "create", temporary);
+  if (!write_all (fd, bytes, length, 0))
+    {
+      system_error (error, "write", temporary);
+      goto out;
+    }
+  if (fsync (fd) != 0)
+    {
+      system_error (error, "sync", temporary);
+      goto out;
+    }
+  if (renameat (storage->directory, temporary, storage->directory, name) != 0)
+    {
+      system_error (error, "rename", temporary);
+      goto out;
+    }
+  renamed = true;
+  if (fsync (storage->directory) != 0)
+    {
+      /* The name may refer to either file after a crash. */
+      storage->failed = true;
+      errno = EIO;
+      system_error (error, "sync the folder after renaming", name);
+      renamed = false;
+    }
+
+out:
+  if (!renamed)
+    {
+      unlinkat (storage->directory, temporary, 0);
+      close (fd);
+      return false;
+    }
+  if (fd_out != NULL)
+    *fd_out = fd;
+  else
+    close (fd);
+  return true;
+}
+
+static uint8_t *
+make_record (const ProtobufCMessage *message, uint64_t offset, size_t *length)
+{
+  const size_t packed = protobuf_c_message_get_packed_size (message);
+  uint8_t *bytes = g_malloc (OH_RECORD_HEADER_BYTES + packed);
+
+  protobuf_c_message_pack (message, bytes + OH_RECORD_HEADER_BYTES);
+  oh_record_header (bytes, offset, bytes + OH_RECORD_HEADER_BYTES, packed);
+  *length = OH_RECORD_HEADER_BYTES + packed;
+  return bytes;
+}
+
+static uint8_t *
+make_log_record (const oh_hard_state_t *state, uint64_t truncate_from, const GPtrArray *entries,
+                 uint64_t offset, size_t *length)
+{
+  Oh__StoredRecord record = OH__STORED_RECORD__INIT;
+  Oh__HardState hard = OH__HARD_STATE__INIT;
+  g_autofree Oh__LogEntry *wires = g_new (Oh__LogEntry, entries->len);
+  g_autofree Oh__LogEntry **pointers = g_new (Oh__LogEntry *, entries->len);
+
+  hard.term = state->term;
+  hard.voted_for = state->voted_for;
+  hard.cluster = state->cluster;
+  record.hard = &hard;
+  record.truncate_from = truncate_from;
+  record.n_entries = entries->len;
+  record.entries = pointers;
+  for (unsigned i = 0; i < entries->len; i++)
+    {
+      const oh_entry_t *entry = entries->pdata[i];
+
+      oh__log_entry__init (&wires[i]);
+      wires[i].index = entry->index;
+      wires[i].term = entry->term;
+      wires[i].kind = (Oh__EntryKind)entry->kind;
+      wires[i].data.data = (uint8_t *)g_bytes_get_data (entry->data, &wires[i].data.len);
+      pointers[i] = &wires[i];
+    }
+  return make_record (&record.base, offset, length);
+}
+
+/* The state after the request; entries are shared by reference. */
+static void
+apply_request (const oh_recovered_t *state, const oh_persist_t *request, oh_recovered_t *result)
+{
+  GPtrArray *entries = g_ptr_array_new_with_free_func (oh_entry_free);
+  const oh_snapshot_t *snapshot = request->snapshot.index > 0 ? &request->snapshot : &state->snapshot;
+
+  *result = (oh_recovered_t){ .name = g_strdup (state->name), .id = state->id, .hard = request->hard };
+  oh_snapshot_copy (&result->snapshot, snapshot);
+  for (unsigned i = 0; i < state->entries->len; i++)
+    {
+      const oh_entry_t *entry = state->entries->pdata[i];
+
+      if (entry->index <= snapshot->index)
+        continue;
+      if (request->truncate_from > 0 && entry->index >= request->truncate_from)
+        break;
+      g_ptr_array_add (entries, oh_entry_new (entry->index, entry->term, entry->kind, entry->data));
+    }
+  for (unsigned i = 0; i < request->entries->len; i++)
+    {
+      const oh_entry_t *entry = request->entries->pdata[i];
+
+      g_ptr_array_add (entries, oh_entry_new (entry->index, entry->term, entry->kind, entry->data));
+    }
+  result->entries = entries;
+}
+
+static bool
+consecutive (const oh_recovered_t *state)
+{
+  for (unsigned i = 0; i < state->entries->len; i++)
+    if (((const oh_entry_t *)state->entries->pdata[i])->index != state->snapshot.index + 1 + i)
+      return false;
+  return true;
+}
+
+static void
+take_log (oh_file_storage_t *storage, int fd, uint64_t length)
+{
+  if (storage->log >= 0)
+    close (storage->log);
+  storage->log = fd;
+  storage->log_length = length;
+  storage->live_bytes = length;
+  storage->rewrite = false;
+}
+
+/* Writes the state's hard state and entries as a new log file of one record. */
+static bool
+rewrite_log (oh_file_storage_t *storage, const oh_recovered_t *state, oh_error_t *error)
+{
+  size_t length;
+  const uint64_t truncate_from = state->entries->len > 0 ? state->snapshot.index + 1 : 0;
+  g_autofree uint8_t *bytes = make_log_record (&state->hard, truncate_from, state->entries, 0, &length);
+  int fd;
+
+  if (!replace_file (storage, "log", bytes, length, &fd, error))
+    return false;
+  take_log (storage, fd, length);
+  return true;
+}
+
+static bool
+write_snapshot (oh_file_storage_t *storage, const oh_snapshot_t *snapshot, oh_error_t *error)
+{
+  Oh__StoredSnapshot record = OH__STORED_SNAPSHOT__INIT;
+  size_t length;
+
+  record.index = snapshot->index;
+  record.term = snapshot->term;
+  record.replicas.data = (uint8_t *)g_bytes_get_data (snapshot->replicas, &record.replicas.len);
+  record.data.data = (uint8_t *)g_bytes_get_data (snapshot->data, &record.data.len);
+
+  g_autofree uint8_t *bytes = make_record (&record.base, 0, &length);
+  return replace_file (storage, "snapshot", bytes, length, NULL, error);
+}
+
+static bool
+append_record (oh_file_storage_t *storage, const oh_persist_t *request, oh_error_t *error)
+{
+  size_t length;
+  g_autofree uint8_t *bytes = make_log_record (&request->hard, request->truncate_from, request->entries,
+                                               storage->log_length, &length);
+
+  if (!write_all (storage->log, bytes, length, storage->log_length))
+    {
+      system_error (error, "write", "log");
+      /* A partial record before later ones would read as corruption. */
+      if (ftruncate (storage->log, (off_t)storage->log_length) != 0 || fdatasync (storage->log) != 0)
+        {
+          storage->failed = true;
+          oh_error_set (error, OH_ERROR_STORAGE, OH_ERROR_CODE_SYSTEM,
+                        "log: cannot remove an incomplete record: %s", g_strerror (errno));
+        }
+      return false;
+    }
+  if (fsync (storage->log) != 0)
+    {
+      /* After a failed sync the kernel may have dropped the pages: what is on disk is not known. */
+      storage->failed = true;
+      errno = EIO;
+      return system_error (error, "sync", "log");
+    }
+  storage->log_length += length;
+  return true;
+}
+
+static bool
+file_storage_persist (oh_storage_t *base, const oh_persist_t *request, oh_error_t *error)
+{
+  oh_file_storage_t *storage = (oh_file_storage_t *)base;
+  oh_recovered_t next;
+  bool done = false;
+
+  if (storage->failed)
+    return oh_error_set (error, OH_ERROR_STORAGE, OH_ERROR_CODE_SYSTEM,
+                         "%s: an earlier failure left the storage unusable", storage->path);
+  apply_request (&storage->state, request, &next);
+  if (!consecutive (&next))
+    {
+      oh_error_set (error, OH_ERROR_STORAGE, OH_ERROR_CODE_MALFORMED,
+                    "%s: request %" PRIu64 " leaves a gap in the log", storage->path, request->id);
+      goto out;
+    }
+  /* Snapshot first: recovery ignores log entries that it covers, and a crash in between loses nothing. */
+  if (request->snapshot.index > 0 && !write_snapshot (storage, &request->snapshot, error))
+    goto out;
+  if (request->snapshot.index > 0 || storage->log_length > MAX (REWRITE_MIN_BYTES, 2 * storage->live_bytes))
+    done = rewrite_log (storage, &next, error);
+  else
+    done = append_record (storage, request, error);
+
+out:
+  if (done)
+    {
+      oh_recovered_clear (&storage->state);
+      storage->state = next;
+    }
+  else
+    oh_recovered_clear (&next);
+  return done;
+}
+
+static const oh_storage_ops_t file_storage_ops = { .persist = file_storage_persist };
+
+/* Opening. */
+
+/* The whole file; NULL without an error set if it does not exist. */
+static uint8_t *
+read_file (const oh_file_storage_t *storage, const char *name, size_t *length, bool *failed,
+           oh_error_t *error)
+{
+  g_autofree char *path = g_build_filename (storage->path, name, NULL);
+  g_autoptr (GError) cause = NULL;
+  char *bytes = NULL;
+
+  *failed = false;
+  if (g_file_get_contents (path, &bytes, length, &cause))
+    return (uint8_t *)bytes;
+  if (!g_error_matches (cause, G_FILE_ERROR, G_FILE_ERROR_NOENT))
+    {
+      *failed = true;
+      oh_error_set (error, OH_ERROR_STORAGE, OH_ERROR_CODE_SYSTEM, "%s", cause->message);
+    }
+  return NULL;
+}
+
+/* Files that are replaced by rename hold exactly one complete record. */
+static bool
+single_record (const char *name, const uint8_t *bytes, size_t length, const uint8_t **message,
+               size_t *message_length, oh_error_t *error)
+{
+  size_t offset = 0;
+
+  if (oh_record_read (bytes, length, &offset, message, message_length) != OH_RECORD_OK || offset != length)
+    return oh_error_set (error, OH_ERROR_STORAGE, OH_ERROR_CODE_CORRUPT, "%s: the record is damaged", name);
+  return true;
+}
+
+static bool
+write_identity (oh_file_storage_t *storage, const char *name, oh_random_t *random, oh_error_t *error)
+{
+  Oh__StoredIdentity identity = OH__STORED_IDENTITY__INIT;
+  size_t length;
+
+  /* Log or snapshot without an identity: the replica would return under a new id with old promises. */
+  if (faccessat (storage->directory, "log", F_OK, 0) == 0
+      || faccessat (storage->directory, "snapshot", F_OK, 0) == 0)
+    return oh_error_set (error, OH_ERROR_STORAGE, OH_ERROR_CODE_CORRUPT, "%s: the identity file is missing",
+                         storage->path);
+  do
+    storage->state.id = oh_random_u64 (random);
+  while (storage->state.id == 0);
+  storage->state.name = g_strdup (name);
+  identity.name = storage->state.name;
+  identity.id = storage->state.id;
+
+  g_autofree uint8_t *bytes = make_record (&identity.base, 0, &length);
+  return replace_file (storage, "identity", bytes, length, NULL, error);
+}
+
+static bool
+load_identity (oh_file_storage_t *storage, const char *name, oh_random_t *random, oh_error_t *error)
+{
+  size_t length;
+  const uint8_t *message;
+  size_t message_length;
+  bool failed;
+  Oh__StoredIdentity *identity;
+  g_autofree uint8_t *bytes = read_file (storage, "identity", &length, &failed, error);
+
+  if (failed)
+    return false;
+  if (bytes == NULL)
+    return write_identity (storage, name, random, error);
+  if (!single_record ("identity", bytes, length, &message, &message_length, error))
+    return false;
+  identity = oh__stored_identity__unpack (NULL, message_length, message);
+  if (identity == NULL || identity->id == 0)
+    {
+      if (identity != NULL)
+        oh__stored_identity__free_unpacked (identity, NULL);
+      return oh_error_set (error, OH_ERROR_STORAGE, OH_ERROR_CODE_CORRUPT, "identity: no valid message");
+    }
+  storage->state.id = identity->id;
+  storage->state.name = g_strdup (identity->name);
+  oh__stored_identity__free_unpacked (identity, NULL);
+  if (!g_str_equal (storage->state.name, name))
+    return oh_error_set (error, OH_ERROR_STORAGE, OH_ERROR_CODE_CONFLICT,
+                         "%s: the folder belongs to replica %s, not %s", storage->path, storage->state.name,
+                         name);
+  return true;
+}
+
+static bool
+load_snapshot (oh_file_storage_t *storage, oh_error_t *error)
+{
+  size_t length;
+  bool failed;
+  const uint8_t *message;
+  size_t message_length;
+  g_autofree uint8_t *bytes = read_file (storage, "snapshot", &length, &failed, error);
+
+  if (bytes == NULL)
+    return !failed;
+  return single_record ("snapshot", bytes, length, &message, &message_length, error)
+         && oh_snapshot_decode (message, message_length, &storage->state.snapshot, error);
+}
+
+static bool
+load_log (oh_file_storage_t *storage, oh_error_t *error)
+{
+  size_t length = 0;
+  size_t valid_length = 0;
+  bool failed;
+  g_autofree uint8_t *bytes = read_file (storage, "log", &length, &failed, error);
+
+  if (failed)
+    return false;
+  if (bytes == NULL)
+    {
+      int fd;
+
+      /* The log is created right after the identity, before the first request. */
+      if (storage->state.snapshot.index > 0)
+        return oh_error_set (error, OH_ERROR_STORAGE, OH_ERROR_CODE_CORRUPT, "%s: the log file is missing",
+                             storage->path);
+      storage->state.entries = g_ptr_array_new_with_free_func (oh_entry_free);
+      if (!replace_file (storage, "log", (const uint8_t *)"", 0, &fd, error))
+        return false;
+      take_log (storage, fd, 0);
+      return true;
+    }
+  if (!oh_log_recover (bytes, length, &storage->state, &valid_length, error))
+    return false;
+  const int fd = openat (storage->directory, "log", O_RDWR | O_CLOEXEC);
+  if (fd < 0)
+    return system_error (error, "open", "log");
+  take_log (storage, fd, valid_length);
+  /* The process may have ended between the snapshot and the log of one request. */
+  storage->rewrite = storage->state.snapshot.index > 0;
+  if (valid_length < length && (ftruncate (fd, (off_t)valid_length) != 0 || fsync (fd) != 0))
+    return system_error (error, "remove the incomplete last record of", "log");
+  return true;
+}
+
+static bool
+open_folder (oh_file_storage_t *storage, oh_error_t *error)
+{
+  g_autofree char *parent = g_path_get_dirname (storage->path);
+
+  if (mkdir (storage->path, 0700) == 0)
+    {
+      const int fd = open (parent, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+      const bool synced = fd >= 0 && fsync (fd) == 0;
+
+      if (fd >= 0)
+        close (fd);
+      if (!synced)
+        return system_error (error, "sync", parent);
+    }
+  else if (errno != EEXIST)
+    return system_error (error, "create", storage->path);
+  storage->directory = open (storage->path, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (storage->directory < 0)
+    return system_error (error, "open", storage->path);
+  storage->lock = openat (storage->directory, "lock", O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  if (storage->lock < 0)
+    return system_error (error, "create", "lock");
+  if (flock (storage->lock, LOCK_EX | LOCK_NB) != 0)
+    return oh_error_set (error, OH_ERROR_STORAGE, OH_ERROR_CODE_CONFLICT,
+                         "%s: another process uses the folder", storage->path);
+  return true;
+}
+
+oh_storage_t *
+oh_file_storage_open (const char *path, const char *name, oh_random_t *random, oh_recovered_t *recovered,
+                      oh_error_t *error)
+{
+  oh_file_storage_t *storage = g_new0 (oh_file_storage_t, 1);
+  oh_persist_t nothing = { 0 };
+
+  storage->base.ops = &file_storage_ops;
+  storage->path = g_strdup (path);
+  storage->directory = -1;
+  storage->lock = -1;
+  storage->log = -1;
+  if (!open_folder (storage, error) || !load_identity (storage, name, random, error)
+      || !load_snapshot (storage, error) || !load_log (storage, error))
+    {
+      oh_file_storage_close (&storage->base);
+      return NULL;
+    }
+  nothing.hard = storage->state.hard;
+  nothing.entries = g_ptr_array_new ();
+  apply_request (&storage->state, &nothing, recovered);
+  g_ptr_array_unref (nothing.entries);
+  return &storage->base;
+}
+
+void
+oh_file_storage_close (oh_storage_t *base)
+{
+  oh_file_storage_t *storage = (oh_file_storage_t *)base;
+
+  if (storage->log >= 0)
+    close (storage->log);
+  if (storage->lock >= 0)
+    close (storage->lock);
+  if (storage->directory >= 0)
+    close (storage->directory);
+  oh_recovered_clear (&storage->state);
+  g_free (storage->path);
+  g_free (storage);
+}
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -5,6 +5,8 @@
 #include <stdint.h>
 
 #include "base/error.h"
+#include "core/raft_log.h"
+#include "core/raft_replicas.h"
 #include "ports/random.h"
 #include "ports/storage.h"
 #include "wire/raft.pb-c.h"
@@ -29,17 +31,9 @@
   OH_RAFT_HEARTBEAT_US = 100000,
   OH_RAFT_CONFIRMED_US = 1000000, /* age of quorum contact up to which a replica is confirmed */
   OH_RAFT_COMMAND_MAX_BYTES = 256 * 1024,
-  OH_RAFT_REPLICAS_MAX = 16, /* voters, learners and awaited ones */
+  OH_RAFT_COMPACT_ENTRIES = 1024, /* default number of applied entries between snapshots */
 };
 
-typedef struct
-{
-  char *name;
-  uint64_t id; /* 0 for an awaited one, and in the initial set */
-  char *endpoint;
-  Oh__ReplicaRole role;
-} oh_raft_replica_t;
-
 typedef enum
 {
   OH_RAFT_UNFORMED, /* belongs to no cluster yet */
@@ -74,8 +68,9 @@
       const oh_recovered_t *recovered;
       const oh_raft_replica_t *initial; /* names and endpoints, this replica included */
       size_t n_initial;
-      const char *endpoint; /* of this replica */
-      bool join;            /* never form a cluster from an empty data folder */
+      const char *endpoint;     /* of this replica */
+      bool join;                /* never form a cluster from an empty data folder */
+      unsigned compact_entries; /* applied entries between snapshots; 0 for the default */
     } start;
     const Oh__RaftMessage *message;
     struct
@@ -109,7 +104,7 @@
   OH_RAFT_STORAGE_FULL,   /* not appended */
   OH_RAFT_CHANGE_PENDING, /* not appended: another membership change is under way */
   OH_RAFT_CHANGE_INVALID, /* not appended: unknown or duplicate name, last voter, too large, set full */
-  OH_RAFT_NOT_READY,      /* not appended: the leader has not committed an entry of its term yet */
+  OH_RAFT_NOT_READY,      /* not appended: try again; membership: no entry of the term is committed yet */
 } oh_raft_proposal_t;
 
 typedef struct oh_raft_sink oh_raft_sink_t;
@@ -151,10 +146,96 @@
   const oh_raft_sink_ops_t *ops;
 };
 
-typedef struct oh_raft oh_raft_t;
+/* A message that waits until what it promises is durable. */
+typedef struct
+{
+  uint64_t persist_id;
+  uint64_t term; /* dropped if the term has changed: the state that it describes may be overwritten */
+  oh_raft_replica_t *to;
+  Oh__RaftMessage__BodyCase kind;
+  union
+  {
+    Oh__VoteRequest vote_request;
+    Oh__VoteReply vote_reply;
+    Oh__AppendReply append_reply;
+    Oh__SnapshotReply snapshot_reply;
+  };
+} oh_raft_pending_t;
+
+/* What a leader or candidate knows about another replica. */
+typedef struct
+{
+  uint64_t id;
+  uint64_t next;
+  uint64_t match;
+  int64_t contact_us; /* when the last message that it answered was sent */
+  int64_t sent_us;
+  bool awaiting; /* an append or a snapshot chunk is not answered yet */
+  bool granted;
+  uint64_t snapshot_index; /* snapshot being sent */
+  uint64_t snapshot_offset;
+} oh_raft_peer_t;
+
+/* The fields are private to the raft files; use the functions below. */
+typedef struct
+{
+  oh_random_t *random;
+  oh_raft_sink_t *sink; /* valid while an event is handled */
+  int64_t now_us;
+
+  oh_raft_replica_t *self;
+  GPtrArray *initial; /* of oh_raft_replica_t *; ids are filled in as they become known */
+  GHashTable *agreed; /* ids whose last Hello listed the same ids as initial does */
+  bool join;
+  unsigned compact_entries;
+
+  oh_raft_role_t role;
+  oh_hard_state_t hard;
+  oh_raft_log_t log;
+  GPtrArray *replicas;     /* of oh_raft_replica_t *, the latest set in the log */
+  uint64_t replicas_index; /* of the entry that holds it */
+  uint64_t commit;
+  uint64_t applied;
+  bool snapshot_requested;
+
+  oh_raft_replica_t *leader; /* NULL if not known */
+  int64_t leader_contact_us;
+  int64_t confirmed_us; /* follower: when the leader last had a quorum, 0 for never */
+  uint64_t confirmed_commit;
+  bool pre_vote;         /* candidate: in the pre-vote round */
+  uint64_t self_vote_id; /* persist request that makes the own vote durable */
+  uint64_t term_start;   /* leader: index of its no-op */
+  GArray *peers;         /* of oh_raft_peer_t */
+  bool broadcast;        /* leader: send appends at the end of the event */
+  int64_t election_due_us;
+  int64_t heartbeat_due_us;
+  int64_t hello_due_us;
+
+  oh_snapshot_t incoming; /* snapshot being received */
+  GByteArray *incoming_data;
+  uint64_t incoming_length;
+  uint64_t incoming_digest;
+
+  uint64_t persist_id; /* of the last request issued */
+  bool persist_outstanding;
+  uint64_t persist_from; /* first entry of the outstanding request, UINT64_MAX for none */
+  uint64_t persist_term;
+  bool persist_snapshot;
+  uint64_t synced_id;
+  uint64_t durable_term;
+  bool dirty_hard;
+  bool dirty_snapshot;
+  uint64_t dirty_from; /* first entry not yet in a request, UINT64_MAX for none */
+  bool storage_full;
+  int64_t retry_due_us;
+  GQueue outbox; /* of oh_raft_pending_t * */
+
+  int64_t timer_us; /* armed */
+  bool report_changed;
+} oh_raft_t;
 
 /* The random source must outlive the core. */
-oh_raft_t *oh_raft_init (oh_random_t *random);
+void oh_raft_init (oh_raft_t *raft, oh_random_t *random);
 void oh_raft_finish (oh_raft_t *raft);
 
 void oh_raft_handle (oh_raft_t *raft, const oh_raft_event_t *event, oh_raft_sink_t *sink);
--- /dev/null
+++ b/lib/core/raft_election.c
@@ -0,0 +1,231 @@
+#include "core/raft_private.h"
+
+static unsigned
+quorum (const oh_raft_t *raft)
+{
+  return oh_raft_replicas_count (raft->replicas, OH__REPLICA_ROLE__REPLICA_VOTER) / 2 + 1;
+}
+
+static void
+set_term (oh_raft_t *raft, uint64_t term, uint64_t voted_for)
+{
+  raft->hard.term = term;
+  raft->hard.voted_for = voted_for;
+  raft->dirty_hard = true;
+}
+
+static void
+clear_votes (oh_raft_t *raft)
+{
+  for (unsigned i = 0; i < raft->peers->len; i++)
+    g_array_index (raft->peers, oh_raft_peer_t, i).granted = false;
+}
+
+static void
+request_votes (oh_raft_t *raft)
+{
+  for (unsigned i = 0; i < raft->replicas->len; i++)
+    {
+      const oh_raft_replica_t *replica = raft->replicas->pdata[i];
+      Oh__VoteRequest request = OH__VOTE_REQUEST__INIT;
+
+      if (replica->role != OH__REPLICA_ROLE__REPLICA_VOTER || replica->id == raft->self->id)
+        continue;
+      request.pre = raft->pre_vote;
+      request.last_index = oh_raft_log_last_index (&raft->log);
+      request.last_term = oh_raft_log_last_term (&raft->log);
+      if (raft->pre_vote)
+        {
+          Oh__RaftMessage message = OH__RAFT_MESSAGE__INIT;
+
+          message.body_case = OH__RAFT_MESSAGE__BODY_VOTE_REQUEST;
+          message.vote_request = &request;
+          oh_raft_send (raft, replica, raft->hard.term + 1, &message);
+        }
+      else
+        oh_raft_send_synced (
+          raft, &(oh_raft_pending_t){
+                  .to = oh_raft_replica_new (replica->name, replica->id, replica->endpoint, replica->role),
+                  .kind = OH__RAFT_MESSAGE__BODY_VOTE_REQUEST,
+                  .vote_request = request,
+                });
+    }
+}
+
+static void
+start_vote (oh_raft_t *raft)
+{
+  raft->pre_vote = false;
+  set_term (raft, raft->hard.term + 1, raft->self->id);
+  raft->self_vote_id = raft->persist_id + 1;
+  clear_votes (raft);
+  oh_raft_reset_election (raft);
+  oh_raft_log_line (raft, "raft-candidate", "last=%" PRIu64, oh_raft_log_last_index (&raft->log));
+  request_votes (raft);
+}
+
+static void
+count_votes (oh_raft_t *raft)
+{
+  /* The own vote counts once it is durable: a crash must not allow a second vote in the term. */
+  unsigned granted = raft->pre_vote || raft->self_vote_id <= raft->synced_id;
+
+  for (unsigned i = 0; i < raft->peers->len; i++)
+    {
+      const oh_raft_peer_t *peer = &g_array_index (raft->peers, oh_raft_peer_t, i);
+
+      granted += peer->granted && oh_raft_is_voter (raft, peer->id);
+    }
+  if (granted < quorum (raft))
+    return;
+  if (raft->pre_vote)
+    start_vote (raft);
+  else
+    oh_raft_become_leader (raft);
+}
+
+static void
+start_pre_vote (oh_raft_t *raft)
+{
+  raft->role = OH_RAFT_CANDIDATE;
+  raft->pre_vote = true;
+  oh_raft_set_leader (raft, NULL);
+  clear_votes (raft);
+  oh_raft_reset_election (raft);
+  request_votes (raft);
+  count_votes (raft);
+}
+
+void
+oh_raft_reset_election (oh_raft_t *raft)
+{
+  const uint64_t spread_us = OH_RAFT_ELECTION_MAX_US - OH_RAFT_ELECTION_MIN_US;
+
+  raft->election_due_us
+    = raft->now_us + OH_RAFT_ELECTION_MIN_US + (int64_t)oh_random_below (raft->random, spread_us + 1);
+}
+
+void
+oh_raft_become_follower (oh_raft_t *raft, uint64_t term)
+{
+  if (raft->role == OH_RAFT_LEADER)
+    oh_raft_log_line (raft, "raft-step-down", "new_term=%" PRIu64, term);
+  if (raft->role == OH_RAFT_LEADER || raft->role == OH_RAFT_CANDIDATE)
+    oh_raft_reset_election (raft);
+  if (term > raft->hard.term)
+    {
+      set_term (raft, term, 0);
+      oh_raft_set_leader (raft, NULL);
+    }
+  else if (raft->role == OH_RAFT_LEADER)
+    oh_raft_set_leader (raft, NULL);
+  if (raft->role != OH_RAFT_FAILED)
+    raft->role = OH_RAFT_FOLLOWER;
+}
+
+void
+oh_raft_election_tick (oh_raft_t *raft)
+{
+  if (raft->now_us < raft->election_due_us)
+    return;
+  oh_raft_set_leader (raft, NULL);
+  if (oh_raft_is_voter (raft, raft->self->id) && !raft->storage_full)
+    start_pre_vote (raft);
+  else
+    oh_raft_reset_election (raft);
+}
+
+void
+oh_raft_election_synced (oh_raft_t *raft)
+{
+  if (raft->role == OH_RAFT_CANDIDATE && !raft->pre_vote)
+    count_votes (raft);
+}
+
+bool
+oh_raft_hears_leader (const oh_raft_t *raft)
+{
+  if (raft->role == OH_RAFT_LEADER)
+    return true;
+  return raft->leader != NULL && raft->now_us - raft->leader_contact_us < OH_RAFT_ELECTION_MIN_US;
+}
+
+static bool
+log_is_current (const oh_raft_t *raft, const Oh__VoteRequest *request)
+{
+  const uint64_t last_term = oh_raft_log_last_term (&raft->log);
+
+  if (request->last_term != last_term)
+    return request->last_term > last_term;
+  return request->last_index >= oh_raft_log_last_index (&raft->log);
+}
+
+static void
+answer_pre_vote (oh_raft_t *raft, const Oh__RaftMessage *message)
+{
+  Oh__RaftMessage answer = OH__RAFT_MESSAGE__INIT;
+  Oh__VoteReply reply = OH__VOTE_REPLY__INIT;
+  oh_raft_replica_t *to = oh_raft_sender (message);
+
+  reply.pre = true;
+  reply.granted = message->term > raft->hard.term && !oh_raft_hears_leader (raft) && !raft->storage_full
+                  && log_is_current (raft, message->vote_request);
+  answer.body_case = OH__RAFT_MESSAGE__BODY_VOTE_REPLY;
+  answer.vote_reply = &reply;
+  oh_raft_send (raft, to, reply.granted ? message->term : raft->hard.term, &answer);
+  oh_raft_replica_free (to);
+}
+
+void
+oh_raft_on_vote_request (oh_raft_t *raft, const Oh__RaftMessage *message)
+{
+  const Oh__VoteRequest *request = message->vote_request;
+  Oh__VoteReply reply = OH__VOTE_REPLY__INIT;
+
+  if (request->pre)
+    {
+      answer_pre_vote (raft, message);
+      return;
+    }
+  /* A replica that still hears the leader ignores candidates, the removed ones among them. */
+  if (message->term > raft->hard.term && oh_raft_hears_leader (raft))
+    return;
+  if (message->term > raft->hard.term)
+    oh_raft_become_follower (raft, message->term);
+  reply.granted = message->term == raft->hard.term && !raft->storage_full
+                  && (raft->hard.voted_for == 0 || raft->hard.voted_for == message->from)
+                  && log_is_current (raft, request);
+  if (reply.granted)
+    {
+      if (raft->role == OH_RAFT_CANDIDATE && raft->pre_vote)
+        raft->role = OH_RAFT_FOLLOWER;
+      if (raft->hard.voted_for == 0)
+        set_term (raft, message->term, message->from);
+      oh_raft_reset_election (raft);
+    }
+  oh_raft_send_synced (raft, &(oh_raft_pending_t){
+                               .to = oh_raft_sender (message),
+                               .kind = OH__RAFT_MESSAGE__BODY_VOTE_REPLY,
+                               .vote_reply = reply,
+                             });
+}
+
+void
+oh_raft_on_vote_reply (oh_raft_t *raft, const Oh__RaftMessage *message)
+{
+  const Oh__VoteReply *reply = message->vote_reply;
+  const uint64_t expected = raft->pre_vote ? raft->hard.term + 1 : raft->hard.term;
+  oh_raft_peer_t *peer = oh_raft_peer (raft, message->from);
+
+  if (message->term > raft->hard.term && !(reply->pre && reply->granted))
+    {
+      oh_raft_become_follower (raft, message->term);
+      return;
+    }
+  if (raft->role != OH_RAFT_CANDIDATE || reply->pre != raft->pre_vote || message->term != expected)
+    return;
+  if (!reply->granted || peer == NULL)
+    return;
+  peer->granted = true;
+  count_votes (raft);
+}
--- /dev/null
+++ b/lib/core/raft_membership.c
@@ -0,0 +1,399 @@
+#include <string.h>
+#include <xxhash.h>
+
+#include "core/raft_private.h"
+
+enum
+{
+  HELLO_US = 200000,
+};
+
+/* Forming the cluster. */
+
+static oh_raft_replica_t *
+find_name (const GPtrArray *replicas, const char *name)
+{
+  for (unsigned i = 0; i < replicas->len; i++)
+    {
+      oh_raft_replica_t *replica = replicas->pdata[i];
+
+      if (g_str_equal (replica->name, name))
+        return replica;
+    }
+  return NULL;
+}
+
+static void
+send_hello (oh_raft_t *raft, const oh_raft_replica_t *to)
+{
+  Oh__RaftMessage message = OH__RAFT_MESSAGE__INIT;
+  Oh__Hello hello = OH__HELLO__INIT;
+  Oh__Replica self = OH__REPLICA__INIT;
+  g_autofree Oh__Replica *known = g_new (Oh__Replica, raft->initial->len);
+  g_autofree Oh__Replica **pointers = g_new (Oh__Replica *, raft->initial->len);
+  oh_raft_replica_t anyone = *to;
+
+  self.name = raft->self->name;
+  self.id = raft->self->id;
+  self.endpoint = raft->self->endpoint;
+  for (unsigned i = 0; i < raft->initial->len; i++)
+    {
+      const oh_raft_replica_t *replica = raft->initial->pdata[i];
+
+      oh__replica__init (&known[i]);
+      known[i].name = replica->name;
+      known[i].id = replica->id;
+      known[i].endpoint = replica->endpoint;
+      pointers[i] = &known[i];
+    }
+  hello.self = &self;
+  /* A replica that only joins takes no part in forming a cluster. */
+  hello.n_known = raft->join ? 0 : raft->initial->len;
+  hello.known = pointers;
+  message.body_case = OH__RAFT_MESSAGE__BODY_HELLO;
+  message.hello = &hello;
+  anyone.id = 0;
+  oh_raft_send (raft, &anyone, raft->hard.term, &message);
+}
+
+static void
+send_hellos (oh_raft_t *raft)
+{
+  for (unsigned i = 0; i < raft->initial->len; i++)
+    {
+      const oh_raft_replica_t *replica = raft->initial->pdata[i];
+
+      if (!g_str_equal (replica->name, raft->self->name))
+        send_hello (raft, replica);
+    }
+}
+
+void
+oh_raft_hello_tick (oh_raft_t *raft)
+{
+  if (raft->now_us < raft->hello_due_us)
+    return;
+  raft->hello_due_us = raft->now_us + HELLO_US;
+  if (raft->role == OH_RAFT_UNFORMED || !oh_raft_is_voter (raft, raft->self->id))
+    send_hellos (raft);
+}
+
+void
+oh_raft_try_form (oh_raft_t *raft)
+{
+  g_autoptr (GBytes) bytes = NULL;
+  size_t length;
+  const void *data;
+
+  if (raft->role != OH_RAFT_UNFORMED || raft->join || find_name (raft->initial, raft->self->name) == NULL)
+    return;
+  for (unsigned i = 0; i < raft->initial->len; i++)
+    {
+      const oh_raft_replica_t *replica = raft->initial->pdata[i];
+
+      if (replica->id == 0)
+        return;
+      if (replica->id != raft->self->id && !g_hash_table_contains (raft->agreed, &replica->id))
+        return;
+    }
+  /* The others form the cluster once they know that this replica agrees; it sends no Hello afterwards. */
+  send_hellos (raft);
+  bytes = oh_raft_replicas_encode (raft->initial);
+  data = g_bytes_get_data (bytes, &length);
+  /* Every initial replica makes the same entry, in a term before all elections. */
+  oh_raft_append_entry (raft, oh_entry_new (1, 0, OH_ENTRY_REPLICAS, bytes));
+  oh_raft_set_cluster (raft, MAX (XXH64 (data, length, 0), 1));
+}
+
+/* True if the Hello lists the ids that are known here. */
+static bool
+hello_agrees (const oh_raft_t *raft, const Oh__Hello *hello)
+{
+  if (hello->n_known != raft->initial->len)
+    return false;
+  for (size_t i = 0; i < hello->n_known; i++)
+    {
+      const oh_raft_replica_t *replica = find_name (raft->initial, hello->known[i]->name);
+
+      if (replica == NULL || replica->id == 0 || replica->id != hello->known[i]->id
+          || !g_str_equal (replica->endpoint, hello->known[i]->endpoint))
+        return false;
+    }
+  return true;
+}
+
+static void
+on_hello_unformed (oh_raft_t *raft, const Oh__RaftMessage *message)
+{
+  const Oh__Hello *hello = message->hello;
+  oh_raft_replica_t *replica = find_name (raft->initial, hello->self->name);
+
+  if (message->cluster != 0 || hello->n_known == 0 || replica == NULL || replica->id == raft->self->id)
+    return;
+  if (replica->id != message->from)
+    {
+      /* What others agreed on named the former id. */
+      g_hash_table_remove_all (raft->agreed);
+      replica->id = message->from;
+      raft->hello_due_us = raft->now_us;
+    }
+  if (!hello_agrees (raft, hello))
+    g_hash_table_remove (raft->agreed, &message->from);
+  else if (!g_hash_table_contains (raft->agreed, &message->from))
+    {
+      uint64_t *id = g_new (uint64_t, 1);
+
+      *id = message->from;
+      g_hash_table_add (raft->agreed, id);
+      oh_raft_try_form (raft);
+    }
+}
+
+static void
+send_hello_reply (oh_raft_t *raft, const Oh__RaftMessage *message)
+{
+  Oh__RaftMessage answer = OH__RAFT_MESSAGE__INIT;
+  Oh__HelloReply reply = OH__HELLO_REPLY__INIT;
+  Oh__Replica wires[OH_RAFT_REPLICAS_MAX];
+  Oh__Replica *pointers[OH_RAFT_REPLICAS_MAX];
+  oh_raft_replica_t *to = oh_raft_sender (message);
+
+  for (unsigned i = 0; i < raft->replicas->len; i++)
+    {
+      const oh_raft_replica_t *replica = raft->replicas->pdata[i];
+
+      oh__replica__init (&wires[i]);
+      wires[i].name = replica->name;
+      wires[i].id = replica->id;
+      wires[i].endpoint = replica->endpoint;
+      wires[i].role = replica->role;
+      pointers[i] = &wires[i];
+    }
+  reply.n_replicas = raft->replicas->len;
+  reply.replicas = pointers;
+  answer.body_case = OH__RAFT_MESSAGE__BODY_HELLO_REPLY;
+  answer.hello_reply = &reply;
+  oh_raft_send (raft, to, raft->hard.term, &answer);
+  oh_raft_replica_free (to);
+}
+
+/* Leader: changes of one replica at a time. */
+
+static oh_raft_proposal_t
+change_allowed (const oh_raft_t *raft)
+{
+  uint64_t term = 0;
+
+  if (raft->role != OH_RAFT_LEADER)
+    return raft->storage_full ? OH_RAFT_STORAGE_FULL : OH_RAFT_NOT_LEADER;
+  if (raft->replicas_index > raft->commit)
+    return OH_RAFT_CHANGE_PENDING;
+  /* Without an own committed entry, a set of an older leader may still be committed elsewhere, and the
+   * quorums of two sets that each differ from the present one in one replica need not intersect. */
+  if (!oh_raft_log_term (&raft->log, raft->commit, &term) || term != raft->hard.term)
+    return OH_RAFT_NOT_READY;
+  return OH_RAFT_PROPOSED;
+}
+
+/* Appends the set and takes ownership of it. */
+static void
+append_replicas (oh_raft_t *raft, GPtrArray *replicas)
+{
+  g_autoptr (GBytes) bytes = oh_raft_replicas_encode (replicas);
+
+  g_ptr_array_unref (replicas);
+  oh_raft_append_entry (
+    raft, oh_entry_new (oh_raft_log_last_index (&raft->log) + 1, raft->hard.term, OH_ENTRY_REPLICAS, bytes));
+  raft->broadcast = true;
+}
+
+static bool
+in_contact (oh_raft_t *raft, uint64_t id)
+{
+  const oh_raft_peer_t *peer = oh_raft_peer (raft, id);
+
+  if (id == raft->self->id)
+    return true;
+  return peer != NULL && peer->contact_us != 0 && raft->now_us - peer->contact_us <= OH_RAFT_CONFIRMED_US;
+}
+
+/* A replica that is not in the set takes the place of an awaited one, or follows a lost one of its name. */
+static void
+consider_joiner (oh_raft_t *raft, const Oh__RaftMessage *message)
+{
+  const Oh__Replica *joiner = message->hello->self;
+  GPtrArray *replicas;
+  bool known = false;
+
+  if (change_allowed (raft) != OH_RAFT_PROPOSED || oh_raft_replicas_find (raft->replicas, joiner->id) != NULL)
+    return;
+  replicas = oh_raft_replicas_copy (raft->replicas);
+  for (unsigned i = replicas->len; i > 0; i--)
+    {
+      const oh_raft_replica_t *replica = replicas->pdata[i - 1];
+
+      if (!g_str_equal (replica->name, joiner->name))
+        continue;
+      /* Two live replicas of one name are a mistake of the operator; the present one stays. */
+      if (in_contact (raft, replica->id))
+        {
+          g_ptr_array_unref (replicas);
+          return;
+        }
+      known = true;
+      if (replica->role != OH__REPLICA_ROLE__REPLICA_VOTER)
+        g_ptr_array_remove_index (replicas, i - 1);
+    }
+  if (!known || replicas->len == OH_RAFT_REPLICAS_MAX)
+    {
+      g_ptr_array_unref (replicas);
+      return;
+    }
+  oh_raft_replicas_add (replicas, oh_raft_replica_new (joiner->name, joiner->id, joiner->endpoint,
+                                                       OH__REPLICA_ROLE__REPLICA_LEARNER));
+  oh_raft_log_line (raft, "raft-learner", "name=%s learner=%016" PRIx64, joiner->name, joiner->id);
+  append_replicas (raft, replicas);
+}
+
+void
+oh_raft_on_hello (oh_raft_t *raft, const Oh__RaftMessage *message)
+{
+  const Oh__Replica *self = message->hello->self;
+
+  if (self == NULL || self->id == 0 || self->id != message->from || strlen (self->name) == 0
+      || strlen (self->name) > OH_RAFT_NAME_MAX_BYTES || strlen (self->endpoint) == 0
+      || strlen (self->endpoint) > OH_RAFT_ENDPOINT_MAX_BYTES || g_str_equal (self->name, raft->self->name))
+    return;
+  if (raft->role == OH_RAFT_UNFORMED)
+    {
+      on_hello_unformed (raft, message);
+      return;
+    }
+  if (message->cluster != 0 && message->cluster != raft->hard.cluster)
+    return;
+  send_hello_reply (raft, message);
+  if (raft->role == OH_RAFT_LEADER)
+    consider_joiner (raft, message);
+}
+
+void
+oh_raft_on_hello_reply (oh_raft_t *raft, const Oh__RaftMessage *message)
+{
+  const Oh__HelloReply *reply = message->hello_reply;
+
+  /* Learns where the present replicas are; the leader may not be one of the initial set. */
+  for (size_t i = 0; i < reply->n_replicas; i++)
+    {
+      const Oh__Replica *replica = reply->replicas[i];
+
+      if (raft->initial->len >= OH_RAFT_REPLICAS_MAX)
+        return;
+      if (strlen (replica->name) == 0 || strlen (replica->name) > OH_RAFT_NAME_MAX_BYTES
+          || strlen (replica->endpoint) == 0 || strlen (replica->endpoint) > OH_RAFT_ENDPOINT_MAX_BYTES
+          || find_name (raft->initial, replica->name) != NULL)
+        continue;
+      /* The set is no longer the initial one, and a cluster exists. */
+      raft->join = true;
+      oh_raft_replicas_add (raft->initial, oh_raft_replica_new (replica->name, 0, replica->endpoint,
+                                                                OH__REPLICA_ROLE__REPLICA_VOTER));
+    }
+}
+
+oh_raft_proposal_t
+oh_raft_add_replica (oh_raft_t *raft, const char *name, const char *endpoint)
+{
+  const oh_raft_proposal_t allowed = change_allowed (raft);
+  GPtrArray *replicas;
+
+  if (allowed != OH_RAFT_PROPOSED)
+    return allowed;
+  if (strlen (name) == 0 || strlen (name) > OH_RAFT_NAME_MAX_BYTES || strlen (endpoint) == 0
+      || strlen (endpoint) > OH_RAFT_ENDPOINT_MAX_BYTES || find_name (raft->replicas, name) != NULL
+      || raft->replicas->len == OH_RAFT_REPLICAS_MAX)
+    return OH_RAFT_CHANGE_INVALID;
+  replicas = oh_raft_replicas_copy (raft->replicas);
+  oh_raft_replicas_add (replicas, oh_raft_replica_new (name, 0, endpoint, OH__REPLICA_ROLE__REPLICA_AWAITED));
+  append_replicas (raft, replicas);
+  return OH_RAFT_PROPOSED;
+}
+
+oh_raft_proposal_t
+oh_raft_remove_replica (oh_raft_t *raft, const char *name)
+{
+  const oh_raft_proposal_t allowed = change_allowed (raft);
+  GPtrArray *replicas;
+  unsigned voters = 0;
+
+  if (allowed != OH_RAFT_PROPOSED)
+    return allowed;
+  if (find_name (raft->replicas, name) == NULL)
+    return OH_RAFT_CHANGE_INVALID;
+  replicas = oh_raft_replicas_copy (raft->replicas);
+  for (unsigned i = replicas->len; i > 0; i--)
+    {
+      const oh_raft_replica_t *replica = replicas->pdata[i - 1];
+
+      if (!g_str_equal (replica->name, name))
+        continue;
+      voters += replica->role == OH__REPLICA_ROLE__REPLICA_VOTER;
+      g_ptr_array_remove_index (replicas, i - 1);
+    }
+  if (voters > 1 || oh_raft_replicas_count (replicas, OH__REPLICA_ROLE__REPLICA_VOTER) == 0)
+    {
+      g_ptr_array_unref (replicas);
+      return OH_RAFT_CHANGE_INVALID;
+    }
+  append_replicas (raft, replicas);
+  return OH_RAFT_PROPOSED;
+}
+
+static const oh_raft_replica_t *
+find_voter_named (const GPtrArray *replicas, const char *name)
+{
+  for (unsigned i = 0; i < replicas->len; i++)
+    {
+      const oh_raft_replica_t *replica = replicas->pdata[i];
+
+      if (replica->role == OH__REPLICA_ROLE__REPLICA_VOTER && g_str_equal (replica->name, name))
+        return replica;
+    }
+  return NULL;
+}
+
+static bool
+caught_up (oh_raft_t *raft, uint64_t id)
+{
+  const oh_raft_peer_t *peer = oh_raft_peer (raft, id);
+
+  return peer != NULL && peer->match >= raft->commit && in_contact (raft, id);
+}
+
+void
+oh_raft_membership_tick (oh_raft_t *raft)
+{
+  for (unsigned i = 0; i < raft->replicas->len; i++)
+    {
+      const oh_raft_replica_t *learner = raft->replicas->pdata[i];
+      const oh_raft_replica_t *former;
+      GPtrArray *replicas;
+
+      if (learner->role != OH__REPLICA_ROLE__REPLICA_LEARNER || !caught_up (raft, learner->id)
+          || change_allowed (raft) != OH_RAFT_PROPOSED)
+        continue;
+      replicas = oh_raft_replicas_copy (raft->replicas);
+      former = find_voter_named (replicas, learner->name);
+      if (former != NULL)
+        {
+          oh_raft_log_line (raft, "raft-replace", "name=%s former=%016" PRIx64 " learner=%016" PRIx64,
+                            learner->name, former->id, learner->id);
+          g_ptr_array_remove (replicas, (void *)former);
+        }
+      else
+        {
+          oh_raft_log_line (raft, "raft-promote", "name=%s learner=%016" PRIx64, learner->name, learner->id);
+          oh_raft_replicas_find (replicas, learner->id)->role = OH__REPLICA_ROLE__REPLICA_VOTER;
+        }
+      append_replicas (raft, replicas);
+      return;
+    }
+}
--- /dev/null
+++ b/lib/core/raft_replicas.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "wire/raft.pb-c.h"
+
+/* Replica sets: GPtrArray of owned oh_raft_replica_t *, sorted by name, then id. */
+
+enum
+{
+  OH_RAFT_REPLICAS_MAX = 16, /* voters, learners and awaited ones */
+  OH_RAFT_NAME_MAX_BYTES = 63,
+  OH_RAFT_ENDPOINT_MAX_BYTES = 127,
+};
+
+typedef struct
+{
+  char *name;
+  uint64_t id; /* 0 for an awaited one, and in the initial set */
+  char *endpoint;
+  Oh__ReplicaRole role;
+} oh_raft_replica_t;
+
+oh_raft_replica_t *oh_raft_replica_new (const char *name, uint64_t id, const char *endpoint,
+                                        Oh__ReplicaRole role);
+void oh_raft_replica_free (void *replica);
+
+GPtrArray *oh_raft_replicas_new (void);
+GPtrArray *oh_raft_replicas_copy (const GPtrArray *replicas);
+
+/* Inserts at its place in the order; takes ownership. */
+void oh_raft_replicas_add (GPtrArray *replicas, oh_raft_replica_t *replica);
+
+/* NULL if absent; id 0 finds nothing. */
+oh_raft_replica_t *oh_raft_replicas_find (const GPtrArray *replicas, uint64_t id);
+
+unsigned oh_raft_replicas_count (const GPtrArray *replicas, Oh__ReplicaRole role);
+
+/* The same set gives the same bytes. */
+GBytes *oh_raft_replicas_encode (const GPtrArray *replicas);
+
+/* NULL if the bytes are no valid set: names and endpoints present and bounded, ids unique. */
+GPtrArray *oh_raft_replicas_decode (GBytes *bytes);
--- /dev/null
+++ b/lib/core/raft_replication.c
@@ -0,0 +1,439 @@
+#include "core/raft_private.h"
+
+enum
+{
+  APPEND_MAX_ENTRIES = 64,
+  APPEND_MAX_BYTES = 512 * 1024,
+};
+
+/* Quorum arithmetic. */
+
+static int
+compare_descending (const void *a, const void *b)
+{
+  const int64_t left = *(const int64_t *)a;
+  const int64_t right = *(const int64_t *)b;
+
+  return left < right ? 1 : left > right ? -1 : 0;
+}
+
+/* The greatest value that a quorum of the voters has reached; 0 without voters. */
+static int64_t
+quorum_value (int64_t *values, unsigned n)
+{
+  if (n == 0)
+    return 0;
+  qsort (values, n, sizeof *values, compare_descending);
+  return values[n / 2];
+}
+
+int64_t
+oh_raft_quorum_contact_us (const oh_raft_t *raft, int64_t now_us)
+{
+  int64_t contacts[OH_RAFT_REPLICAS_MAX];
+  unsigned n = 0;
+
+  if (oh_raft_is_voter (raft, raft->self->id))
+    contacts[n++] = now_us;
+  for (unsigned i = 0; i < raft->peers->len; i++)
+    {
+      const oh_raft_peer_t *peer = &g_array_index (raft->peers, oh_raft_peer_t, i);
+
+      if (oh_raft_is_voter (raft, peer->id))
+        contacts[n++] = peer->contact_us;
+    }
+  return quorum_value (contacts, n);
+}
+
+static uint64_t
+quorum_match (const oh_raft_t *raft)
+{
+  int64_t matches[OH_RAFT_REPLICAS_MAX];
+  unsigned n = 0;
+
+  if (oh_raft_is_voter (raft, raft->self->id))
+    matches[n++] = (int64_t)oh_raft_durable (raft);
+  for (unsigned i = 0; i < raft->peers->len; i++)
+    {
+      const oh_raft_peer_t *peer = &g_array_index (raft->peers, oh_raft_peer_t, i);
+
+      if (oh_raft_is_voter (raft, peer->id))
+        matches[n++] = (int64_t)peer->match;
+    }
+  return (uint64_t)quorum_value (matches, n);
+}
+
+/* Leader. */
+
+static void
+append_message_send (oh_raft_t *raft, const oh_raft_replica_t *to, const oh_raft_peer_t *peer,
+                     uint64_t previous_term)
+{
+  Oh__RaftMessage message = OH__RAFT_MESSAGE__INIT;
+  Oh__AppendRequest request = OH__APPEND_REQUEST__INIT;
+  Oh__LogEntry entries[APPEND_MAX_ENTRIES];
+  Oh__LogEntry *pointers[APPEND_MAX_ENTRIES];
+  size_t bytes = 0;
+  uint64_t own_term = 0;
+
+  request.previous_index = peer->next - 1;
+  request.previous_term = previous_term;
+  request.commit = raft->commit;
+  request.entries = pointers;
+  for (uint64_t i = peer->next; i <= oh_raft_log_last_index (&raft->log); i++)
+    {
+      const oh_entry_t *entry = oh_raft_log_get (&raft->log, i);
+      const size_t n = request.n_entries;
+      size_t length;
+
+      if (n == APPEND_MAX_ENTRIES || (n > 0 && bytes + g_bytes_get_size (entry->data) > APPEND_MAX_BYTES))
+        break;
+      oh__log_entry__init (&entries[n]);
+      entries[n].index = entry->index;
+      entries[n].term = entry->term;
+      entries[n].kind = (Oh__EntryKind)entry->kind;
+      entries[n].data.data = (uint8_t *)g_bytes_get_data (entry->data, &length);
+      entries[n].data.len = length;
+      bytes += length;
+      pointers[n] = &entries[n];
+      request.n_entries++;
+    }
+  oh_raft_log_term (&raft->log, raft->commit, &own_term);
+  request.sent_us = raft->now_us;
+  request.has_quorum = own_term == raft->hard.term;
+  request.quorum_age_us = raft->now_us - oh_raft_quorum_contact_us (raft, raft->now_us);
+  message.body_case = OH__RAFT_MESSAGE__BODY_APPEND_REQUEST;
+  message.append_request = &request;
+  oh_raft_send (raft, to, raft->hard.term, &message);
+}
+
+static void
+send_append (oh_raft_t *raft, oh_raft_peer_t *peer)
+{
+  const oh_raft_replica_t *to = oh_raft_replicas_find (raft->replicas, peer->id);
+  uint64_t previous_term;
+
+  if (to == NULL)
+    return;
+  if (oh_raft_log_term (&raft->log, peer->next - 1, &previous_term))
+    append_message_send (raft, to, peer, previous_term);
+  else
+    oh_raft_send_snapshot (raft, to, peer);
+  peer->awaiting = true;
+  peer->sent_us = raft->now_us;
+}
+
+void
+oh_raft_broadcast (oh_raft_t *raft)
+{
+  for (unsigned i = 0; i < raft->peers->len; i++)
+    {
+      oh_raft_peer_t *peer = &g_array_index (raft->peers, oh_raft_peer_t, i);
+
+      if (!peer->awaiting)
+        send_append (raft, peer);
+    }
+}
+
+static void
+heartbeat (oh_raft_t *raft)
+{
+  raft->heartbeat_due_us = raft->now_us + OH_RAFT_HEARTBEAT_US;
+  /* An append that is not answered may be lost; it is sent again. */
+  for (unsigned i = 0; i < raft->peers->len; i++)
+    send_append (raft, &g_array_index (raft->peers, oh_raft_peer_t, i));
+}
+
+void
+oh_raft_become_leader (oh_raft_t *raft)
+{
+  g_autoptr (GBytes) empty = g_bytes_new (NULL, 0);
+  const uint64_t last = oh_raft_log_last_index (&raft->log);
+
+  raft->role = OH_RAFT_LEADER;
+  raft->term_start = last + 1;
+  oh_raft_set_leader (
+    raft, oh_raft_replica_new (raft->self->name, raft->self->id, raft->self->endpoint, raft->self->role));
+  for (unsigned i = 0; i < raft->peers->len; i++)
+    {
+      oh_raft_peer_t *peer = &g_array_index (raft->peers, oh_raft_peer_t, i);
+
+      *peer = (oh_raft_peer_t){ .id = peer->id, .next = last + 1, .contact_us = raft->now_us };
+    }
+  oh_raft_log_line (raft, "raft-leader", "last=%" PRIu64 " commit=%" PRIu64, last, raft->commit);
+  /* Entries of older terms are committed by committing an entry of this term after them. */
+  oh_raft_append_entry (raft, oh_entry_new (last + 1, raft->hard.term, OH_ENTRY_NOOP, empty));
+  heartbeat (raft);
+}
+
+void
+oh_raft_leader_tick (oh_raft_t *raft)
+{
+  if (raft->now_us < raft->heartbeat_due_us)
+    return;
+  if (raft->now_us - oh_raft_quorum_contact_us (raft, raft->now_us) > OH_RAFT_ELECTION_MAX_US)
+    {
+      oh_raft_log_line (raft, "raft-quorum-lost", "commit=%" PRIu64, raft->commit);
+      oh_raft_become_follower (raft, raft->hard.term);
+      return;
+    }
+  oh_raft_membership_tick (raft);
+  heartbeat (raft);
+}
+
+void
+oh_raft_advance_commit (oh_raft_t *raft)
+{
+  const uint64_t match = quorum_match (raft);
+  uint64_t term;
+
+  /* An entry of an older term is not safe on a quorum: a replica with a later term can still replace it. */
+  if (match <= raft->commit || !oh_raft_log_term (&raft->log, match, &term) || term != raft->hard.term)
+    return;
+  raft->commit = match;
+  oh_raft_apply_committed (raft);
+  raft->broadcast = true;
+  if (raft->replicas_index <= raft->commit && oh_raft_replicas_find (raft->replicas, raft->self->id) == NULL)
+    {
+      /* The last appends tell the others that the removal is committed. */
+      heartbeat (raft);
+      oh_raft_log_line (raft, "raft-removed", "commit=%" PRIu64, raft->commit);
+      oh_raft_become_follower (raft, raft->hard.term);
+    }
+}
+
+oh_raft_peer_t *
+oh_raft_answering_peer (oh_raft_t *raft, const Oh__RaftMessage *message, int64_t sent_us)
+{
+  oh_raft_peer_t *peer;
+
+  if (message->term > raft->hard.term)
+    {
+      oh_raft_become_follower (raft, message->term);
+      return NULL;
+    }
+  if (raft->role != OH_RAFT_LEADER || message->term < raft->hard.term)
+    return NULL;
+  peer = oh_raft_peer (raft, message->from);
+  if (peer != NULL)
+    peer->contact_us = MAX (peer->contact_us, MIN (sent_us, raft->now_us));
+  return peer;
+}
+
+void
+oh_raft_on_append_reply (oh_raft_t *raft, const Oh__RaftMessage *message)
+{
+  const Oh__AppendReply *reply = message->append_reply;
+  const uint64_t last = oh_raft_log_last_index (&raft->log);
+  oh_raft_peer_t *peer = oh_raft_answering_peer (raft, message, reply->sent_us);
+
+  if (peer == NULL || reply->match > last)
+    return;
+  if (!reply->success)
+    {
+      /* A replica with a full disk is tried again with each heartbeat. */
+      if (reply->full)
+        peer->awaiting = true;
+      else if (reply->sent_us >= peer->sent_us)
+        {
+          peer->next = CLAMP (reply->hint, peer->match + 1, last + 1);
+          peer->awaiting = false;
+          send_append (raft, peer);
+        }
+      return;
+    }
+  peer->match = MAX (peer->match, reply->match);
+  peer->next = peer->match + 1;
+  if (reply->sent_us >= peer->sent_us)
+    peer->awaiting = false;
+  oh_raft_advance_commit (raft);
+  if (raft->role == OH_RAFT_LEADER && !peer->awaiting && peer->next <= last)
+    send_append (raft, peer);
+}
+
+/* Follower. */
+
+static bool
+entries_valid (const Oh__RaftMessage *message)
+{
+  const Oh__AppendRequest *request = message->append_request;
+  uint64_t term = request->previous_term;
+
+  if (request->n_entries > APPEND_MAX_ENTRIES || request->previous_index > INT64_MAX)
+    return false;
+  for (size_t i = 0; i < request->n_entries; i++)
+    {
+      const Oh__LogEntry *entry = request->entries[i];
+
+      if (entry->index != request->previous_index + 1 + i || entry->term < term || entry->term > message->term
+          || entry->data.len > OH_RAFT_COMMAND_MAX_BYTES)
+        return false;
+      term = entry->term;
+      switch (entry->kind)
+        {
+        case OH__ENTRY_KIND__ENTRY_COMMAND:
+        case OH__ENTRY_KIND__ENTRY_NOOP:
+          break;
+        case OH__ENTRY_KIND__ENTRY_REPLICAS:
+          {
+            g_autoptr (GBytes) bytes = g_bytes_new (entry->data.data, entry->data.len);
+            GPtrArray *replicas = oh_raft_replicas_decode (bytes);
+
+            if (replicas == NULL)
+              return false;
+            g_ptr_array_unref (replicas);
+          }
+          break;
+        case _OH__ENTRY_KIND_IS_INT_SIZE:
+          return false;
+        }
+      if ((unsigned)entry->kind > OH_ENTRY_REPLICAS)
+        return false;
+    }
+  return true;
+}
+
+static void
+reply_append (oh_raft_t *raft, const Oh__RaftMessage *message, Oh__AppendReply reply)
+{
+  oh_raft_replica_t *to = oh_raft_sender (message);
+
+  reply.sent_us = message->append_request->sent_us;
+  /* A heartbeat's answer does not wait for an unrelated request: a slow disk is no lost contact. */
+  if (raft->hard.term == raft->durable_term && reply.match <= oh_raft_durable (raft))
+    {
+      Oh__RaftMessage answer = OH__RAFT_MESSAGE__INIT;
+
+      answer.body_case = OH__RAFT_MESSAGE__BODY_APPEND_REPLY;
+      answer.append_reply = &reply;
+      oh_raft_send (raft, to, raft->hard.term, &answer);
+      oh_raft_replica_free (to);
+    }
+  else
+    oh_raft_send_synced (raft, &(oh_raft_pending_t){
+                                 .to = to,
+                                 .kind = OH__RAFT_MESSAGE__BODY_APPEND_REPLY,
+                                 .append_reply = reply,
+                               });
+}
+
+/* Where the leader should try next: before all entries of the term that disagrees. */
+static uint64_t
+conflict_hint (const oh_raft_t *raft, uint64_t previous)
+{
+  const uint64_t last = oh_raft_log_last_index (&raft->log);
+  const oh_entry_t *entry = oh_raft_log_get (&raft->log, previous);
+  uint64_t hint = previous;
+
+  if (entry == NULL)
+    return last + 1;
+  while (hint > raft->commit + 1 && oh_raft_log_get (&raft->log, hint - 1) != NULL
+         && oh_raft_log_get (&raft->log, hint - 1)->term == entry->term)
+    hint--;
+  return hint;
+}
+
+/* Skips entries that the log holds already; returns how many, or -1 if a committed entry disagrees. */
+static int
+skip_known (const oh_raft_t *raft, const Oh__AppendRequest *request)
+{
+  for (size_t i = 0; i < request->n_entries; i++)
+    {
+      const Oh__LogEntry *entry = request->entries[i];
+
+      if (entry->index <= raft->log.snapshot.index)
+        continue;
+      if (oh_raft_log_matches (&raft->log, entry->index, entry->term))
+        continue;
+      return entry->index <= raft->commit ? -1 : (int)i;
+    }
+  return (int)request->n_entries;
+}
+
+static void
+take_entries (oh_raft_t *raft, const Oh__AppendRequest *request, size_t skip)
+{
+  if (skip < request->n_entries && request->entries[skip]->index <= oh_raft_log_last_index (&raft->log))
+    oh_raft_truncate (raft, request->entries[skip]->index);
+  for (size_t i = skip; i < request->n_entries; i++)
+    {
+      const Oh__LogEntry *entry = request->entries[i];
+      g_autoptr (GBytes) data = g_bytes_new (entry->data.data, entry->data.len);
+
+      oh_raft_append_entry (raft,
+                            oh_entry_new (entry->index, entry->term, (oh_entry_kind_t)entry->kind, data));
+    }
+}
+
+static void
+note_confirmed (oh_raft_t *raft, const Oh__AppendRequest *request)
+{
+  if (!request->has_quorum || request->quorum_age_us < 0 || request->quorum_age_us > OH_RAFT_CONFIRMED_US)
+    return;
+  raft->confirmed_us = MAX (raft->confirmed_us, raft->now_us - request->quorum_age_us);
+  raft->confirmed_commit = request->commit;
+}
+
+bool
+oh_raft_follow (oh_raft_t *raft, const Oh__RaftMessage *message)
+{
+  /* A term has one leader; a second one is a forgery or a fault of the sender. */
+  if (raft->role == OH_RAFT_LEADER && message->term == raft->hard.term)
+    return false;
+  oh_raft_become_follower (raft, message->term);
+  oh_raft_set_leader (raft, oh_raft_sender (message));
+  raft->leader_contact_us = raft->now_us;
+  raft->hello_due_us = raft->now_us + OH_RAFT_CONFIRMED_US;
+  oh_raft_reset_election (raft);
+  return true;
+}
+
+void
+oh_raft_on_append_request (oh_raft_t *raft, const Oh__RaftMessage *message)
+{
+  const Oh__AppendRequest *request = message->append_request;
+  Oh__AppendReply reply = OH__APPEND_REPLY__INIT;
+  const uint64_t end = request->previous_index + request->n_entries;
+  int skip;
+
+  if (!entries_valid (message))
+    return;
+  if (message->term < raft->hard.term)
+    {
+      /* The newer term makes the sender step down. */
+      reply_append (raft, message, reply);
+      return;
+    }
+  if (!oh_raft_follow (raft, message))
+    return;
+  if (request->previous_index > raft->log.snapshot.index
+      && !oh_raft_log_matches (&raft->log, request->previous_index, request->previous_term))
+    {
+      reply.hint = conflict_hint (raft, request->previous_index);
+      reply_append (raft, message, reply);
+      return;
+    }
+  skip = skip_known (raft, request);
+  if (skip < 0)
+    {
+      oh_raft_log_line (raft, "raft-conflict", "commit=%" PRIu64 " previous=%" PRIu64, raft->commit,
+                        request->previous_index);
+      return;
+    }
+  if (raft->storage_full && (size_t)skip < request->n_entries)
+    {
+      reply.full = true;
+      reply_append (raft, message, reply);
+      return;
+    }
+  take_entries (raft, request, (size_t)skip);
+  note_confirmed (raft, request);
+  if (MIN (request->commit, end) > raft->commit)
+    {
+      raft->commit = MIN (request->commit, end);
+      oh_raft_apply_committed (raft);
+    }
+  reply.success = true;
+  reply.match = MAX (end, raft->log.snapshot.index);
+  reply_append (raft, message, reply);
+}
--- /dev/null
+++ b/lib/core/raft_snapshot.c
@@ -0,0 +1,216 @@
+#include <xxhash.h>
+
+#include "core/raft_private.h"
+
+enum
+{
+  CHUNK_BYTES = 64 * 1024,
+  /* The applied state is the text, 1,024 change results and the replica set: well under 1 MB. */
+  SNAPSHOT_MAX_BYTES = 16 * 1024 * 1024,
+};
+
+static uint64_t
+digest_of (GBytes *data)
+{
+  size_t length;
+  const void *bytes = g_bytes_get_data (data, &length);
+
+  return XXH64 (bytes, length, 0);
+}
+
+/* Leader. */
+
+void
+oh_raft_send_snapshot (oh_raft_t *raft, const oh_raft_replica_t *to, oh_raft_peer_t *peer)
+{
+  const oh_snapshot_t *snapshot = &raft->log.snapshot;
+  Oh__RaftMessage message = OH__RAFT_MESSAGE__INIT;
+  Oh__SnapshotRequest request = OH__SNAPSHOT_REQUEST__INIT;
+  size_t length;
+  const uint8_t *data = g_bytes_get_data (snapshot->data, &length);
+
+  if (peer->snapshot_index != snapshot->index)
+    {
+      peer->snapshot_index = snapshot->index;
+      peer->snapshot_offset = 0;
+      oh_raft_log_line (raft, "raft-snapshot-send", "to=%s to_id=%016" PRIx64 " index=%" PRIu64 " bytes=%zu",
+                        to->name, to->id, snapshot->index, length);
+    }
+  request.last_index = snapshot->index;
+  request.last_term = snapshot->term;
+  request.replicas.data = (uint8_t *)g_bytes_get_data (snapshot->replicas, &request.replicas.len);
+  request.total_length = length;
+  request.offset = MIN (peer->snapshot_offset, length);
+  request.data.len = MIN (length - request.offset, CHUNK_BYTES);
+  request.data.data = request.data.len > 0 ? (uint8_t *)data + request.offset : NULL;
+  request.digest = digest_of (snapshot->data);
+  request.sent_us = raft->now_us;
+  message.body_case = OH__RAFT_MESSAGE__BODY_SNAPSHOT_REQUEST;
+  message.snapshot_request = &request;
+  oh_raft_send (raft, to, raft->hard.term, &message);
+}
+
+void
+oh_raft_on_snapshot_reply (oh_raft_t *raft, const Oh__RaftMessage *message)
+{
+  const Oh__SnapshotReply *reply = message->snapshot_reply;
+  oh_raft_peer_t *peer = oh_raft_answering_peer (raft, message, reply->sent_us);
+
+  if (peer == NULL || reply->full || reply->last_index > raft->commit)
+    return;
+  if (reply->done)
+    {
+      peer->match = MAX (peer->match, reply->last_index);
+      peer->next = MAX (peer->next, peer->match + 1);
+      peer->awaiting = false;
+      peer->snapshot_index = 0;
+      oh_raft_advance_commit (raft);
+    }
+  else if (reply->last_index == peer->snapshot_index && reply->sent_us >= peer->sent_us)
+    {
+      peer->snapshot_offset = reply->next_offset;
+      peer->awaiting = false;
+    }
+  raft->broadcast = true;
+}
+
+/* Follower. */
+
+static void
+reply_snapshot (oh_raft_t *raft, const Oh__RaftMessage *message, Oh__SnapshotReply reply)
+{
+  reply.last_index = message->snapshot_request->last_index;
+  reply.sent_us = message->snapshot_request->sent_us;
+  oh_raft_send_synced (raft, &(oh_raft_pending_t){
+                               .to = oh_raft_sender (message),
+                               .kind = OH__RAFT_MESSAGE__BODY_SNAPSHOT_REPLY,
+                               .snapshot_reply = reply,
+                             });
+}
+
+static bool
+request_valid (const Oh__RaftMessage *message)
+{
+  const Oh__SnapshotRequest *request = message->snapshot_request;
+
+  return request->last_index > 0 && request->last_index < INT64_MAX && request->last_term <= message->term
+         && request->total_length <= SNAPSHOT_MAX_BYTES && request->data.len <= CHUNK_BYTES
+         && request->offset <= request->total_length
+         && request->data.len <= request->total_length - request->offset;
+}
+
+static void
+start_incoming (oh_raft_t *raft, const Oh__SnapshotRequest *request)
+{
+  oh_snapshot_clear (&raft->incoming);
+  raft->incoming.index = request->last_index;
+  raft->incoming.term = request->last_term;
+  raft->incoming_length = request->total_length;
+  raft->incoming_digest = request->digest;
+  g_clear_pointer (&raft->incoming_data, g_byte_array_unref);
+  raft->incoming_data = g_byte_array_new ();
+}
+
+static void
+install (oh_raft_t *raft, const oh_snapshot_t *snapshot)
+{
+  oh_raft_log_set_snapshot (&raft->log, snapshot);
+  raft->commit = snapshot->index;
+  raft->dirty_snapshot = true;
+  raft->dirty_from = snapshot->index + 1;
+  raft->snapshot_requested = false;
+  oh_raft_load_replicas (raft);
+  oh_raft_log_line (raft, "raft-snapshot-install", "index=%" PRIu64 " bytes=%zu", snapshot->index,
+                    g_bytes_get_size (snapshot->data));
+}
+
+/* Takes the received snapshot into use; false if it is damaged. */
+static bool
+finish_incoming (oh_raft_t *raft, const Oh__SnapshotRequest *request)
+{
+  GPtrArray *replicas;
+  bool valid;
+
+  raft->incoming.data = g_byte_array_free_to_bytes (g_steal_pointer (&raft->incoming_data));
+  raft->incoming.replicas = g_bytes_new (request->replicas.data, request->replicas.len);
+  replicas = oh_raft_replicas_decode (raft->incoming.replicas);
+  valid = replicas != NULL && digest_of (raft->incoming.data) == raft->incoming_digest;
+  g_clear_pointer (&replicas, g_ptr_array_unref);
+  if (valid)
+    install (raft, &raft->incoming);
+  oh_snapshot_clear (&raft->incoming);
+  return valid;
+}
+
+void
+oh_raft_on_snapshot_request (oh_raft_t *raft, const Oh__RaftMessage *message)
+{
+  const Oh__SnapshotRequest *request = message->snapshot_request;
+  Oh__SnapshotReply reply = OH__SNAPSHOT_REPLY__INIT;
+
+  if (!request_valid (message))
+    return;
+  if (message->term < raft->hard.term)
+    {
+      reply_snapshot (raft, message, reply);
+      return;
+    }
+  if (!oh_raft_follow (raft, message))
+    return;
+  if (request->last_index <= raft->commit)
+    {
+      reply.done = true;
+      reply_snapshot (raft, message, reply);
+      return;
+    }
+  if (raft->storage_full)
+    {
+      reply.full = true;
+      reply_snapshot (raft, message, reply);
+      return;
+    }
+  if (oh_raft_log_matches (&raft->log, request->last_index, request->last_term))
+    {
+      raft->commit = request->last_index;
+      oh_raft_apply_committed (raft);
+      reply.done = true;
+      reply_snapshot (raft, message, reply);
+      return;
+    }
+  if (raft->incoming_data == NULL || raft->incoming.index != request->last_index
+      || raft->incoming.term != request->last_term || raft->incoming_length != request->total_length
+      || raft->incoming_digest != request->digest)
+    start_incoming (raft, request);
+  if (request->offset == raft->incoming_data->len)
+    g_byte_array_append (raft->incoming_data, request->data.data, (unsigned)request->data.len);
+  reply.next_offset = raft->incoming_data->len;
+  if (raft->incoming_data->len == raft->incoming_length)
+    {
+      reply.done = finish_incoming (raft, request);
+      reply.next_offset = 0;
+    }
+  reply_snapshot (raft, message, reply);
+}
+
+/* Own snapshots. */
+
+void
+oh_raft_on_snapshot_ready (oh_raft_t *raft, uint64_t index, GBytes *data)
+{
+  oh_snapshot_t snapshot = { .index = index, .data = data };
+  uint64_t set_index;
+
+  /* An installed snapshot may have overtaken the one that was asked for. */
+  if (index > raft->log.snapshot.index && index <= raft->applied
+      && oh_raft_log_term (&raft->log, index, &snapshot.term)
+      && g_bytes_get_size (data) <= SNAPSHOT_MAX_BYTES)
+    {
+      snapshot.replicas = oh_raft_log_replicas (&raft->log, index, &set_index);
+      oh_raft_log_set_snapshot (&raft->log, &snapshot);
+      raft->replicas_index = MAX (raft->replicas_index, index);
+      raft->dirty_snapshot = true;
+      oh_raft_log_line (raft, "raft-snapshot-taken", "index=%" PRIu64 " bytes=%zu", index,
+                        g_bytes_get_size (data));
+    }
+  raft->snapshot_requested = false;
+}
--- a/lib/wire/raft.pb-c.c
+++ b/lib/wire/raft.pb-c.c
@@ -1548,7 +1548,7 @@
   (ProtobufCMessageInit) oh__snapshot_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__raft_message__field_descriptors[13] =
+static const ProtobufCFieldDescriptor oh__raft_message__field_descriptors[14] =
 {
   {
     "cluster",
@@ -1610,6 +1610,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "from_endpoint",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Oh__RaftMessage, from_endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "hello",
     10,
@@ -1708,25 +1720,26 @@
   },
 };
 static const unsigned oh__raft_message__field_indices_by_name[] = {
-  10,   /* field[10] = append_reply */
-  9,   /* field[9] = append_request */
+  11,   /* field[11] = append_reply */
+  10,   /* field[10] = append_request */
   0,   /* field[0] = cluster */
   1,   /* field[1] = from */
+  5,   /* field[5] = from_endpoint */
   3,   /* field[3] = from_name */
-  5,   /* field[5] = hello */
-  6,   /* field[6] = hello_reply */
-  12,   /* field[12] = snapshot_reply */
-  11,   /* field[11] = snapshot_request */
+  6,   /* field[6] = hello */
+  7,   /* field[7] = hello_reply */
+  13,   /* field[13] = snapshot_reply */
+  12,   /* field[12] = snapshot_request */
   4,   /* field[4] = term */
   2,   /* field[2] = to */
-  8,   /* field[8] = vote_reply */
-  7,   /* field[7] = vote_request */
+  9,   /* field[9] = vote_reply */
+  8,   /* field[8] = vote_request */
 };
 static const ProtobufCIntRange oh__raft_message__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 10, 5 },
-  { 0, 13 }
+  { 10, 6 },
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor oh__raft_message__descriptor =
 {
@@ -1736,7 +1749,7 @@
   "Oh__RaftMessage",
   "oh",
   sizeof(Oh__RaftMessage),
-  13,
+  14,
   oh__raft_message__field_descriptors,
   oh__raft_message__field_indices_by_name,
   2,  oh__raft_message__number_ranges,
--- a/lib/wire/raft.pb-c.h
+++ b/lib/wire/raft.pb-c.h
@@ -276,6 +276,7 @@
   uint64_t to;
   char *from_name;
   uint64_t term;
+  char *from_endpoint;
   Oh__RaftMessage__BodyCase body_case;
   union {
     Oh__Hello *hello;
@@ -290,7 +291,7 @@
 };
 #define OH__RAFT_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__raft_message__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, 0, OH__RAFT_MESSAGE__BODY__NOT_SET, {0} }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, OH__RAFT_MESSAGE__BODY__NOT_SET, {0} }
 
 
 struct  Oh__StoredIdentity
