link: add clients that queue nothing without a connection

A replica that was down for an hour got every poll of that hour from each node when it returned, and a link between replicas kept up to 4096 append requests. Polls are repeated each second, so they are now dropped while there is no connection; the view client tries again every 100 ms until one is sent.

--- a/lib/adapters/link.c
+++ b/lib/adapters/link.c
@@ -131,6 +131,13 @@
   g_free (((link_source_t *)source)->link);
 }
 
+typedef enum
+{
+  LINK_SERVER,
+  LINK_CLIENT,
+  LINK_CLIENT_UNQUEUED,
+} link_kind_t;
+
 static void
 set_option (void *socket, int option, int value)
 {
@@ -138,8 +145,8 @@
 }
 
 static oh_link_t *
-open_link (GMainContext *context, const char *endpoint, bool server, oh_link_receive_t receive, void *data,
-           oh_error_t *error)
+open_link (GMainContext *context, const char *endpoint, link_kind_t kind, oh_link_receive_t receive,
+           void *data, oh_error_t *error)
 {
   static GSourceFuncs funcs = {
     .prepare = source_prepare,
@@ -148,6 +155,7 @@
     .finalize = source_finalize,
   };
   const int64_t max_bytes = MESSAGE_MAX_BYTES;
+  const bool server = kind == LINK_SERVER;
   void *socket = zmq_socket (shared_context (), server ? ZMQ_ROUTER : ZMQ_DEALER);
   oh_link_t *link;
   size_t fd_size = sizeof (int);
@@ -158,6 +166,7 @@
   set_option (socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
   set_option (socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
   set_option (socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+  set_option (socket, ZMQ_IMMEDIATE, kind == LINK_CLIENT_UNQUEUED);
   set_option (socket, ZMQ_SNDHWM, QUEUE_MESSAGES);
   set_option (socket, ZMQ_RCVHWM, QUEUE_MESSAGES);
   zmq_setsockopt (socket, ZMQ_MAXMSGSIZE, &max_bytes, sizeof max_bytes);
@@ -185,14 +194,21 @@
 oh_link_serve (GMainContext *context, const char *endpoint, oh_link_receive_t receive, void *data,
                oh_error_t *error)
 {
-  return open_link (context, endpoint, true, receive, data, error);
+  return open_link (context, endpoint, LINK_SERVER, receive, data, error);
 }
 
 oh_link_t *
 oh_link_connect (GMainContext *context, const char *endpoint, oh_link_receive_t receive, void *data,
                  oh_error_t *error)
 {
-  return open_link (context, endpoint, false, receive, data, error);
+  return open_link (context, endpoint, LINK_CLIENT, receive, data, error);
+}
+
+oh_link_t *
+oh_link_connect_unqueued (GMainContext *context, const char *endpoint, oh_link_receive_t receive, void *data,
+                          oh_error_t *error)
+{
+  return open_link (context, endpoint, LINK_CLIENT_UNQUEUED, receive, data, error);
 }
 
 void
--- a/lib/adapters/link.h
+++ b/lib/adapters/link.h
@@ -23,6 +23,13 @@
                           oh_error_t *error);
 oh_link_t *oh_link_connect (GMainContext *context, const char *endpoint, oh_link_receive_t receive,
                             void *data, oh_error_t *error);
+
+/*
+ * As oh_link_connect, but while there is no connection messages are dropped instead of kept until there is
+ * one. For messages that are repeated anyway, which would arrive all at once and stale when the peer returns.
+ */
+oh_link_t *oh_link_connect_unqueued (GMainContext *context, const char *endpoint, oh_link_receive_t receive,
+                                     void *data, oh_error_t *error);
 void oh_link_close (oh_link_t *link);
 
 /* Returns false if the message was dropped. peer is NULL for a client. */
--- a/lib/adapters/view_client.c
+++ b/lib/adapters/view_client.c
@@ -7,7 +7,8 @@
 
 enum
 {
-  POLL_INTERVAL_MS = 1000,
+  TICK_MS = 100, /* at this rate a poll is tried again that found no connection */
+  POLL_TICKS = 10,
   MAX_REPLICAS = 32,
   SILENCE_US = 3 * G_USEC_PER_SEC, /* the lease of a member: what a silent replica lists is older than that */
   LEAVE_MS = 20,                   /* for the I/O thread to send the last poll; closing discards the rest */
@@ -23,6 +24,7 @@
   uint64_t sequence;
   int64_t heard_us;       /* last message; 0: never */
   int64_t heard_since_us; /* start of the present run of messages */
+  bool unsent;            /* the last poll found no connection */
 } replica_t;
 
 struct oh_view_client
@@ -36,6 +38,7 @@
   oh_view_t view;
   GPtrArray *replicas; /* of replica_t * */
   GSource *timer;
+  unsigned ticks;
 };
 
 static void
@@ -63,12 +66,11 @@
   message.body_case = OH__CONTROL__BODY_POLL;
   message.poll = &own;
   bytes = oh_control_encode (&message, client->keyring, OH_KEY_CONTROL, &length);
-  if (!oh_link_send (replica->link, NULL, bytes, length))
-    oh_log_debug ("poll_dropped", "replica=%s", replica->endpoint);
+  replica->unsent = !oh_link_send (replica->link, NULL, bytes, length);
 }
 
 static void
-send_polls (oh_view_client_t *client, bool leaving)
+send_some_polls (oh_view_client_t *client, bool leaving, bool only_unsent)
 {
   Oh__Poll poll = OH__POLL__INIT;
 
@@ -80,7 +82,18 @@
   if (client->callbacks.fill_poll != NULL)
     client->callbacks.fill_poll (&poll, client->data);
   for (guint i = 0; i < client->replicas->len; i++)
-    send_poll (g_ptr_array_index (client->replicas, i), &poll);
+    {
+      replica_t *replica = g_ptr_array_index (client->replicas, i);
+
+      if (!only_unsent || replica->unsent)
+        send_poll (replica, &poll);
+    }
+}
+
+static void
+send_polls (oh_view_client_t *client, bool leaving)
+{
+  send_some_polls (client, leaving, false);
 }
 
 /*
@@ -202,8 +215,10 @@
 {
   oh_view_client_t *client = data;
 
-  forget_silent_replicas (client);
-  send_polls (client, false);
+  client->ticks++;
+  if (client->ticks % POLL_TICKS == 0)
+    forget_silent_replicas (client);
+  send_some_polls (client, false, client->ticks % POLL_TICKS != 0);
   return G_SOURCE_CONTINUE;
 }
 
@@ -238,7 +253,7 @@
       if (replica->index == MAX_REPLICAS)
         return oh_error_set (error, OH_ERROR_SETTINGS, OH_ERROR_CODE_TOO_LARGE,
                              "replicas \"%s\": expected at most %d endpoints", replicas, MAX_REPLICAS);
-      replica->link = oh_link_connect (context, replica->endpoint, handle_message, replica, error);
+      replica->link = oh_link_connect_unqueued (context, replica->endpoint, handle_message, replica, error);
       if (replica->link == NULL)
         return false;
     }
@@ -268,7 +283,7 @@
       free_client (client);
       return NULL;
     }
-  client->timer = g_timeout_source_new (POLL_INTERVAL_MS);
+  client->timer = g_timeout_source_new (TICK_MS);
   g_source_set_callback (client->timer, on_timer, client, NULL);
   g_source_attach (client->timer, context);
   send_polls (client, false);
