control_state: leave the replica set to the Raft log

The Raft core keeps names, ids, endpoints and roles in its own entries, so a second list in the state could only differ from it. The state records the results of replica changes. Adds the messages by which a follower proves that its state is current, and the replica set in the status reply.

Tested: tests/test_control_state.

--- a/lib/core/control_state.c
+++ b/lib/core/control_state.c
@@ -21,16 +21,6 @@
   return memcmp (a, b, OH_CHANGE_ID_BYTES) == 0;
 }
 
-static void
-free_replica (gpointer data)
-{
-  oh_replica_entry_t *entry = data;
-
-  g_free (entry->name);
-  g_free (entry->endpoint);
-  g_free (entry);
-}
-
 static uint64_t
 digest_change (const Oh__Change *change)
 {
@@ -118,27 +108,6 @@
   return low < state->drained->len && strcmp (g_ptr_array_index (state->drained, low), name) == 0;
 }
 
-static void
-set_replica (oh_control_state_t *state, const char *name, const char *endpoint)
-{
-  oh_replica_entry_t *entry;
-  guint i = 0;
-
-  while (i < state->replicas->len
-         && strcmp (((oh_replica_entry_t *)g_ptr_array_index (state->replicas, i))->name, name) < 0)
-    i++;
-  if (i == state->replicas->len
-      || strcmp (((oh_replica_entry_t *)g_ptr_array_index (state->replicas, i))->name, name) != 0)
-    {
-      entry = g_new0 (oh_replica_entry_t, 1);
-      entry->name = g_strdup (name);
-      g_ptr_array_insert (state->replicas, (gint)i, entry);
-    }
-  entry = g_ptr_array_index (state->replicas, i);
-  g_free (entry->endpoint);
-  entry->endpoint = g_strdup (endpoint);
-}
-
 static void
 remember (oh_control_state_t *state, const oh_change_result_t *result)
 {
@@ -193,11 +162,8 @@
       state->key_generation++;
       return true;
     case OH__CHANGE_KIND__CHANGE_ADD_REPLICA:
-      set_replica (state, change->target, change->endpoint);
-      return true;
     case OH__CHANGE_KIND__CHANGE_REMOVE_REPLICA:
-      set_replica (state, change->target, "");
-      return true;
+      return false;
     case _OH__CHANGE_KIND_IS_INT_SIZE:
       break;
     }
@@ -288,8 +254,6 @@
   g_strlcpy (state->last_author, wire->last_author, sizeof state->last_author);
   for (size_t i = 0; i < wire->n_drained; i++)
     g_ptr_array_add (state->drained, g_strdup (wire->drained[i]));
-  for (size_t i = 0; i < wire->n_replicas; i++)
-    set_replica (state, wire->replicas[i]->name, wire->replicas[i]->endpoint);
   for (size_t i = 0; i < wire->n_results; i++)
     {
       oh_change_result_t result;
@@ -309,7 +273,6 @@
     .text = g_strdup (""),
     .key_generation = 1,
     .drained = g_ptr_array_new_with_free_func (g_free),
-    .replicas = g_ptr_array_new_with_free_func (free_replica),
     .results = G_QUEUE_INIT,
     .results_by_id = g_hash_table_new (hash_id, equal_ids),
   };
@@ -320,7 +283,6 @@
 {
   g_clear_pointer (&state->text, g_free);
   g_clear_pointer (&state->drained, g_ptr_array_unref);
-  g_clear_pointer (&state->replicas, g_ptr_array_unref);
   g_clear_pointer (&state->results_by_id, g_hash_table_unref);
   g_queue_clear_full (&state->results, g_free);
 }
@@ -384,21 +346,10 @@
 {
   Oh__ControlState wire = OH__CONTROL_STATE__INIT;
   g_autoptr (GPtrArray) results = g_ptr_array_new_with_free_func (g_free);
-  g_autoptr (GPtrArray) replicas = g_ptr_array_new_with_free_func (g_free);
   uint8_t *bytes;
 
   for (const GList *link = state->results.head; link != NULL; link = link->next)
     g_ptr_array_add (results, result_to_wire (link->data));
-  for (guint i = 0; i < state->replicas->len; i++)
-    {
-      const oh_replica_entry_t *entry = g_ptr_array_index (state->replicas, i);
-      Oh__ReplicaEntry *replica = g_new (Oh__ReplicaEntry, 1);
-
-      oh__replica_entry__init (replica);
-      replica->name = entry->name;
-      replica->endpoint = entry->endpoint;
-      g_ptr_array_add (replicas, replica);
-    }
   wire.version = state->version;
   wire.text_version = state->text_version;
   wire.text = state->text;
@@ -408,8 +359,6 @@
   wire.last_id.data = (uint8_t *)state->last_id;
   wire.last_id.len = sizeof state->last_id;
   wire.last_author = (char *)state->last_author;
-  wire.replicas = (Oh__ReplicaEntry **)replicas->pdata;
-  wire.n_replicas = replicas->len;
   wire.results = (Oh__ChangeResult **)results->pdata;
   wire.n_results = results->len;
   *length = oh__control_state__get_packed_size (&wire);
--- a/lib/core/control_state.h
+++ b/lib/core/control_state.h
@@ -8,8 +8,8 @@
 #include "wire/control.pb-c.h"
 
 /*
- * The replicated state of the control plane: version, operators' text, key generation, drained upstreams,
- * replicas added and removed, and the results of the last changes. Commands are applied in log order; the
+ * The replicated state of the control plane: version, operators' text, key generation, drained upstreams and
+ * the results of the last changes. Commands are applied in log order; the
  * same commands give the same state and the same results on every replica.
  *
  * Every accepted change that alters the state makes the next version. Changes of the text, of the keys and of
@@ -37,20 +37,13 @@
   char detail[96];
 } oh_change_result_t;
 
-typedef struct
-{
-  char *name;
-  char *endpoint; /* empty: removed */
-} oh_replica_entry_t;
-
 typedef struct
 {
   uint64_t version;
   uint64_t text_version;
   char *text;
   uint32_t key_generation;
-  GPtrArray *drained;  /* of char *, owned, sorted */
-  GPtrArray *replicas; /* of oh_replica_entry_t *, owned, sorted by name */
+  GPtrArray *drained; /* of char *, owned, sorted */
   uint8_t last_id[OH_CHANGE_ID_BYTES];
   char last_author[OH_CHANGE_AUTHOR_MAX_BYTES + 1];
   GQueue results;            /* of oh_change_result_t *, owned, oldest first */
--- a/lib/wire/control.pb-c.c
+++ b/lib/wire/control.pb-c.c
@@ -367,6 +367,96 @@
   assert(message->base.descriptor == &oh__status_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   oh__current_query__init
+                     (Oh__CurrentQuery         *message)
+{
+  static const Oh__CurrentQuery init_value = OH__CURRENT_QUERY__INIT;
+  *message = init_value;
+}
+size_t oh__current_query__get_packed_size
+                     (const Oh__CurrentQuery *message)
+{
+  assert(message->base.descriptor == &oh__current_query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t oh__current_query__pack
+                     (const Oh__CurrentQuery *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &oh__current_query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t oh__current_query__pack_to_buffer
+                     (const Oh__CurrentQuery *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &oh__current_query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Oh__CurrentQuery *
+       oh__current_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Oh__CurrentQuery *)
+     protobuf_c_message_unpack (&oh__current_query__descriptor,
+                                allocator, len, data);
+}
+void   oh__current_query__free_unpacked
+                     (Oh__CurrentQuery *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &oh__current_query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   oh__current_reply__init
+                     (Oh__CurrentReply         *message)
+{
+  static const Oh__CurrentReply init_value = OH__CURRENT_REPLY__INIT;
+  *message = init_value;
+}
+size_t oh__current_reply__get_packed_size
+                     (const Oh__CurrentReply *message)
+{
+  assert(message->base.descriptor == &oh__current_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t oh__current_reply__pack
+                     (const Oh__CurrentReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &oh__current_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t oh__current_reply__pack_to_buffer
+                     (const Oh__CurrentReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &oh__current_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Oh__CurrentReply *
+       oh__current_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Oh__CurrentReply *)
+     protobuf_c_message_unpack (&oh__current_reply__descriptor,
+                                allocator, len, data);
+}
+void   oh__current_reply__free_unpacked
+                     (Oh__CurrentReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &oh__current_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   oh__entry_state__init
                      (Oh__EntryState         *message)
 {
@@ -1307,7 +1397,7 @@
   (ProtobufCMessageInit) oh__status_query__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__status_reply__field_descriptors[10] =
+static const ProtobufCFieldDescriptor oh__status_reply__field_descriptors[11] =
 {
   {
     "replica",
@@ -1429,6 +1519,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "replicas",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Oh__StatusReply, n_replicas),
+    offsetof(Oh__StatusReply, replicas),
+    &oh__replica__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__status_reply__field_indices_by_name[] = {
   8,   /* field[8] = balancers */
@@ -1438,6 +1540,7 @@
   1,   /* field[1] = leader */
   9,   /* field[9] = members */
   0,   /* field[0] = replica */
+  10,   /* field[10] = replicas */
   3,   /* field[3] = term */
   5,   /* field[5] = text */
   4,   /* field[4] = version */
@@ -1445,7 +1548,7 @@
 static const ProtobufCIntRange oh__status_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor oh__status_reply__descriptor =
 {
@@ -1455,13 +1558,115 @@
   "Oh__StatusReply",
   "oh",
   sizeof(Oh__StatusReply),
-  10,
+  11,
   oh__status_reply__field_descriptors,
   oh__status_reply__field_indices_by_name,
   1,  oh__status_reply__number_ranges,
   (ProtobufCMessageInit) oh__status_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor oh__current_query__field_descriptors[1] =
+{
+  {
+    "sent_us",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Oh__CurrentQuery, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned oh__current_query__field_indices_by_name[] = {
+  0,   /* field[0] = sent_us */
+};
+static const ProtobufCIntRange oh__current_query__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor oh__current_query__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "oh.CurrentQuery",
+  "CurrentQuery",
+  "Oh__CurrentQuery",
+  "oh",
+  sizeof(Oh__CurrentQuery),
+  1,
+  oh__current_query__field_descriptors,
+  oh__current_query__field_indices_by_name,
+  1,  oh__current_query__number_ranges,
+  (ProtobufCMessageInit) oh__current_query__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor oh__current_reply__field_descriptors[3] =
+{
+  {
+    "sent_us",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Oh__CurrentReply, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Oh__CurrentReply, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Oh__CurrentReply, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned oh__current_reply__field_indices_by_name[] = {
+  0,   /* field[0] = sent_us */
+  1,   /* field[1] = term */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange oh__current_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor oh__current_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "oh.CurrentReply",
+  "CurrentReply",
+  "Oh__CurrentReply",
+  "oh",
+  sizeof(Oh__CurrentReply),
+  3,
+  oh__current_reply__field_descriptors,
+  oh__current_reply__field_indices_by_name,
+  1,  oh__current_reply__number_ranges,
+  (ProtobufCMessageInit) oh__current_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor oh__entry_state__field_descriptors[12] =
 {
   {
@@ -1849,7 +2054,7 @@
   (ProtobufCMessageInit) oh__flow_state_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__control__field_descriptors[10] =
+static const ProtobufCFieldDescriptor oh__control__field_descriptors[12] =
 {
   {
     "sender",
@@ -1971,10 +2176,36 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "current_query",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Oh__Control, body_case),
+    offsetof(Oh__Control, current_query),
+    &oh__current_query__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "current_reply",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Oh__Control, body_case),
+    offsetof(Oh__Control, current_reply),
+    &oh__current_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__control__field_indices_by_name[] = {
   3,   /* field[3] = change */
   4,   /* field[4] = change_reply */
+  10,   /* field[10] = current_query */
+  11,   /* field[11] = current_reply */
   7,   /* field[7] = flow_state */
   8,   /* field[8] = flow_state_reply */
   1,   /* field[1] = poll */
@@ -1988,7 +2219,7 @@
 {
   { 1, 0 },
   { 10, 1 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor oh__control__descriptor =
 {
@@ -1998,7 +2229,7 @@
   "Oh__Control",
   "oh",
   sizeof(Oh__Control),
-  10,
+  12,
   oh__control__field_descriptors,
   oh__control__field_indices_by_name,
   2,  oh__control__number_ranges,
--- a/lib/wire/control.pb-c.h
+++ b/lib/wire/control.pb-c.h
@@ -15,6 +15,7 @@
 #endif
 
 #include "wire/packet.pb-c.h"
+#include "wire/raft.pb-c.h"
 
 typedef struct Oh__Member Oh__Member;
 typedef struct Oh__BalancerEntry Oh__BalancerEntry;
@@ -24,6 +25,8 @@
 typedef struct Oh__ChangeReply Oh__ChangeReply;
 typedef struct Oh__StatusQuery Oh__StatusQuery;
 typedef struct Oh__StatusReply Oh__StatusReply;
+typedef struct Oh__CurrentQuery Oh__CurrentQuery;
+typedef struct Oh__CurrentReply Oh__CurrentReply;
 typedef struct Oh__EntryState Oh__EntryState;
 typedef struct Oh__FlowState Oh__FlowState;
 typedef struct Oh__FlowStateReply Oh__FlowStateReply;
@@ -246,10 +249,41 @@
   Oh__BalancerEntry **balancers;
   size_t n_members;
   Oh__Member **members;
+  size_t n_replicas;
+  Oh__Replica **replicas;
 };
 #define OH__STATUS_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__status_reply__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * A follower asks its leader for proof that what it has is current. The reply echoes the follower's clock, so
+ * that a message that was held up on the way proves nothing.
+ */
+struct  Oh__CurrentQuery
+{
+  ProtobufCMessage base;
+  int64_t sent_us;
+};
+#define OH__CURRENT_QUERY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&oh__current_query__descriptor) \
+    , 0 }
+
+
+struct  Oh__CurrentReply
+{
+  ProtobufCMessage base;
+  int64_t sent_us;
+  uint64_t term;
+  /*
+   * version in effect at the leader when it answered
+   */
+  uint64_t version;
+};
+#define OH__CURRENT_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&oh__current_reply__descriptor) \
+    , 0, 0, 0 }
 
 
 struct  Oh__EntryState
@@ -328,7 +362,9 @@
   OH__CONTROL__BODY_STATUS_REPLY = 15,
   OH__CONTROL__BODY_FLOW_STATE = 16,
   OH__CONTROL__BODY_FLOW_STATE_REPLY = 17,
-  OH__CONTROL__BODY_RAFT = 18
+  OH__CONTROL__BODY_RAFT = 18,
+  OH__CONTROL__BODY_CURRENT_QUERY = 19,
+  OH__CONTROL__BODY_CURRENT_REPLY = 20
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(OH__CONTROL__BODY__CASE)
 } Oh__Control__BodyCase;
 
@@ -350,6 +386,8 @@
      * an encoded raft message
      */
     ProtobufCBinaryData raft;
+    Oh__CurrentQuery *current_query;
+    Oh__CurrentReply *current_reply;
   };
 };
 #define OH__CONTROL__INIT \
@@ -509,6 +547,44 @@
 void   oh__status_reply__free_unpacked
                      (Oh__StatusReply *message,
                       ProtobufCAllocator *allocator);
+/* Oh__CurrentQuery methods */
+void   oh__current_query__init
+                     (Oh__CurrentQuery         *message);
+size_t oh__current_query__get_packed_size
+                     (const Oh__CurrentQuery   *message);
+size_t oh__current_query__pack
+                     (const Oh__CurrentQuery   *message,
+                      uint8_t             *out);
+size_t oh__current_query__pack_to_buffer
+                     (const Oh__CurrentQuery   *message,
+                      ProtobufCBuffer     *buffer);
+Oh__CurrentQuery *
+       oh__current_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   oh__current_query__free_unpacked
+                     (Oh__CurrentQuery *message,
+                      ProtobufCAllocator *allocator);
+/* Oh__CurrentReply methods */
+void   oh__current_reply__init
+                     (Oh__CurrentReply         *message);
+size_t oh__current_reply__get_packed_size
+                     (const Oh__CurrentReply   *message);
+size_t oh__current_reply__pack
+                     (const Oh__CurrentReply   *message,
+                      uint8_t             *out);
+size_t oh__current_reply__pack_to_buffer
+                     (const Oh__CurrentReply   *message,
+                      ProtobufCBuffer     *buffer);
+Oh__CurrentReply *
+       oh__current_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   oh__current_reply__free_unpacked
+                     (Oh__CurrentReply *message,
+                      ProtobufCAllocator *allocator);
 /* Oh__EntryState methods */
 void   oh__entry_state__init
                      (Oh__EntryState         *message);
@@ -611,6 +687,12 @@
 typedef void (*Oh__StatusReply_Closure)
                  (const Oh__StatusReply *message,
                   void *closure_data);
+typedef void (*Oh__CurrentQuery_Closure)
+                 (const Oh__CurrentQuery *message,
+                  void *closure_data);
+typedef void (*Oh__CurrentReply_Closure)
+                 (const Oh__CurrentReply *message,
+                  void *closure_data);
 typedef void (*Oh__EntryState_Closure)
                  (const Oh__EntryState *message,
                   void *closure_data);
@@ -640,6 +722,8 @@
 extern const ProtobufCMessageDescriptor oh__change_reply__descriptor;
 extern const ProtobufCMessageDescriptor oh__status_query__descriptor;
 extern const ProtobufCMessageDescriptor oh__status_reply__descriptor;
+extern const ProtobufCMessageDescriptor oh__current_query__descriptor;
+extern const ProtobufCMessageDescriptor oh__current_reply__descriptor;
 extern const ProtobufCMessageDescriptor oh__entry_state__descriptor;
 extern const ProtobufCMessageDescriptor oh__flow_state__descriptor;
 extern const ProtobufCMessageDescriptor oh__flow_state_reply__descriptor;
--- a/lib/wire/replica.pb-c.c
+++ b/lib/wire/replica.pb-c.c
@@ -52,51 +52,6 @@
   assert(message->base.descriptor == &oh__change_result__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   oh__replica_entry__init
-                     (Oh__ReplicaEntry         *message)
-{
-  static const Oh__ReplicaEntry init_value = OH__REPLICA_ENTRY__INIT;
-  *message = init_value;
-}
-size_t oh__replica_entry__get_packed_size
-                     (const Oh__ReplicaEntry *message)
-{
-  assert(message->base.descriptor == &oh__replica_entry__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t oh__replica_entry__pack
-                     (const Oh__ReplicaEntry *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &oh__replica_entry__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t oh__replica_entry__pack_to_buffer
-                     (const Oh__ReplicaEntry *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &oh__replica_entry__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Oh__ReplicaEntry *
-       oh__replica_entry__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Oh__ReplicaEntry *)
-     protobuf_c_message_unpack (&oh__replica_entry__descriptor,
-                                allocator, len, data);
-}
-void   oh__replica_entry__free_unpacked
-                     (Oh__ReplicaEntry *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &oh__replica_entry__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   oh__control_state__init
                      (Oh__ControlState         *message)
 {
@@ -258,58 +213,7 @@
   (ProtobufCMessageInit) oh__change_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__replica_entry__field_descriptors[2] =
-{
-  {
-    "name",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Oh__ReplicaEntry, name),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "endpoint",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Oh__ReplicaEntry, endpoint),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned oh__replica_entry__field_indices_by_name[] = {
-  1,   /* field[1] = endpoint */
-  0,   /* field[0] = name */
-};
-static const ProtobufCIntRange oh__replica_entry__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor oh__replica_entry__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "oh.ReplicaEntry",
-  "ReplicaEntry",
-  "Oh__ReplicaEntry",
-  "oh",
-  sizeof(Oh__ReplicaEntry),
-  2,
-  oh__replica_entry__field_descriptors,
-  oh__replica_entry__field_indices_by_name,
-  1,  oh__replica_entry__number_ranges,
-  (ProtobufCMessageInit) oh__replica_entry__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor oh__control_state__field_descriptors[9] =
+static const ProtobufCFieldDescriptor oh__control_state__field_descriptors[8] =
 {
   {
     "version",
@@ -395,21 +299,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "replicas",
-    8,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Oh__ControlState, n_replicas),
-    offsetof(Oh__ControlState, replicas),
-    &oh__replica_entry__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "results",
-    9,
+    8,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Oh__ControlState, n_results),
@@ -425,8 +317,7 @@
   3,   /* field[3] = key_generation */
   6,   /* field[6] = last_author */
   5,   /* field[5] = last_id */
-  7,   /* field[7] = replicas */
-  8,   /* field[8] = results */
+  7,   /* field[7] = results */
   2,   /* field[2] = text */
   1,   /* field[1] = text_version */
   0,   /* field[0] = version */
@@ -434,7 +325,7 @@
 static const ProtobufCIntRange oh__control_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor oh__control_state__descriptor =
 {
@@ -444,7 +335,7 @@
   "Oh__ControlState",
   "oh",
   sizeof(Oh__ControlState),
-  9,
+  8,
   oh__control_state__field_descriptors,
   oh__control_state__field_indices_by_name,
   1,  oh__control_state__number_ranges,
--- a/lib/wire/replica.pb-c.h
+++ b/lib/wire/replica.pb-c.h
@@ -17,7 +17,6 @@
 #include "wire/control.pb-c.h"
 
 typedef struct Oh__ChangeResult Oh__ChangeResult;
-typedef struct Oh__ReplicaEntry Oh__ReplicaEntry;
 typedef struct Oh__ControlState Oh__ControlState;
 
 
@@ -45,20 +44,6 @@
     , {0,NULL}, 0, OH__CHANGE_STATUS__CHANGE_ACCEPTED, 0, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
-/*
- * Replica that operators added, or removed if the endpoint is empty; the initial set is in the settings.
- */
-struct  Oh__ReplicaEntry
-{
-  ProtobufCMessage base;
-  char *name;
-  char *endpoint;
-};
-#define OH__REPLICA_ENTRY__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&oh__replica_entry__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
-
-
 struct  Oh__ControlState
 {
   ProtobufCMessage base;
@@ -76,8 +61,6 @@
    */
   ProtobufCBinaryData last_id;
   char *last_author;
-  size_t n_replicas;
-  Oh__ReplicaEntry **replicas;
   /*
    * oldest first
    */
@@ -86,7 +69,7 @@
 };
 #define OH__CONTROL_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__control_state__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, 0,NULL }
 
 
 /* Oh__ChangeResult methods */
@@ -108,25 +91,6 @@
 void   oh__change_result__free_unpacked
                      (Oh__ChangeResult *message,
                       ProtobufCAllocator *allocator);
-/* Oh__ReplicaEntry methods */
-void   oh__replica_entry__init
-                     (Oh__ReplicaEntry         *message);
-size_t oh__replica_entry__get_packed_size
-                     (const Oh__ReplicaEntry   *message);
-size_t oh__replica_entry__pack
-                     (const Oh__ReplicaEntry   *message,
-                      uint8_t             *out);
-size_t oh__replica_entry__pack_to_buffer
-                     (const Oh__ReplicaEntry   *message,
-                      ProtobufCBuffer     *buffer);
-Oh__ReplicaEntry *
-       oh__replica_entry__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   oh__replica_entry__free_unpacked
-                     (Oh__ReplicaEntry *message,
-                      ProtobufCAllocator *allocator);
 /* Oh__ControlState methods */
 void   oh__control_state__init
                      (Oh__ControlState         *message);
@@ -151,9 +115,6 @@
 typedef void (*Oh__ChangeResult_Closure)
                  (const Oh__ChangeResult *message,
                   void *closure_data);
-typedef void (*Oh__ReplicaEntry_Closure)
-                 (const Oh__ReplicaEntry *message,
-                  void *closure_data);
 typedef void (*Oh__ControlState_Closure)
                  (const Oh__ControlState *message,
                   void *closure_data);
@@ -164,7 +125,6 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor oh__change_result__descriptor;
-extern const ProtobufCMessageDescriptor oh__replica_entry__descriptor;
 extern const ProtobufCMessageDescriptor oh__control_state__descriptor;
 
 PROTOBUF_C__END_DECLS
