--- /dev/null
+++ b/daemons/oriole_balancer.c
@@ -0,0 +1,239 @@
+#define OH_LOG_MODULE "balancer"
+
+#include <argp.h>
+#include <glib-unix.h>
+#include <glib.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "adapters/admin.h"
+#include "adapters/packet_loop.h"
+#include "adapters/system_clock.h"
+#include "adapters/system_random.h"
+#include "adapters/view_client.h"
+#include "base/log.h"
+
+enum
+{
+  EXIT_BAD_SETTINGS = 2,
+  LEAVE_MS = 1000, /* packets that the fabric still sends here are forwarded for this time after SIGTERM */
+};
+
+const char *argp_program_version = "oriole-balancer 0.1.0";
+
+typedef struct
+{
+  char *name;
+  char *zone;
+  oh_address_t listen;
+  oh_address_t relay;
+  oh_address_t admin;
+  char *replicas;
+  char *key_file;
+  char *log_level;
+} settings_t;
+
+static const oh_setting_t table[] = {
+  { "balancer", "name", OH_SETTING_STRING, offsetof (settings_t, name), true, NULL, 0, 0 },
+  { "balancer", "zone", OH_SETTING_STRING, offsetof (settings_t, zone), true, NULL, 0, 0 },
+  { "balancer", "listen", OH_SETTING_ADDRESS, offsetof (settings_t, listen), true, NULL, 0, 0 },
+  { "balancer", "relay", OH_SETTING_ADDRESS, offsetof (settings_t, relay), true, NULL, 0, 0 },
+  { "balancer", "admin", OH_SETTING_ADDRESS, offsetof (settings_t, admin), true, NULL, 0, 0 },
+  { "control", "replicas", OH_SETTING_STRING, offsetof (settings_t, replicas), true, NULL, 0, 0 },
+  { "keys", "file", OH_SETTING_STRING, offsetof (settings_t, key_file), true, NULL, 0, 0 },
+  { "log", "level", OH_SETTING_STRING, offsetof (settings_t, log_level), false, "info", 0, 0 },
+};
+
+typedef struct
+{
+  const char *settings_path;
+  bool check;
+} arguments_t;
+
+typedef struct
+{
+  settings_t settings;
+  oh_keyring_t keyring; /* of the view client; the core has its own copy */
+  oh_counters_t counters;
+  oh_balancer_core_t core;
+  oh_packet_loop_t packets;
+  oh_view_client_t *view_client;
+  Oh__Address relay;
+  GMainLoop *loop;
+  bool leaving;
+} balancer_t;
+
+static error_t
+parse_option (int key, char *value, struct argp_state *state)
+{
+  arguments_t *arguments = state->input;
+
+  switch (key)
+    {
+    case 's':
+      arguments->settings_path = value;
+      return 0;
+    case 'c':
+      arguments->check = true;
+      return 0;
+    case ARGP_KEY_ARG:
+      argp_error (state, "unexpected argument \"%s\"", value);
+      return 0;
+    case ARGP_KEY_END:
+      if (arguments->settings_path == NULL)
+        argp_error (state, "--settings FILE is required");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static void
+view_changed (const oh_view_t *view, void *data)
+{
+  balancer_t *balancer = data;
+
+  if (!balancer->leaving)
+    oh_packet_loop_post_view (&balancer->packets, oh_placement_view_new (view));
+}
+
+static void
+fill_poll (Oh__Poll *poll, void *data)
+{
+  balancer_t *balancer = data;
+
+  oh_address_to_wire (oh_packet_loop_relay_address (&balancer->packets), &balancer->relay);
+  poll->relay = &balancer->relay;
+}
+
+static gboolean
+quit (gpointer data)
+{
+  g_main_loop_quit (((balancer_t *)data)->loop);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+leave (gpointer data)
+{
+  balancer_t *balancer = data;
+
+  if (balancer->leaving)
+    return G_SOURCE_CONTINUE;
+  balancer->leaving = true;
+  oh_log_info ("leaving", "name=%s forward_ms=%d", balancer->settings.name, LEAVE_MS);
+  oh_view_client_stop (balancer->view_client);
+  balancer->view_client = NULL;
+  g_timeout_add (LEAVE_MS, quit, balancer);
+  return G_SOURCE_CONTINUE;
+}
+
+static bool
+serve (balancer_t *balancer, oh_error_t *error)
+{
+  static const oh_view_client_callbacks_t callbacks = { .changed = view_changed, .fill_poll = fill_poll };
+  const settings_t *settings = &balancer->settings;
+  oh_admin_t *admin = NULL;
+  char listen_text[OH_ADDRESS_TEXT_BYTES];
+  char relay_text[OH_ADDRESS_TEXT_BYTES];
+
+  admin = oh_admin_start (settings->admin, &balancer->counters, error);
+  if (admin == NULL)
+    return false;
+  oh_packet_loop_start (&balancer->packets, &balancer->core);
+  balancer->view_client
+    = oh_view_client_start (NULL, settings->name, OH__NODE_ROLE__NODE_BALANCER, settings->zone,
+                            settings->replicas, &balancer->keyring, &callbacks, balancer, error);
+  if (balancer->view_client == NULL)
+    {
+      oh_admin_stop (admin);
+      return false;
+    }
+  g_unix_signal_add (SIGTERM, leave, balancer);
+  g_unix_signal_add (SIGINT, leave, balancer);
+  oh_log_info ("started", "name=%s zone=%s listen=%s relay=%s", settings->name, settings->zone,
+               oh_address_format (oh_packet_loop_listen_address (&balancer->packets), listen_text),
+               oh_address_format (oh_packet_loop_relay_address (&balancer->packets), relay_text));
+  g_main_loop_run (balancer->loop);
+  oh_admin_stop (admin);
+  return true;
+}
+
+static bool
+run (balancer_t *balancer, oh_log_level_t level, oh_error_t *error)
+{
+  const settings_t *settings = &balancer->settings;
+  bool ok;
+
+  if (!oh_packet_loop_init (&balancer->packets, settings->listen, settings->relay, oh_system_clock (), error))
+    return false;
+  balancer->loop = g_main_loop_new (NULL, FALSE);
+  oh_balancer_core_init (&balancer->core, settings->zone, oh_packet_loop_relay_address (&balancer->packets),
+                         &balancer->keyring, oh_system_random (), level);
+  oh_counters_init (&balancer->counters);
+  oh_packet_loop_add_counters (&balancer->packets, &balancer->counters);
+  oh_balancer_core_add_counters (&balancer->core, &balancer->counters);
+  ok = serve (balancer, error);
+  oh_packet_loop_finish (&balancer->packets);
+  oh_balancer_core_finish (&balancer->core);
+  oh_counters_finish (&balancer->counters);
+  g_main_loop_unref (balancer->loop);
+  return ok;
+}
+
+static bool
+load (balancer_t *balancer, const char *path, oh_log_level_t *level, oh_error_t *error)
+{
+  settings_t *settings = &balancer->settings;
+
+  if (!oh_settings_load (path, table, G_N_ELEMENTS (table), settings, error))
+    return false;
+  if (!oh_log_level_parse (settings->log_level, level))
+    return oh_error_set (error, OH_ERROR_SETTINGS, OH_ERROR_CODE_BAD_VALUE,
+                         "%s: section [log], key level, value \"%s\": expected error, warning, info or debug",
+                         path, settings->log_level);
+  return oh_keyring_load (&balancer->keyring, settings->key_file, error);
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp_option options[] = {
+    { "settings", 's', "FILE", 0, "Read settings from FILE", 0 },
+    { "check", 'c', NULL, 0, "Check the settings and exit", 0 },
+    { 0 },
+  };
+  static const struct argp argp = {
+    .options = options,
+    .parser = parse_option,
+    .doc = "Forwards datagrams of callers to the agents that own their flows, and places new flows.",
+  };
+  static balancer_t balancer;
+  arguments_t arguments = { 0 };
+  oh_error_t error = { .domain = OH_ERROR_NONE };
+  oh_log_level_t level;
+  int status = EXIT_SUCCESS;
+
+  argp_err_exit_status = EXIT_BAD_SETTINGS;
+  argp_parse (&argp, argc, argv, 0, NULL, &arguments);
+  if (sodium_init () < 0 || !load (&balancer, arguments.settings_path, &level, &error))
+    {
+      fprintf (stderr, "oriole-balancer: %s\n", error.message);
+      status = EXIT_BAD_SETTINGS;
+    }
+  else if (!arguments.check)
+    {
+      oh_log_start (level);
+      if (!run (&balancer, level, &error))
+        {
+          oh_log_error ("failed", "domain=%s code=%d message=\"%s\"", oh_error_domain_name (error.domain),
+                        (int)error.code, error.message);
+          status = EXIT_FAILURE;
+        }
+      oh_log_stop ();
+    }
+  oh_keyring_finish (&balancer.keyring);
+  oh_settings_clear (table, G_N_ELEMENTS (table), &balancer.settings);
+  return status;
+}
--- a/lib/core/balancer_core.c
+++ b/lib/core/balancer_core.c
@@ -75,13 +75,17 @@
 }
 
 /*
- * A process that has just started knows no key generation. Until the first view it takes the generation from
- * a token or seal whose MAC proves that a holder of the master key made it; afterwards only the view counts.
+ * A process that has just started, or is cut off from control, does not know the present key generation. It
+ * takes it from a token or seal whose MAC proves that a holder of the master key made it. Derivation costs
+ * several times as much as a packet, so forged generations may cause only a few each period.
  */
 static bool
-may_learn_keys (const oh_balancer_core_t *core, uint32_t generation)
+may_learn_keys (oh_balancer_core_t *core, uint32_t generation)
 {
-  return core->placement.view == NULL && generation > core->keyring.generation + 1;
+  if (generation <= core->keyring.generation + 1 || core->learn_budget == 0)
+    return false;
+  core->learn_budget--;
+  return true;
 }
 
 static bool
@@ -108,25 +112,16 @@
 decode_relay (oh_balancer_core_t *core, const uint8_t *bytes, size_t length, oh_error_t *error)
 {
   Oh__Relay *relay = oh_relay_decode (&core->arena, &core->keyring, bytes, length, error);
-  oh_keyring_t later;
   uint32_t generation;
 
   if (relay != NULL || error->code != OH_ERROR_CODE_UNKNOWN_GENERATION)
     return relay;
   memcpy (&generation, bytes + OH_MAC_BYTES, sizeof generation);
-  generation = GUINT32_FROM_LE (generation);
-  if (!may_learn_keys (core, generation))
+  if (!may_learn_keys (core, GUINT32_FROM_LE (generation))
+      || !oh_keyring_follow (&core->keyring, OH_KEY_RELAY, bytes, length))
     return NULL;
-  later = core->keyring;
-  oh_keyring_advance (&later, generation);
-  relay = oh_relay_decode (&core->arena, &later, bytes, length, error);
-  if (relay != NULL)
-    {
-      core->keyring = later;
-      oh_counter_increment (&core->counters.keys_learned);
-    }
-  oh_keyring_finish (&later);
-  return relay;
+  oh_counter_increment (&core->counters.keys_learned);
+  return oh_relay_decode (&core->arena, &core->keyring, bytes, length, error);
 }
 
 static void
@@ -415,6 +410,7 @@
   core->relay = relay;
   core->keyring = *keyring;
   core->log_level = log_level;
+  core->learn_budget = OH_BALANCER_LEARN_BUDGET;
   oh_placement_init (&core->placement, zone, random);
   oh_arena_init (&core->arena);
   oh_arena_init (&core->inner_arena);
@@ -465,6 +461,7 @@
       handle_view (core, event, sink);
       break;
     case OH_BALANCER_TIMER:
+      core->learn_budget = OH_BALANCER_LEARN_BUDGET;
       oh_placement_expire (&core->placement, event->now_us);
       break;
     }
--- a/lib/core/balancer_core.h
+++ b/lib/core/balancer_core.h
@@ -27,6 +27,7 @@
 enum
 {
   OH_BALANCER_TIMER_MS = 100,
+  OH_BALANCER_LEARN_BUDGET = 16, /* key derivations each timer period, about 0.1 ms of work */
   OH_BALANCER_LOG_BYTES = 400,
 };
 
@@ -98,7 +99,7 @@
   oh_counter_t dropped_direction;     /* body that only the other side sends */
   oh_counter_t dropped_bad_seal;      /* on the relay side */
   oh_counter_t dropped_bad_relay;
-  oh_counter_t keys_learned; /* generations taken from tokens or seals before the first view */
+  oh_counter_t keys_learned; /* generations taken from tokens or seals */
 } oh_balancer_counters_t;
 
 typedef struct
@@ -107,6 +108,7 @@
   oh_keyring_t keyring;
   oh_placement_t placement;
   oh_balancer_counters_t counters;
+  unsigned learn_budget;    /* key derivations left in this period */
   oh_log_level_t log_level; /* no log actions beyond it */
   oh_arena_t arena;
   oh_arena_t inner_arena;
--- /dev/null
+++ b/tests/test_placement.c
@@ -0,0 +1,346 @@
+#include <glib.h>
+
+#include "base/seeded_random.h"
+#include "core/placement.h"
+#include "view_fixture.h"
+
+enum
+{
+  MS = 1000, /* microseconds */
+};
+
+static const fixture_upstream_t three_equal[] = {
+  { "p1", "plan-fetch", "a", 4, 0, 0, 0, READY, false },
+  { "p2", "plan-fetch", "a", 4, 0, 0, 0, READY, false },
+  { "p3", "plan-fetch", "a", 4, 0, 0, 0, READY, false },
+  { NULL },
+};
+
+typedef struct
+{
+  oh_placement_t placement;
+  oh_seeded_random_t random;
+} fixture_t;
+
+static void
+fixture_init (fixture_t *fixture, const fixture_upstream_t *upstreams, bool confirmed)
+{
+  oh_seeded_random_init (&fixture->random, 1);
+  oh_placement_init (&fixture->placement, "a", &fixture->random.base);
+  oh_placement_update (&fixture->placement, fixture_view (upstreams, confirmed), 0);
+}
+
+static void
+fixture_finish (fixture_t *fixture)
+{
+  oh_placement_finish (&fixture->placement);
+  oh_seeded_random_finish (&fixture->random);
+}
+
+/* Places an Open with the key and returns the name of the upstream. */
+static const char *
+place (fixture_t *fixture, const char *service, uint64_t key, int64_t now_us)
+{
+  oh_placement_decision_t decision;
+
+  if (!oh_placement_choose (&fixture->placement, oh_service_id (service), NULL, 0, now_us, &decision))
+    return NULL;
+  oh_placement_sent (&fixture->placement, decision.upstream, key, now_us);
+  return decision.upstream->name;
+}
+
+static Oh__Load
+make_load (const char *name, const char *service, uint64_t incarnation, uint64_t sequence, unsigned busy)
+{
+  Oh__Load load = OH__LOAD__INIT;
+
+  load.upstream = (char *)name;
+  load.service = oh_service_id (service);
+  load.incarnation = incarnation;
+  load.sequence = sequence;
+  load.slots = 4;
+  load.busy = busy;
+  load.max_flows = FIXTURE_MAX_FLOWS;
+  return load;
+}
+
+/* Guards against a choice that ignores load, state, limits, the zone rule, earlier refusals or dependencies.
+ */
+static void
+test_choice (void)
+{
+  static const struct
+  {
+    const char *title;
+    fixture_upstream_t upstreams[8];
+    const char *service;
+    const char *expected; /* NULL: refused */
+    oh_placement_reason_t reason;
+    uint64_t tried[3];
+    size_t n_tried;
+    bool unconfirmed;
+  } cases[] = {
+    { .title = "least work per slot, not least work",
+      .upstreams = { { "p1", "plan-fetch", "a", 1, 1, 0, 0, READY, false },
+                     { "p2", "plan-fetch", "b", 4, 2, 0, 9, READY, false } },
+      .service = "plan-fetch",
+      .expected = "p2",
+      .reason = OH_PLACEMENT_LEAST_LOAD },
+    { .title = "queued work counts",
+      .upstreams = { { "p1", "plan-fetch", "a", 4, 4, 5, 0, READY, false },
+                     { "p2", "plan-fetch", "b", 4, 4, 0, 0, READY, false } },
+      .service = "plan-fetch",
+      .expected = "p2",
+      .reason = OH_PLACEMENT_LEAST_LOAD },
+    { .title = "flows break ties before the zone",
+      .upstreams = { { "p1", "plan-fetch", "a", 4, 1, 0, 8, READY, false },
+                     { "p2", "plan-fetch", "b", 4, 1, 0, 7, READY, false } },
+      .service = "plan-fetch",
+      .expected = "p2",
+      .reason = OH_PLACEMENT_FEWEST_FLOWS },
+    { .title = "zone among equals",
+      .upstreams = { { "p1", "plan-fetch", "b", 4, 1, 0, 7, READY, false },
+                     { "p2", "plan-fetch", "a", 4, 1, 0, 7, READY, false } },
+      .service = "plan-fetch",
+      .expected = "p2",
+      .reason = OH_PLACEMENT_SAME_ZONE },
+    { .title = "drained by an operator, although idle",
+      .upstreams = { { "p1", "plan-fetch", "a", 4, 0, 0, 0, READY, true },
+                     { "p2", "plan-fetch", "a", 4, 4, 9, 9, READY, false } },
+      .service = "plan-fetch",
+      .expected = "p2",
+      .reason = OH_PLACEMENT_ONLY_CANDIDATE },
+    { .title = "draining itself, the only one",
+      .upstreams = { { "p1", "plan-fetch", "a", 4, 0, 0, 0, DRAINING, false } },
+      .service = "plan-fetch",
+      .expected = NULL,
+      .reason = OH_PLACEMENT_NO_UPSTREAM },
+    { .title = "no room for flows",
+      .upstreams = { { "p1", "plan-fetch", "a", 4, 0, 0, FIXTURE_MAX_FLOWS, READY, false } },
+      .service = "plan-fetch",
+      .expected = NULL,
+      .reason = OH_PLACEMENT_NO_UPSTREAM },
+    { .title = "fails fast and therefore looks idle",
+      .upstreams = { { "p1", "plan-fetch", "a", 0, 0, 0, 0, SUSPECT, false },
+                     { "p2", "plan-fetch", "a", 4, 4, 4, 9, READY, false },
+                     { "p3", "plan-fetch", "a", 4, 4, 3, 9, READY, false } },
+      .service = "plan-fetch",
+      .expected = "p3",
+      .reason = OH_PLACEMENT_LEAST_LOAD },
+    { .title = "two suspects of three: only one may be excluded",
+      .upstreams = { { "p1", "plan-fetch", "a", 4, 0, 0, 0, SUSPECT, false },
+                     { "p2", "plan-fetch", "a", 4, 1, 0, 0, SUSPECT, false },
+                     { "p3", "plan-fetch", "a", 4, 4, 3, 9, READY, false } },
+      .service = "plan-fetch",
+      .expected = "p2",
+      .reason = OH_PLACEMENT_LEAST_LOAD },
+    { .title = "the only upstream is never excluded",
+      .upstreams = { { "p1", "plan-fetch", "a", 4, 0, 0, 0, SUSPECT, false } },
+      .service = "plan-fetch",
+      .expected = "p1",
+      .reason = OH_PLACEMENT_ONLY_CANDIDATE },
+    { .title = "refused by the least loaded",
+      .upstreams = { { "p1", "plan-fetch", "a", 4, 0, 0, 0, READY, false },
+                     { "p2", "plan-fetch", "a", 4, 4, 4, 9, READY, false } },
+      .service = "plan-fetch",
+      .expected = "p2",
+      .reason = OH_PLACEMENT_ONLY_CANDIDATE,
+      .tried = { 1000 },
+      .n_tried = 1 },
+    { .title = "refused by three",
+      .upstreams = { { "p1", "plan-fetch", "a", 4, 0, 0, 0, READY, false } },
+      .service = "plan-fetch",
+      .expected = NULL,
+      .reason = OH_PLACEMENT_TRIED_ALL,
+      .tried = { 1, 2, 3 },
+      .n_tried = 3 },
+    { .title = "view not confirmed",
+      .upstreams = { { "p1", "plan-fetch", "a", 4, 0, 0, 0, READY, false } },
+      .service = "plan-fetch",
+      .expected = NULL,
+      .reason = OH_PLACEMENT_NO_CONFIRMED_VIEW,
+      .unconfirmed = true },
+    { .title = "service without upstreams",
+      .upstreams = { { NULL } },
+      .service = "plan-fetch",
+      .expected = NULL,
+      .reason = OH_PLACEMENT_NO_UPSTREAM },
+    { .title = "service that the text does not name",
+      .upstreams = { { "x1", "unnamed", "a", 4, 0, 0, 0, READY, false } },
+      .service = "unnamed",
+      .expected = NULL,
+      .reason = OH_PLACEMENT_UNKNOWN_SERVICE },
+    { .title = "dependency has no upstream",
+      .upstreams = { { "s1", "scan-serve", "a", 4, 0, 0, 0, READY, false } },
+      .service = "scan-serve",
+      .expected = NULL,
+      .reason = OH_PLACEMENT_DEPENDENCY_UNAVAILABLE },
+    { .title = "dependency drained",
+      .upstreams = { { "k1", "kiln-log", "a", 4, 0, 0, 0, READY, true },
+                     { "s1", "scan-serve", "a", 4, 0, 0, 0, READY, false } },
+      .service = "scan-serve",
+      .expected = NULL,
+      .reason = OH_PLACEMENT_DEPENDENCY_UNAVAILABLE },
+    { .title = "dependency available",
+      .upstreams = { { "k1", "kiln-log", "a", 4, 4, 4, 0, READY, false },
+                     { "s1", "scan-serve", "a", 4, 0, 0, 0, READY, false } },
+      .service = "scan-serve",
+      .expected = "s1",
+      .reason = OH_PLACEMENT_ONLY_CANDIDATE },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fixture_t fixture;
+      oh_placement_decision_t decision;
+
+      g_test_message ("%s", cases[i].title);
+      fixture_init (&fixture, cases[i].upstreams, !cases[i].unconfirmed);
+      oh_placement_choose (&fixture.placement, oh_service_id (cases[i].service), cases[i].tried,
+                           cases[i].n_tried, 0, &decision);
+      g_assert_cmpstr (decision.upstream != NULL ? decision.upstream->name : NULL, ==, cases[i].expected);
+      g_assert_cmpint (decision.reason, ==, cases[i].reason);
+      g_assert_cmpint (decision.refused != OH__RESULT__RESULT_NONE, ==, cases[i].expected == NULL);
+      fixture_finish (&fixture);
+    }
+}
+
+/* Guards against a burst of Opens that all go to the upstream of the last report. */
+static void
+test_sent_counts (void)
+{
+  fixture_t fixture;
+
+  fixture_init (&fixture, three_equal, true);
+  for (uint64_t key = 0; key < 12; key++)
+    g_assert_nonnull (place (&fixture, "plan-fetch", key, 0));
+  for (unsigned i = 0; three_equal[i].name != NULL; i++)
+    g_assert_cmpuint (oh_placement_find (&fixture.placement, three_equal[i].name)->n_unanswered, ==, 4);
+  fixture_finish (&fixture);
+}
+
+/* Guards against an Open that counts twice after its answer, or for ever when the answer is lost. */
+static void
+test_unanswered_ends (void)
+{
+  fixture_t fixture;
+  const oh_upstream_t *upstream;
+
+  fixture_init (&fixture, three_equal, true);
+  upstream = oh_placement_find (&fixture.placement, place (&fixture, "plan-fetch", 1, 0));
+  oh_placement_answered (&fixture.placement, upstream->name, 2, 1 * MS);
+  g_assert_cmpuint (upstream->n_unanswered, ==, 1);
+  oh_placement_answered (&fixture.placement, upstream->name, 1, 1 * MS);
+  g_assert_cmpuint (upstream->n_unanswered, ==, 0);
+  upstream = oh_placement_find (&fixture.placement, place (&fixture, "plan-fetch", 3, 2 * MS));
+  oh_placement_expire (&fixture.placement, 2001 * MS);
+  g_assert_cmpuint (upstream->n_unanswered, ==, 1);
+  oh_placement_expire (&fixture.placement, 2002 * MS);
+  g_assert_cmpuint (upstream->n_unanswered, ==, 0);
+  fixture_finish (&fixture);
+}
+
+/* Guards against late, repeated and foreign reports replacing newer ones, and against a restarted agent whose
+ * reports are ignored. */
+static void
+test_report_order (void)
+{
+  static const struct
+  {
+    const char *name;
+    const char *service;
+    uint64_t incarnation;
+    uint64_t sequence;
+    bool accepted;
+  } reports[] = {
+    { "p1", "plan-fetch", 1000, 1, false }, /* the view's own */
+    { "p1", "plan-fetch", 1000, 5, true },  { "p1", "plan-fetch", 1000, 5, false },
+    { "p1", "plan-fetch", 1000, 4, false }, { "p9", "plan-fetch", 1000, 6, false },
+    { "p1", "kiln-log", 1000, 6, false },   { "p1", "plan-fetch", 77, 1, true }, /* restarted */
+    { "p1", "plan-fetch", 1000, 7, false },                                      /* sent before the restart */
+    { "p1", "plan-fetch", 77, 2, true },
+  };
+  fixture_t fixture;
+
+  fixture_init (&fixture, three_equal, true);
+  for (size_t i = 0; i < G_N_ELEMENTS (reports); i++)
+    {
+      const Oh__Load load
+        = make_load (reports[i].name, reports[i].service, reports[i].incarnation, reports[i].sequence, 1);
+
+      g_test_message ("report %zu", i);
+      g_assert_cmpint (oh_placement_report (&fixture.placement, &load, 0), ==, reports[i].accepted);
+    }
+  /* The view still lists the earlier incarnation. */
+  oh_placement_update (&fixture.placement, fixture_view (three_equal, true), 0);
+  g_assert_cmpuint (oh_placement_find (&fixture.placement, "p1")->incarnation, ==, 77);
+  g_assert_cmpuint (oh_placement_find (&fixture.placement, "p1")->busy, ==, 1);
+  fixture_finish (&fixture);
+}
+
+/* Guards against Opens sent to an agent that hangs, and against an agent that stays avoided after it
+ * recovers. */
+static void
+test_silent_agent (void)
+{
+  fixture_t fixture;
+  const char *silent;
+  Oh__Load load;
+
+  fixture_init (&fixture, three_equal, true);
+  silent = place (&fixture, "plan-fetch", 1, 1 * MS);
+  for (uint64_t key = 10; key < 40; key++)
+    {
+      const int64_t now_us = (int64_t)(key * 50) * MS;
+      const char *name = place (&fixture, "plan-fetch", key, now_us);
+
+      if (now_us >= 1 * MS + OH_PLACEMENT_SILENCE_MS * MS)
+        g_assert_cmpstr (name, !=, silent);
+      oh_placement_answered (&fixture.placement, name, key, now_us);
+    }
+
+  /* The reservation has ended: one Open at a time tries the agent again. */
+  oh_placement_expire (&fixture.placement, 2100 * MS);
+  for (uint64_t key = 100; key < 160; key++)
+    place (&fixture, "plan-fetch", key, 2100 * MS);
+  g_assert_cmpuint (oh_placement_find (&fixture.placement, silent)->n_unanswered, ==, 1);
+
+  /* An answer ends the suspicion. */
+  load = make_load (silent, "plan-fetch", oh_placement_find (&fixture.placement, silent)->incarnation, 2, 0);
+  oh_placement_report (&fixture.placement, &load, 2150 * MS);
+  oh_placement_answered (&fixture.placement, silent,
+                         oh_placement_find (&fixture.placement, silent)->unanswered[0].key, 2150 * MS);
+  g_assert_cmpstr (place (&fixture, "plan-fetch", 200, 2200 * MS), ==, silent);
+  g_assert_cmpstr (place (&fixture, "plan-fetch", 201, 2200 * MS), ==, silent);
+  fixture_finish (&fixture);
+}
+
+/* Guards against Opens to an upstream that the view no longer lists, and a new one that gets none. */
+static void
+test_membership (void)
+{
+  static const fixture_upstream_t later[] = {
+    { "p4", "plan-fetch", "a", 1, 0, 0, 0, READY, false },
+    { NULL },
+  };
+  fixture_t fixture;
+
+  fixture_init (&fixture, three_equal, true);
+  oh_placement_update (&fixture.placement, fixture_view (later, true), 0);
+  g_assert_cmpstr (place (&fixture, "plan-fetch", 1, 0), ==, "p4");
+  g_assert_null (oh_placement_find (&fixture.placement, "p1"));
+  fixture_finish (&fixture);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/placement/choice", test_choice);
+  g_test_add_func ("/placement/sent-counts", test_sent_counts);
+  g_test_add_func ("/placement/unanswered-ends", test_unanswered_ends);
+  g_test_add_func ("/placement/report-order", test_report_order);
+  g_test_add_func ("/placement/silent-agent", test_silent_agent);
+  g_test_add_func ("/placement/membership", test_membership);
+  return g_test_run ();
+}
