agent: add the core that owns flows and runs requests at most once

The agent needs a state machine without I/O so that its guarantees can be tested with a virtual clock. The parts are the flow table, the request queue, the sending side of answers, the upstream's health, and the state that is handed over. Built, not yet tested.

--- /dev/null
+++ b/lib/core/agent_core.c
@@ -0,0 +1,242 @@
+#define OH_LOG_MODULE "agent"
+#include "core/agent_core.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+#include "core/agent_internal.h"
+
+enum
+{
+  SWEEP_MS = 250, /* offers end within a quarter of a second of their time */
+  DRAIN_TICK_MS = 50,
+  SEND_AGAIN_US = 1000, /* chunks left over from one event */
+};
+
+static guint
+hash_run (gconstpointer key)
+{
+  return (guint) * (const uint64_t *)key;
+}
+
+static gboolean
+equal_runs (gconstpointer a, gconstpointer b)
+{
+  return *(const uint64_t *)a == *(const uint64_t *)b;
+}
+
+static void
+send_reports (oh_agent_core_t *core)
+{
+  const int64_t interval_ms = core->report_changed ? OH_AGENT_REPORT_MIN_MS : OH_AGENT_REPORT_MS;
+
+  if (core->view == NULL || core->now_us - core->report_us < interval_ms * 1000)
+    return;
+  core->report_us = core->now_us;
+  core->report_changed = false;
+  for (guint i = 0; i < core->view->balancers->len; i++)
+    {
+      const oh_view_balancer_t *balancer = g_ptr_array_index (core->view->balancers, i);
+      Oh__Relay relay = OH__RELAY__INIT;
+
+      oh_agent_send_relay (core, balancer->relay, &relay);
+    }
+}
+
+static void
+arm_timer (oh_agent_core_t *core)
+{
+  const int64_t tick_us = (int64_t)OH_AGENT_TICK_MS * 1000;
+  const int64_t report_ms = core->report_changed ? OH_AGENT_REPORT_MIN_MS : OH_AGENT_REPORT_MS;
+  int64_t due_us = core->sweep_us;
+
+  if (core->view != NULL)
+    due_us = MIN (due_us, core->report_us + report_ms * 1000);
+  if (!oh_list_is_empty (&core->timers) || core->queue.length > 0)
+    due_us = MIN (due_us, (core->now_us / tick_us + 1) * tick_us);
+  if (core->draining)
+    due_us = MIN (due_us, core->now_us + (int64_t)DRAIN_TICK_MS * 1000);
+  if (!oh_list_is_empty (&core->ready))
+    due_us = MIN (due_us, core->now_us + SEND_AGAIN_US);
+  if (due_us == core->armed_us)
+    return;
+  core->armed_us = due_us;
+  oh_agent_emit (core, &(oh_agent_action_t){ .kind = OH_AGENT_ACTION_ARM_TIMER, .due_us = due_us });
+}
+
+static void
+run_timers (oh_agent_core_t *core)
+{
+  core->armed_us = 0;
+  oh_agent_run_timers (core);
+  if (core->now_us >= core->sweep_us)
+    {
+      core->sweep_us = core->now_us + (int64_t)SWEEP_MS * 1000;
+      oh_agent_sweep_flows (core);
+    }
+  oh_agent_run_drain (core);
+}
+
+static void
+update_health (oh_agent_core_t *core)
+{
+  if (!oh_upstream_health_update (&core->health, core->now_us, oh_agent_oldest_unanswered (core)))
+    return;
+  core->report_changed = true;
+  oh_agent_log (core, OH_LOG_WARNING, "upstream_health", "upstream=%s suspect=%d", core->config.name,
+                core->health.suspect);
+}
+
+void
+oh_agent_log (oh_agent_core_t *core, oh_log_level_t level, const char *event, const char *format, ...)
+{
+  char pairs[400];
+  va_list args;
+
+  if (!oh_log_enabled (level))
+    return;
+  va_start (args, format);
+  g_vsnprintf (pairs, sizeof pairs, format, args);
+  va_end (args);
+  oh_agent_emit (core, &(oh_agent_action_t){ .kind = OH_AGENT_ACTION_LOG,
+                                             .log = { .level = level, .event = event, .pairs = pairs } });
+}
+
+void
+oh_agent_emit (oh_agent_core_t *core, const oh_agent_action_t *action)
+{
+  core->sink->emit (core->sink, action);
+}
+
+uint64_t
+oh_agent_flow_log_id (const oh_flow_t *flow)
+{
+  uint64_t head;
+
+  memcpy (&head, flow->id.bytes, sizeof head);
+  return GUINT64_FROM_BE (head);
+}
+
+void
+oh_agent_core_init (oh_agent_core_t *core, const oh_agent_config_t *config, const oh_keyring_t *keyring,
+                    oh_random_t *random, oh_counters_t *counters)
+{
+  memset (core, 0, sizeof *core);
+  core->config = *config;
+  core->keyring = keyring;
+  core->random = random;
+  oh_flow_table_init (&core->flows);
+  oh_request_queue_init (&core->queue);
+  oh_upstream_health_init (&core->health, config->service, config->slots);
+  core->runs = g_hash_table_new (hash_run, equal_runs);
+  oh_list_init (&core->run_list);
+  oh_list_init (&core->ready);
+  oh_list_init (&core->timers);
+  oh_arena_init (&core->relay_arena);
+  oh_arena_init (&core->packet_arena);
+
+  oh_counters_add (counters, &core->counters.packets, "packets");
+  oh_counters_add (counters, &core->counters.packets_rejected, "packets_rejected");
+  oh_counters_add (counters, &core->counters.packets_stale, "packets_stale");
+  oh_counters_add (counters, &core->counters.duplicates, "request_copies");
+  oh_counters_add (counters, &core->counters.gone, "gone_sent");
+  oh_counters_add (counters, &core->counters.opens, "opens");
+  oh_counters_add (counters, &core->counters.opens_refused, "opens_refused");
+  oh_counters_add (counters, &core->counters.requests_run, "requests_run");
+  oh_counters_add (counters, &core->counters.requests_refused, "requests_refused");
+  oh_counters_add (counters, &core->counters.requests_unknown, "requests_unknown");
+  oh_counters_add (counters, &core->counters.chunks_sent, "chunks_sent");
+  oh_counters_add (counters, &core->counters.chunks_repeated, "chunk_retransmissions");
+  oh_counters_add (counters, &core->counters.flows, "flows");
+  oh_counters_add (counters, &core->counters.flows_moved, "flows_moved");
+  oh_counters_add (counters, &core->counters.flows_received, "flows_received");
+}
+
+void
+oh_agent_core_finish (oh_agent_core_t *core)
+{
+  oh_list_foreach_safe (&core->run_list, link, following)
+    {
+      oh_run_t *run = oh_list_entry (link, oh_run_t, link);
+
+      if (run->entry != NULL)
+        run->entry->run = 0;
+      g_free (run);
+    }
+  oh_list_foreach_safe (&core->flows.flows, link, following)
+    {
+      oh_flow_t *flow = oh_list_entry (link, oh_flow_t, link);
+
+      for (unsigned i = 0; i < OH_REQUEST_WINDOW; i++)
+        if (flow->entries[i] != NULL)
+          {
+            if (flow->entries[i]->state == OH_ENTRY_QUEUED)
+              oh_request_queue_remove (&core->queue, &flow->entries[i]->queue_item);
+            flow->entries[i]->state = OH_ENTRY_FAILED;
+            oh_flow_remove_entry (flow, flow->entries[i]);
+          }
+      oh_flow_table_remove (&core->flows, flow);
+    }
+  g_hash_table_destroy (core->runs);
+  oh_flow_table_finish (&core->flows);
+}
+
+void
+oh_agent_core_handle (oh_agent_core_t *core, const oh_agent_event_t *event, oh_agent_sink_t *sink)
+{
+  core->sink = sink;
+  core->now_us = event->now_us;
+  switch (event->kind)
+    {
+    case OH_AGENT_EVENT_RELAY:
+      oh_agent_handle_relay (core, event->relay.bytes, event->relay.length);
+      break;
+    case OH_AGENT_EVENT_TIMER:
+      run_timers (core);
+      break;
+    case OH_AGENT_EVENT_UPSTREAM:
+      oh_agent_handle_upstream (core, event->upstream);
+      break;
+    case OH_AGENT_EVENT_VIEW:
+      core->view = event->view;
+      break;
+    case OH_AGENT_EVENT_PEER_REQUEST:
+      oh_agent_handle_flow_state (core, event->peer_request.peer, event->peer_request.state);
+      break;
+    case OH_AGENT_EVENT_PEER_REPLY:
+      oh_agent_handle_flow_state_reply (core, event->peer_reply);
+      break;
+    case OH_AGENT_EVENT_STOP:
+      if (!core->stopping)
+        core->stop_us = event->now_us;
+      core->stopping = true;
+      break;
+    }
+  oh_agent_update_drain (core);
+  update_health (core);
+  oh_agent_run_queue (core);
+  oh_agent_send_chunks (core);
+  send_reports (core);
+  oh_counter_set (&core->counters.flows, core->flows.n_flows - core->flows.n_moved);
+  arm_timer (core);
+  core->sink = NULL;
+}
+
+void
+oh_agent_core_load (const oh_agent_core_t *core, int64_t now_us, Oh__Load *load, Oh__Address *agent)
+{
+  oh__load__init (load);
+  oh_address_to_wire (core->config.relay, agent);
+  load->upstream = (char *)core->config.name;
+  load->service = core->config.service;
+  load->incarnation = core->config.incarnation;
+  load->sequence = core->report_sequence;
+  load->slots = oh_upstream_health_offered (&core->health, now_us);
+  load->busy = core->busy;
+  load->queued = core->queue.length + core->offers;
+  load->flows = core->flows.n_flows - core->flows.n_moved;
+  load->max_flows = core->config.max_flows;
+  load->state = core->draining ? OH__UPSTREAM_STATE__UPSTREAM_DRAINING
+                               : oh_upstream_health_state (&core->health, now_us);
+  load->agent = agent;
+}
--- /dev/null
+++ b/lib/core/agent_drain.c
@@ -0,0 +1,441 @@
+#define OH_LOG_MODULE "agent"
+#include "core/agent_internal.h"
+#include "core/flow_export.h"
+
+#include <string.h>
+
+enum
+{
+  SEND_AGAIN_MS = 500,
+  MOVED_QUIET_MS = 3000, /* three pings of a caller that still used the old token */
+  MOVED_REPEAT_MAX_MS = 1000,
+  MAX_FLOWS_IN_TRANSIT = 32, /* a flow's state may hold several megabytes of answers */
+};
+
+static bool
+is_drained_by_operator (const oh_agent_core_t *core)
+{
+  if (core->view == NULL)
+    return false;
+  for (guint i = 0; i < core->view->drained->len; i++)
+    if (strcmp (g_ptr_array_index (core->view->drained, i), core->config.name) == 0)
+      return true;
+  return false;
+}
+
+static bool
+can_take_flows (const oh_agent_core_t *core, const oh_view_member_t *member)
+{
+  return member->service == core->config.service && member->incarnation != core->config.incarnation
+         && strcmp (member->name, core->config.name) != 0 && !member->drained
+         && member->state != OH__UPSTREAM_STATE__UPSTREAM_DRAINING
+         && member->state != OH__UPSTREAM_STATE__UPSTREAM_SUSPECT && member->flows < member->max_flows
+         && member->peer_endpoint != NULL && member->peer_endpoint[0] != '\0';
+}
+
+/* Flows on their way to the member, which its load report cannot contain yet. */
+static unsigned
+count_in_transit (const oh_agent_core_t *core, const char *target)
+{
+  unsigned count = 0;
+
+  oh_list_foreach (&core->flows.flows, link)
+    {
+      const oh_flow_t *flow = oh_list_entry (link, oh_flow_t, link);
+
+      if (flow->target != NULL && (target == NULL || strcmp (flow->target, target) == 0)
+          && (flow->state == OH_FLOW_SENT
+              || (flow->state == OH_FLOW_MOVED && core->now_us - flow->sent_us < 2 * G_USEC_PER_SEC)))
+        count++;
+    }
+  return count;
+}
+
+/* The least loaded peer by work per slot, then flows per slot; avoid is the name of one that refused. */
+static const oh_view_member_t *
+find_target (const oh_agent_core_t *core, const char *avoid)
+{
+  const oh_view_member_t *best = NULL;
+  double best_score = 0;
+
+  if (core->view == NULL)
+    return NULL;
+  for (guint i = 0; i < core->view->members->len; i++)
+    {
+      const oh_view_member_t *member = g_ptr_array_index (core->view->members, i);
+      double slots;
+      double score;
+
+      if (!can_take_flows (core, member) || g_strcmp0 (member->name, avoid) == 0)
+        continue;
+      slots = MAX (member->slots, 1);
+      score = (member->busy + member->queued) / slots
+              + (member->flows + count_in_transit (core, member->name)) / slots / member->max_flows;
+      if (best == NULL || score < best_score)
+        {
+          best = member;
+          best_score = score;
+        }
+    }
+  return best;
+}
+
+static void
+freeze (oh_agent_core_t *core, oh_flow_t *flow)
+{
+  oh_flow_set_state (&core->flows, flow, OH_FLOW_FROZEN);
+  for (unsigned i = 0; i < OH_REQUEST_WINDOW; i++)
+    {
+      oh_entry_t *entry = flow->entries[i];
+
+      if (entry == NULL || entry->state != OH_ENTRY_QUEUED)
+        continue;
+      if (entry->started || entry->tag_known)
+        {
+          oh_request_queue_remove (&core->queue, &entry->queue_item);
+          oh_agent_suspend_stream (core, entry);
+        }
+      else
+        /* It has not run, and the caller sends it again to the next owner. */
+        oh_agent_drop_entry (core, entry);
+    }
+}
+
+static void
+unfreeze (oh_agent_core_t *core, oh_flow_t *flow)
+{
+  oh_flow_set_state (&core->flows, flow, OH_FLOW_OWNED);
+  for (unsigned i = 0; i < OH_REQUEST_WINDOW; i++)
+    if (flow->entries[i] != NULL && flow->entries[i]->state == OH_ENTRY_RESUMING
+        && flow->entries[i]->repeat_us == 0)
+      oh_agent_resume_stream (core, flow->entries[i]);
+}
+
+static void
+emit_state (oh_agent_core_t *core, oh_flow_t *flow, const char *endpoint)
+{
+  Oh__FlowState *state
+    = oh_flow_export (flow, core->config.service, flow->sent_generation, core->config.incarnation);
+
+  flow->sent_us = core->now_us;
+  oh_agent_emit (core, &(oh_agent_action_t){ .kind = OH_AGENT_ACTION_SEND_PEER,
+                                             .peer = { .endpoint = endpoint, .state = state } });
+  oh__flow_state__free_unpacked (state, NULL);
+}
+
+/* From here on this agent runs nothing for the flow. Each target gets a generation of its own: a target that
+ * never replied may hold the state, but no caller has its token. */
+static void
+send_to (oh_agent_core_t *core, oh_flow_t *flow, const oh_view_member_t *target)
+{
+  for (unsigned i = 0; i < OH_REQUEST_WINDOW; i++)
+    if (flow->entries[i] != NULL && flow->entries[i]->state == OH_ENTRY_RUNNING)
+      oh_agent_suspend_stream (core, flow->entries[i]);
+  oh_flow_set_state (&core->flows, flow, OH_FLOW_SENT);
+  flow->sent_generation = MAX (flow->sent_generation, flow->generation) + 1;
+  g_free (flow->target);
+  flow->target = g_strdup (target->name);
+  flow->target_incarnation = target->incarnation;
+  oh_agent_log (core, OH_LOG_INFO, "handover_sent",
+                "flow=%016" G_GINT64_MODIFIER "x generation=%u target=%s busy=%u flows=%u",
+                oh_agent_flow_log_id (flow), flow->sent_generation, target->name, target->busy,
+                target->flows);
+  emit_state (core, flow, target->peer_endpoint);
+}
+
+static void
+check_sent (oh_agent_core_t *core, oh_flow_t *flow)
+{
+  const oh_view_member_t *target = oh_view_find_member (core->view, flow->target);
+
+  if (target == NULL || target->incarnation != flow->target_incarnation)
+    {
+      /* The target died, and its token has not left this agent. */
+      target = find_target (core, NULL);
+      if (target != NULL)
+        send_to (core, flow, target);
+    }
+  else if (core->now_us - flow->sent_us >= (int64_t)SEND_AGAIN_MS * 1000)
+    emit_state (core, flow, target->peer_endpoint);
+}
+
+static void
+repeat_moved (oh_agent_core_t *core, oh_flow_t *flow)
+{
+  if (flow->moved_repeat_us == 0 || core->now_us < flow->moved_repeat_us)
+    return;
+  oh_agent_send_moved (core, flow, &flow->moved_to);
+  flow->moved_repeat_us = flow->moved_interval_ms < MOVED_REPEAT_MAX_MS
+                            ? core->now_us + oh_stream_backoff_us (&flow->moved_interval_ms, core->random)
+                            : 0;
+}
+
+static void
+drain_flow (oh_agent_core_t *core, oh_flow_t *flow, const oh_view_member_t **target, unsigned *in_transit)
+{
+  switch (flow->state)
+    {
+    case OH_FLOW_OFFERED:
+      break;
+    case OH_FLOW_OWNED:
+    case OH_FLOW_DORMANT:
+    case OH_FLOW_FROZEN:
+      if (*target == NULL)
+        {
+          if (flow->state == OH_FLOW_FROZEN)
+            unfreeze (core, flow);
+          if (!core->no_peer_logged)
+            oh_agent_log (core, OH_LOG_WARNING, "handover_without_peer", "service=%s flows=%u",
+                          core->config.service_name, core->flows.n_flows - core->flows.n_moved);
+          core->no_peer_logged = true;
+          break;
+        }
+      core->no_peer_logged = false;
+      if (flow->state != OH_FLOW_FROZEN)
+        freeze (core, flow);
+      if (!oh_agent_flow_runs (flow) && *in_transit < MAX_FLOWS_IN_TRANSIT)
+        {
+          send_to (core, flow, *target);
+          ++*in_transit;
+          *target = find_target (core, NULL);
+        }
+      break;
+    case OH_FLOW_SENT:
+      check_sent (core, flow);
+      break;
+    case OH_FLOW_MOVED:
+      repeat_moved (core, flow);
+      break;
+    }
+}
+
+static bool
+may_exit (const oh_agent_core_t *core)
+{
+  if (core->now_us - core->stop_us >= core->config.drain_limit_ms * 1000)
+    return true;
+  oh_list_foreach (&core->flows.flows, link)
+    {
+      const oh_flow_t *flow = oh_list_entry (link, oh_flow_t, link);
+
+      if (flow->state != OH_FLOW_MOVED)
+        return false;
+      if (core->now_us - MAX (flow->sent_us, flow->heard_us) < (int64_t)MOVED_QUIET_MS * 1000)
+        return false;
+    }
+  return oh_list_is_empty (&core->run_list);
+}
+
+static void
+reply_state (oh_agent_core_t *core, GBytes *peer, const Oh__FlowState *state, Oh__Result refused,
+             const oh_token_t *token)
+{
+  Oh__FlowStateReply reply = OH__FLOW_STATE_REPLY__INIT;
+  Oh__Token wire;
+  Oh__Address address;
+
+  reply.flow = state->flow;
+  reply.generation = state->generation;
+  reply.refused = refused;
+  if (token != NULL)
+    {
+      oh_token_to_wire (token, &wire, &address);
+      reply.token = &wire;
+    }
+  oh_agent_emit (core, &(oh_agent_action_t){ .kind = OH_AGENT_ACTION_REPLY_PEER,
+                                             .reply = { .peer = peer, .reply = &reply } });
+}
+
+static Oh__Result
+state_refusal (const oh_agent_core_t *core, const Oh__FlowState *state, const oh_flow_id_t *id,
+               const oh_flow_t *flow)
+{
+  if (state->service != core->config.service || oh_agent_is_foreign (core))
+    return OH__RESULT__RESULT_WRONG_SERVICE;
+  if (core->draining)
+    return OH__RESULT__RESULT_NOT_RUN_DRAINING;
+  if (!core->health.known)
+    return OH__RESULT__RESULT_NO_UPSTREAM;
+  if (flow == NULL && core->flows.n_flows - core->flows.n_moved >= core->config.max_flows)
+    return OH__RESULT__RESULT_NOT_RUN_OVERLOADED;
+  /* Only a generation that this agent has never seen; a late copy must not bring a flow back. */
+  if (state->generation <= oh_flow_table_closed_generation (&core->flows, id)
+      || (flow != NULL && state->generation <= MAX (flow->generation, flow->sent_generation)))
+    return OH__RESULT__RESULT_UNKNOWN;
+  return OH__RESULT__RESULT_NONE;
+}
+
+bool
+oh_agent_is_foreign (const oh_agent_core_t *core)
+{
+  return core->health.known && core->health.foreign;
+}
+
+void
+oh_agent_update_drain (oh_agent_core_t *core)
+{
+  const bool upstream_drains
+    = core->health.known && core->health.reported == OH__UPSTREAM_STATE__UPSTREAM_DRAINING;
+  const bool draining = core->stopping || upstream_drains || is_drained_by_operator (core);
+
+  if (draining == core->draining)
+    return;
+  core->draining = draining;
+  core->drain_us = core->now_us;
+  core->no_peer_logged = false;
+  core->report_changed = true;
+  oh_agent_log (core, OH_LOG_INFO, draining ? "drain_started" : "drain_ended",
+                "upstream=%s stop=%d upstream_drains=%d flows=%u", core->config.name, core->stopping,
+                upstream_drains, core->flows.n_flows - core->flows.n_moved);
+  if (!draining)
+    oh_list_foreach (&core->flows.flows, link)
+      {
+        oh_flow_t *flow = oh_list_entry (link, oh_flow_t, link);
+
+        if (flow->state == OH_FLOW_FROZEN)
+          unfreeze (core, flow);
+      }
+}
+
+void
+oh_agent_run_drain (oh_agent_core_t *core)
+{
+  const oh_view_member_t *target;
+  unsigned in_transit;
+
+  if (core->draining)
+    {
+      target = find_target (core, NULL);
+      in_transit = count_in_transit (core, NULL);
+      oh_list_foreach (&core->flows.flows, link)
+        drain_flow (core, oh_list_entry (link, oh_flow_t, link), &target, &in_transit);
+    }
+  else
+    oh_list_foreach (&core->flows.flows, link)
+      {
+        oh_flow_t *flow = oh_list_entry (link, oh_flow_t, link);
+
+        if (flow->state == OH_FLOW_SENT)
+          check_sent (core, flow);
+        else if (flow->state == OH_FLOW_MOVED)
+          repeat_moved (core, flow);
+      }
+  if (core->stopping && !core->exited && may_exit (core))
+    {
+      core->exited = true;
+      oh_agent_log (core, OH_LOG_INFO, "drain_finished", "upstream=%s flows_left=%u requests_left=%u",
+                    core->config.name, core->flows.n_flows - core->flows.n_moved, core->busy);
+      oh_agent_emit (core, &(oh_agent_action_t){ .kind = OH_AGENT_ACTION_EXIT });
+    }
+}
+
+void
+oh_agent_handle_flow_state (oh_agent_core_t *core, GBytes *peer, const Oh__FlowState *state)
+{
+  oh_flow_id_t id;
+  oh_flow_t *flow;
+  Oh__Result refusal;
+  oh_token_t token;
+  oh_error_t error;
+  bool created = false;
+
+  if (state->flow.len != OH_FLOW_ID_BYTES)
+    {
+      oh_counter_increment (&core->counters.packets_rejected);
+      return;
+    }
+  memcpy (id.bytes, state->flow.data, sizeof id.bytes);
+  flow = oh_flow_table_find (&core->flows, &id);
+  if (flow != NULL && (flow->state == OH_FLOW_OWNED || flow->state == OH_FLOW_DORMANT)
+      && flow->generation == state->generation && flow->source_incarnation == state->source_incarnation)
+    {
+      token = oh_agent_make_token (core, &id, state->generation);
+      reply_state (core, peer, state, OH__RESULT__RESULT_NONE, &token);
+      return;
+    }
+  refusal = state_refusal (core, state, &id, flow);
+  if (refusal != OH__RESULT__RESULT_NONE)
+    {
+      reply_state (core, peer, state, refusal, NULL);
+      return;
+    }
+  if (flow == NULL)
+    {
+      flow = oh_flow_table_add (&core->flows, &id, OH_FLOW_DORMANT);
+      created = true;
+    }
+  else
+    oh_agent_drop_entries (core, flow);
+  if (!oh_flow_import (flow, state, core->now_us, &error))
+    {
+      oh_agent_log (core, OH_LOG_WARNING, "handover_malformed", "reason=\"%s\"", error.message);
+      if (created)
+        oh_flow_table_remove (&core->flows, flow);
+      reply_state (core, peer, state, OH__RESULT__RESULT_FAILED, NULL);
+      return;
+    }
+  if (flow->offered_generation != 0)
+    {
+      flow->offered_generation = 0;
+      core->offers--;
+    }
+  oh_flow_set_state (&core->flows, flow, OH_FLOW_DORMANT);
+  flow->generation = state->generation;
+  flow->sent_generation = 0;
+  flow->source_incarnation = state->source_incarnation;
+  core->report_changed = true;
+  oh_counter_increment (&core->counters.flows_received);
+  oh_agent_log (core, OH_LOG_INFO, "handover_received",
+                "flow=%016" G_GINT64_MODIFIER "x generation=%u entries=%zu", oh_agent_flow_log_id (flow),
+                flow->generation, state->n_entries);
+  token = oh_agent_make_token (core, &id, flow->generation);
+  reply_state (core, peer, state, OH__RESULT__RESULT_NONE, &token);
+}
+
+void
+oh_agent_handle_flow_state_reply (oh_agent_core_t *core, const Oh__FlowStateReply *reply)
+{
+  oh_flow_id_t id;
+  oh_flow_t *flow;
+  oh_token_t token;
+
+  if (reply->flow.len != OH_FLOW_ID_BYTES)
+    {
+      oh_counter_increment (&core->counters.packets_rejected);
+      return;
+    }
+  memcpy (id.bytes, reply->flow.data, sizeof id.bytes);
+  flow = oh_flow_table_find (&core->flows, &id);
+  if (flow == NULL || flow->state != OH_FLOW_SENT || reply->generation != flow->sent_generation)
+    return;
+  if (reply->refused != OH__RESULT__RESULT_NONE)
+    {
+      const oh_view_member_t *target = find_target (core, flow->target);
+
+      oh_agent_log (core, OH_LOG_INFO, "handover_refused",
+                    "flow=%016" G_GINT64_MODIFIER "x target=%s reason=%d", oh_agent_flow_log_id (flow),
+                    flow->target, (int)reply->refused);
+      /* Without another peer the state is offered again to the same one after SEND_AGAIN_MS. */
+      if (target != NULL)
+        send_to (core, flow, target);
+      return;
+    }
+  if (!oh_token_from_wire (reply->token, &token) || !oh_token_verify (core->keyring, &id, &token)
+      || token.flow_generation != flow->sent_generation || token.incarnation != flow->target_incarnation
+      || token.service != core->config.service)
+    {
+      oh_counter_increment (&core->counters.packets_rejected);
+      return;
+    }
+  oh_agent_drop_entries (core, flow);
+  oh_flow_set_state (&core->flows, flow, OH_FLOW_MOVED);
+  flow->moved_to = token;
+  flow->sent_us = core->now_us;
+  flow->moved_interval_ms = OH_STREAM_RETRY_MIN_MS;
+  flow->moved_repeat_us = core->now_us;
+  core->report_changed = true;
+  oh_counter_increment (&core->counters.flows_moved);
+  oh_agent_log (core, OH_LOG_INFO, "handover_done", "flow=%016" G_GINT64_MODIFIER "x generation=%u target=%s",
+                oh_agent_flow_log_id (flow), token.flow_generation, flow->target);
+  repeat_moved (core, flow);
+}
--- /dev/null
+++ b/lib/core/flow_export.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <stdbool.h>
+
+#include "base/error.h"
+#include "core/flow_table.h"
+#include "wire/control.pb-c.h"
+
+/* Conversion of a flow's state to and from the message that hands it over to another agent. */
+
+/* generation is the receiver's. Nothing of the flow may be queued or at the upstream. Free the result with
+ * oh__flow_state__free_unpacked (state, NULL). */
+Oh__FlowState *oh_flow_export (const oh_flow_t *flow, uint64_t service, uint32_t generation,
+                               uint64_t incarnation);
+
+/* Fills a flow that has no entries. On failure the flow is unchanged. */
+bool oh_flow_import (oh_flow_t *flow, const Oh__FlowState *state, int64_t now_us, oh_error_t *error);
