agent: tie the tokens of a flow to the offer they came from

Cause: a closed flow was remembered for 120 s. After that, late copies of its Open and of a ONCE request, both with a valid token of generation 1, would have opened the flow again and run the request a second time. Ruled out: keeping closed flows for ever (unbounded), a time stamp in the token (clocks of VMs differ). Change: each offer has a number that the agent never uses again; packets count only under the token of the offer that was adopted. Others are answered Gone.

--- a/lib/core/agent_core.h
+++ b/lib/core/agent_core.h
@@ -175,6 +175,7 @@
   int64_t report_us; /* time of the last load report */
   bool report_changed;
   unsigned offers;
+  uint64_t last_offer; /* number of the last token given out for a new owner */
   int64_t sweep_us; /* next look at idle flows and expired offers */
   int64_t armed_us;
 
--- a/lib/core/agent_drain.c
+++ b/lib/core/agent_drain.c
@@ -349,7 +349,7 @@
   if (flow != NULL && (flow->state == OH_FLOW_OWNED || flow->state == OH_FLOW_DORMANT)
       && flow->generation == state->generation && flow->source_incarnation == state->source_incarnation)
     {
-      token = oh_agent_make_token (core, &id, state->generation);
+      token = oh_agent_make_token (core, &id, state->generation, flow->offer);
       reply_state (core, peer, state, OH__RESULT__RESULT_NONE, &token);
       return;
     }
@@ -381,6 +381,7 @@
     }
   oh_flow_set_state (&core->flows, flow, OH_FLOW_DORMANT);
   flow->generation = state->generation;
+  flow->offer = ++core->last_offer;
   flow->sent_generation = 0;
   flow->source_incarnation = state->source_incarnation;
   core->report_changed = true;
@@ -388,7 +389,7 @@
   oh_agent_log (core, OH_LOG_INFO, "handover_received",
                 "flow=%016" G_GINT64_MODIFIER "x generation=%u entries=%zu", oh_agent_flow_log_id (flow),
                 flow->generation, state->n_entries);
-  token = oh_agent_make_token (core, &id, flow->generation);
+  token = oh_agent_make_token (core, &id, flow->generation, flow->offer);
   reply_state (core, peer, state, OH__RESULT__RESULT_NONE, &token);
 }
 
--- a/lib/core/agent_flow.c
+++ b/lib/core/agent_flow.c
@@ -111,11 +111,14 @@
         flow = oh_flow_table_add (&core->flows, &in->id, OH_FLOW_OFFERED);
       if (flow->offered_generation == 0)
         core->offers++;
+      if (flow->offered_generation != open->flow_generation)
+        flow->offered = ++core->last_offer;
       flow->offered_generation = open->flow_generation;
       flow->offer_ends_us = core->now_us + (int64_t)OH_AGENT_OFFER_MS * 1000;
       core->report_changed = true;
     }
-  token = oh_agent_make_token (core, &in->id, open->flow_generation);
+  token
+    = oh_agent_make_token (core, &in->id, open->flow_generation, owned_copy ? flow->offer : flow->offered);
   oh_token_to_wire (&token, &wire, &address);
   reply.token = &wire;
   reply.attempt = open->attempt;
@@ -160,7 +163,7 @@
   pong.sequence = in->packet->ping->sequence;
   if (in->token.key_generation < core->keyring->generation)
     {
-      token = oh_agent_make_token (core, &in->id, in->token.flow_generation);
+      token = oh_agent_make_token (core, &in->id, in->token.flow_generation, in->token.offer);
       oh_token_to_wire (&token, &wire, &address);
       pong.token = &wire;
     }
@@ -187,6 +190,7 @@
   end_offer (core, flow);
   oh_flow_set_state (&core->flows, flow, OH_FLOW_OWNED);
   flow->generation = generation;
+  flow->offer = flow->offered;
   flow->sent_generation = 0;
   flow->source_incarnation = 0;
   flow->floor = 0;
@@ -304,24 +308,26 @@
         send_gone (core, in);
       return;
     }
-  if (flow->offered_generation == generation && core->now_us < flow->offer_ends_us)
+  if (flow->offered_generation == generation && flow->offered == in->token.offer
+      && core->now_us < flow->offer_ends_us)
     {
       adopt_offer (core, flow, generation);
       handle_owned (core, flow, in);
     }
-  else if (flow->state == OH_FLOW_OFFERED || generation > flow->generation)
+  else if (flow->state == OH_FLOW_OFFERED || generation > flow->generation
+           || (generation == flow->generation && in->token.offer != flow->offer))
     send_gone (core, in);
   else if (flow->state == OH_FLOW_MOVED)
     {
       oh_flow_heard (flow, in->caller, in->balancer, core->now_us);
       oh_agent_send_moved (core, flow, &flow->moved_to);
     }
-  else if (generation == flow->generation)
+  else if (generation == flow->generation && in->token.offer == flow->offer)
     handle_owned (core, flow, in);
   else if (flow->source_incarnation != 0)
     {
       /* The flow left this agent and came back; the caller missed both moves. */
-      const oh_token_t token = oh_agent_make_token (core, &flow->id, flow->generation);
+      const oh_token_t token = oh_agent_make_token (core, &flow->id, flow->generation, flow->offer);
 
       oh_flow_heard (flow, in->caller, in->balancer, core->now_us);
       oh_agent_send_moved (core, flow, &token);
--- a/lib/core/agent_internal.h
+++ b/lib/core/agent_internal.h
@@ -41,7 +41,8 @@
 void oh_agent_reply (oh_agent_core_t *core, oh_flow_t *flow, Oh__Packet *packet);
 void oh_agent_send_outcome (oh_agent_core_t *core, oh_entry_t *entry);
 void oh_agent_send_moved (oh_agent_core_t *core, oh_flow_t *flow, const oh_token_t *token);
-oh_token_t oh_agent_make_token (const oh_agent_core_t *core, const oh_flow_id_t *flow, uint32_t generation);
+oh_token_t oh_agent_make_token (const oh_agent_core_t *core, const oh_flow_id_t *flow, uint32_t generation,
+                                uint64_t offer);
 void oh_agent_stream_ready (oh_agent_core_t *core, oh_entry_t *entry);
 void oh_agent_send_chunks (oh_agent_core_t *core);
 void oh_agent_run_timers (oh_agent_core_t *core);
--- a/lib/core/agent_reply.c
+++ b/lib/core/agent_reply.c
@@ -116,12 +116,14 @@
 }
 
 oh_token_t
-oh_agent_make_token (const oh_agent_core_t *core, const oh_flow_id_t *flow, uint32_t generation)
+oh_agent_make_token (const oh_agent_core_t *core, const oh_flow_id_t *flow, uint32_t generation,
+                     uint64_t offer)
 {
   oh_token_t token = {
     .service = core->config.service,
     .agent = core->config.relay,
     .incarnation = core->config.incarnation,
+    .offer = offer,
     .flow_generation = generation,
   };
 
--- a/lib/core/codec.c
+++ b/lib/core/codec.c
@@ -156,6 +156,7 @@
     return false;
   token->service = wire->service;
   token->incarnation = wire->incarnation;
+  token->offer = wire->offer;
   token->flow_generation = wire->flow_generation;
   token->key_generation = wire->key_generation;
   memcpy (token->mac, wire->mac.data, OH_MAC_BYTES);
@@ -170,6 +171,7 @@
   wire->service = token->service;
   wire->agent = address;
   wire->incarnation = token->incarnation;
+  wire->offer = token->offer;
   wire->flow_generation = token->flow_generation;
   wire->key_generation = token->key_generation;
   wire->mac.len = OH_MAC_BYTES;
--- a/lib/core/flow_table.h
+++ b/lib/core/flow_table.h
@@ -78,6 +78,7 @@
   oh_flow_id_t id;
   oh_flow_state_t state;
   uint32_t generation; /* of the token that owns the flow here */
+  uint64_t offer;      /* of that token */
   uint32_t floor;
   oh_entry_t *entries[OH_REQUEST_WINDOW]; /* by number modulo the window */
   oh_address_t caller;
@@ -86,6 +87,7 @@
   unsigned next_balancer; /* for retransmissions */
   int64_t heard_us;
   uint32_t offered_generation; /* 0: no open offer */
+  uint64_t offered;            /* number of the open offer */
   int64_t offer_ends_us;
   uint64_t source_incarnation; /* agent that handed the flow over; 0: opened here */
   uint32_t sent_generation;    /* SENT: generation offered to the target */
--- a/lib/core/keyring.c
+++ b/lib/core/keyring.c
@@ -39,8 +39,9 @@
                    uint8_t mac[OH_MAC_BYTES])
 {
   /* Fixed layout without padding, little endian. */
-  uint8_t input[OH_FLOW_ID_BYTES + 32];
-  const uint64_t words[2] = { GUINT64_TO_LE (token->service), GUINT64_TO_LE (token->incarnation) };
+  uint8_t input[OH_FLOW_ID_BYTES + 40];
+  const uint64_t words[3]
+    = { GUINT64_TO_LE (token->service), GUINT64_TO_LE (token->incarnation), GUINT64_TO_LE (token->offer) };
   const uint32_t halves[4]
     = { GUINT32_TO_LE (token->agent.ipv4), GUINT32_TO_LE ((uint32_t)token->agent.port),
         GUINT32_TO_LE (token->flow_generation), GUINT32_TO_LE (token->key_generation) };
--- a/lib/core/keyring.h
+++ b/lib/core/keyring.h
@@ -46,6 +46,7 @@
   uint64_t service;
   oh_address_t agent;
   uint64_t incarnation;
+  uint64_t offer;
   uint32_t flow_generation;
   uint32_t key_generation;
   uint8_t mac[OH_MAC_BYTES];
--- a/lib/wire/packet.pb-c.c
+++ b/lib/wire/packet.pb-c.c
@@ -868,7 +868,7 @@
   (ProtobufCMessageInit) oh__address__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__token__field_descriptors[6] =
+static const ProtobufCFieldDescriptor oh__token__field_descriptors[7] =
 {
   {
     "service",
@@ -942,6 +942,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "offer",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Oh__Token, offer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__token__field_indices_by_name[] = {
   1,   /* field[1] = agent */
@@ -949,12 +961,13 @@
   2,   /* field[2] = incarnation */
   4,   /* field[4] = key_generation */
   5,   /* field[5] = mac */
+  6,   /* field[6] = offer */
   0,   /* field[0] = service */
 };
 static const ProtobufCIntRange oh__token__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor oh__token__descriptor =
 {
@@ -964,7 +977,7 @@
   "Oh__Token",
   "oh",
   sizeof(Oh__Token),
-  6,
+  7,
   oh__token__field_descriptors,
   oh__token__field_indices_by_name,
   1,  oh__token__number_ranges,
--- a/lib/wire/packet.pb-c.h
+++ b/lib/wire/packet.pb-c.h
@@ -123,10 +123,14 @@
    * 16 bytes
    */
   ProtobufCBinaryData mac;
+  /*
+   * which of the agent's offers the token came from; never used twice by an incarnation
+   */
+  uint64_t offer;
 };
 #define OH__TOKEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__token__descriptor) \
-    , 0, NULL, 0, 0, 0, {0,NULL} }
+    , 0, NULL, 0, 0, 0, {0,NULL}, 0 }
 
 
 struct  Oh__Open
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -25,7 +25,7 @@
 test_token_forgery (void)
 {
   oh_keyring_t keyring;
-  oh_token_t forged[6];
+  oh_token_t forged[7];
   oh_flow_id_t other_flow = flow;
 
   oh_keyring_init (&keyring, master);
@@ -40,6 +40,7 @@
   forged[3].flow_generation++;
   forged[4].key_generation++;
   forged[5].mac[15] ^= 1;
+  forged[6].offer++;
   for (size_t i = 0; i < G_N_ELEMENTS (forged); i++)
     g_assert_false (oh_token_verify (&keyring, &flow, &forged[i]));
   other_flow.bytes[0]++;
