--- a/daemons/oriole_call.c
+++ b/daemons/oriole_call.c
@@ -46,7 +46,6 @@
 {
   const arguments_t *arguments;
   GMainLoop *loop;
-  uint64_t id;
   uint64_t n_items;
   int status;
 } call_t;
@@ -206,6 +205,7 @@
   oh_clock_t *clock = oh_system_clock ();
   oh_client_t *client = oh_client_new (NULL, arguments->fabric, clock, oh_system_random ());
   oh_caller_request_t request = {
+    .id = 1,
     .kind = arguments->once ? OH__REQUEST_KIND__REQUEST_ONCE : arguments->kind,
     .priority = arguments->priority,
     .payload = (const uint8_t *)arguments->payload,
@@ -222,7 +222,7 @@
     }
   if (arguments->deadline_ms > 0)
     request.deadline_us = oh_clock_now_us (clock) + (int64_t)arguments->deadline_ms * 1000;
-  call.id = oh_client_request (flow, &request);
+  oh_client_request (flow, &request);
   g_unix_signal_add (SIGTERM, handle_signal, flow);
   g_unix_signal_add (SIGINT, handle_signal, flow);
   g_main_loop_run (call.loop);
--- a/lib/adapters/caller_client.c
+++ b/lib/adapters/caller_client.c
@@ -52,7 +52,6 @@
   oh_list_t link;
   int64_t due_us;
   GSequenceIter *timer;
-  uint64_t last_id;
   bool busy;
   bool dead;
   GQueue deferred;
@@ -349,15 +348,13 @@
   return flow;
 }
 
-uint64_t
+void
 oh_client_request (oh_client_flow_t *flow, const oh_caller_request_t *request)
 {
   oh_caller_event_t event = event_now (flow, OH_CALLER_EVENT_REQUEST);
 
   event.request = *request;
-  event.request.id = ++flow->last_id;
   submit (flow, &event);
-  return event.request.id;
 }
 
 void
--- a/lib/adapters/caller_client.h
+++ b/lib/adapters/caller_client.h
@@ -30,8 +30,8 @@
 oh_client_flow_t *oh_client_open (oh_client_t *client, const char *service, oh_client_report_t report,
                                   void *data, oh_error_t *error);
 
-/* Returns the request's id, which is unique in the flow. The payload is copied. */
-uint64_t oh_client_request (oh_client_flow_t *flow, const oh_caller_request_t *request);
+/* The id in the request is the user's choice and unique in the flow. The payload is copied. */
+void oh_client_request (oh_client_flow_t *flow, const oh_caller_request_t *request);
 void oh_client_cancel (oh_client_flow_t *flow, uint64_t id);
 
 /* OH_CALLER_ACTION_CLOSED is reported when the flow is closed. */
--- a/lib/core/caller_core.c
+++ b/lib/core/caller_core.c
@@ -871,3 +871,11 @@
   core->armed_us = due_us;
   sink->emit (sink, &(oh_caller_action_t){ .kind = OH_CALLER_ACTION_ARM_TIMER, .due_us = due_us });
 }
+
+uint32_t
+oh_caller_core_number (const oh_caller_core_t *core, uint64_t id)
+{
+  const oh_caller_entry_t *entry = oh_caller_entry_find_id (core, id);
+
+  return entry != NULL ? entry->number : 0;
+}
--- a/lib/core/caller_core.h
+++ b/lib/core/caller_core.h
@@ -140,3 +140,6 @@
 void oh_caller_core_finish (oh_caller_core_t *core);
 
 void oh_caller_core_handle (oh_caller_core_t *core, const oh_caller_event_t *event, oh_caller_sink_t *sink);
+
+/* The present number of an unfinished request; 0 if it has none. */
+uint32_t oh_caller_core_number (const oh_caller_core_t *core, uint64_t id);
--- a/standins/standin_upstream.c
+++ b/standins/standin_upstream.c
@@ -18,6 +18,7 @@
  * "POST /mode" switches on ("KEY=NUMBER" words, keys as in modes[] below). Each run is recorded in the ledger
  * before it starts:
  *
+ *   up INSTANCE SERVICE SLOTS TIME_US
  *   start INSTANCE SERVICE SLOTS FLOW NUMBER KIND TIME_US
  *   finish INSTANCE SERVICE SLOTS FLOW NUMBER KIND TIME_US
  */
@@ -110,6 +111,14 @@
   return g_get_monotonic_time () - upstream->started_us < (int64_t)upstream->modes.cold_ms * 1000;
 }
 
+static void
+write_ledger (upstream_t *upstream, const char *line)
+{
+  /* One write in append mode: lines stay whole when the process is killed. */
+  if (write (upstream->ledger, line, strlen (line)) != (ssize_t)strlen (line))
+    oh_log_error ("ledger_write_failed", "path=%s", upstream->ledger_path);
+}
+
 static void
 record (upstream_t *upstream, const char *event, const run_t *run)
 {
@@ -117,9 +126,7 @@
     "%s %s %s %" G_GUINT64_FORMAT " %s %s %s %" G_GINT64_FORMAT "\n", event, upstream->instance,
     upstream->service, upstream->modes.slots, run->flow, run->number, run->kind, g_get_monotonic_time ());
 
-  /* One write in append mode: lines stay whole when the process is killed. */
-  if (write (upstream->ledger, line, strlen (line)) != (ssize_t)strlen (line))
-    oh_log_error ("ledger_write_failed", "path=%s", upstream->ledger_path);
+  write_ledger (upstream, line);
 }
 
 static void
@@ -555,6 +562,7 @@
     .started_us = g_get_monotonic_time (),
     .ledger = -1,
   };
+  g_autofree char *line = NULL;
   int status = EXIT_FAILURE;
 
   argp_err_exit_status = EXIT_USAGE;
@@ -570,6 +578,9 @@
     }
   if (!serve (&upstream))
     goto cleanup;
+  line = g_strdup_printf ("up %s %s %" G_GUINT64_FORMAT " %" G_GINT64_FORMAT "\n", upstream.instance,
+                          upstream.service, upstream.modes.slots, upstream.started_us);
+  write_ledger (&upstream, line);
   g_unix_signal_add (SIGTERM, handle_signal, &upstream);
   g_unix_signal_add (SIGINT, handle_signal, &upstream);
   g_main_loop_run (upstream.loop);
