--- a/bench/capacity_points.c
+++ b/bench/capacity_points.c
@@ -5,7 +5,9 @@
 #include <time.h>
 
 #include "base/seeded_random.h"
+#include "core/caller_core.h"
 #include "core/codec.h"
+#include "core/flow_table.h"
 #include "core/membership.h"
 #include "core/placement.h"
 #include "core/view.h"
@@ -277,11 +279,68 @@
   oh_seeded_random_finish (&random);
 }
 
+static void
+measure_agent_flows (unsigned n_flows, bool with_feed)
+{
+  oh_seeded_random_t random;
+  oh_flow_table_t table;
+  const size_t before = heap_bytes ();
+
+  oh_seeded_random_init (&random, 1);
+  oh_flow_table_init (&table);
+  for (unsigned i = 0; i < n_flows; i++)
+    {
+      oh_flow_id_t id;
+      oh_flow_t *flow;
+
+      oh_random_fill (&random.base, &id, sizeof id);
+      flow = oh_flow_table_add (&table, &id, OH_FLOW_OWNED);
+      if (with_feed)
+        {
+          oh_entry_t *entry = oh_flow_add_entry (flow, 1);
+
+          entry->state = OH_ENTRY_ANSWERED;
+          oh_chunk_stream_init (&entry->stream, 0, 0, 0, OH_REQUEST_WINDOW);
+        }
+    }
+  emit_point (with_feed ? "agent_feed_flow_heap_bytes" : "agent_idle_flow_heap_bytes", n_flows,
+              (double)(heap_bytes () - before));
+  oh_list_foreach_safe (&table.flows, link, following)
+    {
+      oh_flow_t *flow = oh_list_entry (link, oh_flow_t, link);
+
+      if (with_feed)
+        oh_flow_remove_entry (flow, oh_flow_find_entry (flow, 1));
+      oh_flow_table_remove (&table, flow);
+    }
+  oh_flow_table_finish (&table);
+  oh_seeded_random_finish (&random);
+}
+
+static void
+measure_caller_flows (unsigned n_flows)
+{
+  oh_caller_core_t *cores = g_new0 (oh_caller_core_t, n_flows);
+  oh_retry_budget_t budget;
+  oh_seeded_random_t random;
+
+  oh_seeded_random_init (&random, 1);
+  oh_retry_budget_init (&budget);
+  for (unsigned i = 0; i < n_flows; i++)
+    oh_caller_core_init (&cores[i], 1, &random.base, &budget);
+  emit_point ("caller_flow_heap_bytes", n_flows, (double)malloc_usable_size (cores));
+  for (unsigned i = 0; i < n_flows; i++)
+    oh_caller_core_finish (&cores[i]);
+  g_free (cores);
+  oh_seeded_random_finish (&random);
+}
+
 int
 main (void)
 {
   static const unsigned sizes[] = { 30, 300, 1000, 2000 };
   static const unsigned member_sizes[] = { 1000, 4000, 16000, 32000 };
+  static const unsigned flow_sizes[] = { 62500, 125000, 250000, 500000 };
   const uint8_t master[OH_MASTER_KEY_BYTES] = { 1 };
   oh_keyring_t keyring;
 
@@ -293,6 +352,12 @@
     }
   for (size_t i = 0; i < G_N_ELEMENTS (member_sizes); i++)
     measure_membership (member_sizes[i], &keyring);
+  for (size_t i = 0; i < G_N_ELEMENTS (flow_sizes); i++)
+    {
+      measure_agent_flows (flow_sizes[i], false);
+      measure_agent_flows (flow_sizes[i], true);
+      measure_caller_flows (flow_sizes[i]);
+    }
   oh_keyring_finish (&keyring);
   return 0;
 }
