--- /dev/null
+++ b/daemons/oriole_control.c
@@ -0,0 +1,606 @@
+#define OH_LOG_MODULE "control"
+#include "base/log.h"
+
+#include <argp.h>
+#include <glib-unix.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "adapters/admin.h"
+#include "adapters/file_storage.h"
+#include "adapters/link.h"
+#include "adapters/storage_worker.h"
+#include "adapters/system_random.h"
+#include "base/settings.h"
+#include "core/codec.h"
+#include "core/control_core.h"
+
+/* Control replica: Raft, membership leases and distribution of views. */
+
+enum
+{
+  EXIT_BAD_SETTINGS = 2,
+};
+
+typedef struct
+{
+  char *name;
+  char *zone;
+  char *listen;
+  char *data;
+  oh_address_t admin;
+  char *replicas;
+  bool join;
+  char *key_file;
+  char *log_level;
+} settings_t;
+
+static const oh_setting_t setting_table[] = {
+  { "control", "name", OH_SETTING_STRING, offsetof (settings_t, name), true, NULL, 0, 0 },
+  { "control", "zone", OH_SETTING_STRING, offsetof (settings_t, zone), false, "", 0, 0 },
+  { "control", "listen", OH_SETTING_STRING, offsetof (settings_t, listen), true, NULL, 0, 0 },
+  { "control", "data", OH_SETTING_STRING, offsetof (settings_t, data), true, NULL, 0, 0 },
+  { "control", "admin", OH_SETTING_ADDRESS, offsetof (settings_t, admin), false, NULL, 0, 0 },
+  { "control", "replicas", OH_SETTING_STRING, offsetof (settings_t, replicas), true, NULL, 0, 0 },
+  { "control", "join", OH_SETTING_BOOLEAN, offsetof (settings_t, join), false, "false", 0, 0 },
+  { "keys", "file", OH_SETTING_STRING, offsetof (settings_t, key_file), true, NULL, 0, 0 },
+  { "log", "level", OH_SETTING_STRING, offsetof (settings_t, log_level), false, "info", 0, 0 },
+};
+
+typedef struct
+{
+  const char *settings_path;
+  bool check;
+} arguments_t;
+
+typedef struct
+{
+  oh_control_sink_t sink; /* first member */
+  settings_t settings;
+  oh_log_level_t log_level;
+  GArray *initial; /* of oh_raft_replica_t */
+  oh_keyring_t keyring;
+  oh_control_core_t core;
+  oh_link_t *server;
+  GHashTable *links; /* of oh_link_t * by endpoint, to other replicas */
+  oh_storage_worker_t *storage;
+  GSource *raft_timer;
+  GMainLoop *loop;
+  int status;
+  oh_counters_t counters;
+  oh_counter_t messages_received;
+  oh_counter_t messages_rejected;
+  oh_counter_t received_bytes;
+  oh_counter_t sent_bytes;
+  oh_counter_t polls;
+  oh_counter_t changes;
+  oh_counter_t is_leader;
+  oh_counter_t is_confirmed;
+  oh_counter_t term;
+  oh_counter_t version;
+  oh_counter_t applied_index;
+  oh_counter_t nodes;
+} control_t;
+
+const char *argp_program_version = "oriole-control " OH_VERSION;
+
+static error_t
+parse_argument (int key, char *value, struct argp_state *state)
+{
+  arguments_t *arguments = state->input;
+
+  switch (key)
+    {
+    case 's':
+      arguments->settings_path = value;
+      return 0;
+    case 'c':
+      arguments->check = true;
+      return 0;
+    case ARGP_KEY_END:
+      if (arguments->settings_path == NULL)
+        argp_error (state, "--settings is missing");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static bool
+settings_error (const control_t *control, const char *path, const char *key, const char *value,
+                const char *expected, oh_error_t *error)
+{
+  (void)control;
+  return oh_error_set (error, OH_ERROR_SETTINGS, OH_ERROR_CODE_BAD_VALUE,
+                       "%s: section [control], key %s, value \"%s\": expected %s", path, key, value,
+                       expected);
+}
+
+static bool
+endpoint_valid (const char *endpoint)
+{
+  oh_address_t address;
+
+  return g_str_has_prefix (endpoint, "tcp://") && oh_address_parse (endpoint + strlen ("tcp://"), &address);
+}
+
+static void
+clear_replica (gpointer data)
+{
+  oh_raft_replica_t *replica = data;
+
+  g_free (replica->name);
+  g_free (replica->endpoint);
+}
+
+static bool
+parse_replicas (control_t *control, const char *path, oh_error_t *error)
+{
+  static const char form[] = "NAME=tcp://IPV4:PORT, separated by commas, names once";
+  g_auto (GStrv) items = g_strsplit (control->settings.replicas, ",", -1);
+  bool has_self = false;
+
+  for (char **item = items; *item != NULL; item++)
+    {
+      char *equals = strchr (g_strstrip (*item), '=');
+      oh_raft_replica_t replica = { 0 };
+
+      if (equals == NULL || equals == *item || !endpoint_valid (equals + 1)
+          || control->initial->len == OH_RAFT_REPLICAS_MAX)
+        return settings_error (control, path, "replicas", control->settings.replicas, form, error);
+      *equals = '\0';
+      for (guint i = 0; i < control->initial->len; i++)
+        if (strcmp (g_array_index (control->initial, oh_raft_replica_t, i).name, *item) == 0)
+          return settings_error (control, path, "replicas", control->settings.replicas, form, error);
+      replica.name = g_strdup (*item);
+      replica.endpoint = g_strdup (equals + 1);
+      has_self |= strcmp (replica.name, control->settings.name) == 0
+                  && strcmp (replica.endpoint, control->settings.listen) == 0;
+      g_array_append_val (control->initial, replica);
+    }
+  if (!has_self && !control->settings.join)
+    return settings_error (control, path, "replicas", control->settings.replicas,
+                           "an entry with this replica's name and listen endpoint, or join=true", error);
+  return true;
+}
+
+static bool
+load_settings (control_t *control, const char *path, oh_error_t *error)
+{
+  settings_t *settings = &control->settings;
+
+  if (!oh_settings_load (path, setting_table, G_N_ELEMENTS (setting_table), settings, error))
+    return false;
+  if (!endpoint_valid (settings->listen))
+    return settings_error (control, path, "listen", settings->listen, "tcp://IPV4:PORT", error);
+  if (!oh_log_level_parse (settings->log_level, &control->log_level))
+    return oh_error_set (error, OH_ERROR_SETTINGS, OH_ERROR_CODE_BAD_VALUE,
+                         "%s: section [log], key level, value \"%s\": expected error, warning, info or debug",
+                         path, settings->log_level);
+  return parse_replicas (control, path, error)
+         && oh_keyring_load (&control->keyring, settings->key_file, error);
+}
+
+/* Actions of the core. */
+
+static control_t *
+control_of (oh_control_sink_t *sink)
+{
+  return (control_t *)sink;
+}
+
+static void
+send_sealed (control_t *control, oh_link_t *link, GBytes *route, oh_key_purpose_t purpose,
+             const Oh__Control *message)
+{
+  size_t length;
+  g_autofree uint8_t *bytes = oh_control_encode (message, &control->keyring, purpose, &length);
+
+  if (oh_link_send (link, route, bytes, length))
+    oh_counter_add (&control->sent_bytes, length);
+}
+
+static void
+on_reply (oh_control_sink_t *sink, GBytes *route, oh_key_purpose_t purpose, const Oh__Control *message)
+{
+  control_t *control = control_of (sink);
+
+  send_sealed (control, control->server, route, purpose, message);
+}
+
+static void
+handle (control_t *control, oh_control_event_t *event)
+{
+  event->now_us = g_get_monotonic_time ();
+  oh_control_core_handle (&control->core, event, &control->sink);
+}
+
+/* Answers of other replicas to this one's queries come back on the link on which they were sent. */
+static void
+on_replica_message (oh_link_t *link, GBytes *peer, const uint8_t *bytes, size_t length, void *data)
+{
+  control_t *control = data;
+  Oh__Control *message = oh_control_decode (&control->keyring, OH_KEY_CONTROL, bytes, length, NULL);
+
+  (void)link;
+  (void)peer;
+  oh_counter_increment (&control->messages_received);
+  oh_counter_add (&control->received_bytes, length);
+  if (message != NULL && message->body_case == OH__CONTROL__BODY_CURRENT_REPLY)
+    {
+      oh_control_event_t event = { .kind = OH_CONTROL_SYSTEM_MESSAGE, .message = { .message = message } };
+
+      handle (control, &event);
+    }
+  else
+    oh_counter_increment (&control->messages_rejected);
+  if (message != NULL)
+    oh__control__free_unpacked (message, NULL);
+}
+
+static void
+on_send_replica (oh_control_sink_t *sink, const char *endpoint, const Oh__Control *message)
+{
+  control_t *control = control_of (sink);
+  oh_link_t *link = g_hash_table_lookup (control->links, endpoint);
+  oh_error_t error;
+
+  if (strcmp (endpoint, control->settings.listen) == 0)
+    return;
+  if (link == NULL)
+    {
+      link = oh_link_connect_unqueued (NULL, endpoint, on_replica_message, control, &error);
+      if (link == NULL)
+        {
+          oh_log_warning ("replica_unreachable", "endpoint=%s reason=\"%s\"", endpoint, error.message);
+          return;
+        }
+      g_hash_table_insert (control->links, g_strdup (endpoint), link);
+    }
+  send_sealed (control, link, NULL, OH_KEY_CONTROL, message);
+}
+
+static void
+on_persist (oh_control_sink_t *sink, oh_persist_t *request)
+{
+  oh_storage_worker_persist (control_of (sink)->storage, request);
+}
+
+static void
+on_arm_timer (oh_control_sink_t *sink, int64_t due_us)
+{
+  g_source_set_ready_time (control_of (sink)->raft_timer, due_us);
+}
+
+static void
+on_advance_keys (oh_control_sink_t *sink, uint32_t generation)
+{
+  oh_keyring_advance (&control_of (sink)->keyring, generation);
+}
+
+static void
+on_rejected (oh_control_sink_t *sink, const char *sender, const char *reason)
+{
+  oh_counter_increment (&control_of (sink)->messages_rejected);
+  oh_log_warning ("message_rejected", "sender=\"%.64s\" reason=\"%s\"", sender, reason);
+}
+
+static void
+on_log (oh_control_sink_t *sink, const char *event, const char *pairs)
+{
+  (void)sink;
+  oh_log_info (event, "%s", pairs);
+}
+
+static void
+on_failed (oh_control_sink_t *sink, const char *reason)
+{
+  control_t *control = control_of (sink);
+
+  oh_log_error ("replica_failed", "replica=%s reason=\"%s\"", control->settings.name, reason);
+  control->status = EXIT_FAILURE;
+  g_main_loop_quit (control->loop);
+}
+
+/* Messages. */
+
+static void
+dispatch_message (control_t *control, GBytes *peer, oh_control_event_kind_t kind, Oh__Control *message)
+{
+  oh_control_event_t event = { .kind = kind, .message = { .route = peer, .message = message } };
+
+  if (message->body_case == OH__CONTROL__BODY_POLL)
+    oh_counter_increment (&control->polls);
+  if (message->body_case == OH__CONTROL__BODY_CHANGE)
+    oh_counter_increment (&control->changes);
+  handle (control, &event);
+  oh__control__free_unpacked (message, NULL);
+}
+
+static bool
+try_decode (control_t *control, GBytes *peer, const uint8_t *bytes, size_t length)
+{
+  Oh__Control *message = oh_control_decode (&control->keyring, OH_KEY_CONTROL, bytes, length, NULL);
+
+  if (message != NULL)
+    {
+      dispatch_message (control, peer, OH_CONTROL_SYSTEM_MESSAGE, message);
+      return true;
+    }
+  message = oh_control_decode (&control->keyring, OH_KEY_OPERATOR, bytes, length, NULL);
+  if (message == NULL)
+    return false;
+  dispatch_message (control, peer, OH_CONTROL_OPERATOR_MESSAGE, message);
+  return true;
+}
+
+/*
+ * A process that has just started, or missed rotations, seals with a generation that is no longer accepted.
+ * The answer carries nothing but the present generation, in its seal; the process then repeats its message.
+ */
+static bool
+answer_older_generation (control_t *control, GBytes *peer, const uint8_t *bytes, size_t length)
+{
+  Oh__Control hint = OH__CONTROL__INIT;
+  Oh__View view = OH__VIEW__INIT;
+  Oh__StatusReply status = OH__STATUS_REPLY__INIT;
+  const uint8_t *body;
+  size_t body_length;
+  oh_keyring_t older;
+  bool answered = true;
+
+  if (!oh_keyring_of_message (&control->keyring, bytes, length, &older))
+    return false;
+  hint.sender = control->settings.name;
+  if (older.generation >= control->keyring.generation)
+    answered = false;
+  else if (oh_unseal (&older, OH_KEY_CONTROL, bytes, length, &body, &body_length, NULL))
+    {
+      view.key_generation = control->keyring.generation;
+      hint.body_case = OH__CONTROL__BODY_VIEW;
+      hint.view = &view;
+      send_sealed (control, control->server, peer, OH_KEY_CONTROL, &hint);
+    }
+  else if (oh_unseal (&older, OH_KEY_OPERATOR, bytes, length, &body, &body_length, NULL))
+    {
+      status.key_generation = control->keyring.generation;
+      hint.body_case = OH__CONTROL__BODY_STATUS_REPLY;
+      hint.status_reply = &status;
+      send_sealed (control, control->server, peer, OH_KEY_OPERATOR, &hint);
+    }
+  else
+    answered = false;
+  oh_keyring_finish (&older);
+  return answered;
+}
+
+static void
+on_message (oh_link_t *link, GBytes *peer, const uint8_t *bytes, size_t length, void *data)
+{
+  control_t *control = data;
+
+  (void)link;
+  oh_counter_increment (&control->messages_received);
+  oh_counter_add (&control->received_bytes, length);
+  if (try_decode (control, peer, bytes, length))
+    return;
+  if (oh_keyring_follow (&control->keyring, OH_KEY_CONTROL, bytes, length)
+      || oh_keyring_follow (&control->keyring, OH_KEY_OPERATOR, bytes, length))
+    {
+      oh_log_info ("key_generation_followed", "generation=%u", control->keyring.generation);
+      if (try_decode (control, peer, bytes, length))
+        return;
+    }
+  if (answer_older_generation (control, peer, bytes, length))
+    return;
+  oh_counter_increment (&control->messages_rejected);
+  oh_log_debug ("message_rejected", "length=%zu reason=\"seal\"", length);
+}
+
+static void
+on_persisted (uint64_t id, const oh_error_t *error, void *data)
+{
+  control_t *control = data;
+  oh_control_event_t event = { .kind = error == NULL ? OH_CONTROL_SYNCED : OH_CONTROL_STORAGE_FAILED };
+
+  event.persist.id = id;
+  event.persist.full = error != NULL && error->code == OH_ERROR_CODE_NO_SPACE;
+  if (error != NULL)
+    oh_log_error ("persist_failed", "replica=%s reason=\"%s\"", control->settings.name, error->message);
+  handle (control, &event);
+}
+
+static gboolean
+on_tick (gpointer data)
+{
+  control_t *control = data;
+  const oh_control_core_t *core = &control->core;
+  oh_control_event_t event = { .kind = OH_CONTROL_TICK };
+
+  handle (control, &event);
+  oh_counter_set (&control->is_leader, oh_raft_role (&core->raft) == OH_RAFT_LEADER);
+  oh_counter_set (&control->is_confirmed, oh_control_core_confirmed (core, event.now_us));
+  oh_counter_set (&control->term, oh_raft_term (&core->raft));
+  oh_counter_set (&control->version, core->state.version);
+  oh_counter_set (&control->applied_index, oh_raft_applied_index (&core->raft));
+  oh_counter_set (&control->nodes, g_hash_table_size (core->membership.nodes[0])
+                                     + g_hash_table_size (core->membership.nodes[1]));
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+dispatch_raft_timer (GSource *source, GSourceFunc callback, gpointer data)
+{
+  g_source_set_ready_time (source, -1);
+  return callback (data);
+}
+
+static gboolean
+on_raft_timer (gpointer data)
+{
+  oh_control_event_t event = { .kind = OH_CONTROL_RAFT_TIMER };
+
+  handle (data, &event);
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_stop_signal (gpointer data)
+{
+  control_t *control = data;
+
+  oh_log_info ("stopping", "replica=%s", control->settings.name);
+  g_main_loop_quit (control->loop);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+register_counters (control_t *control)
+{
+  const struct
+  {
+    oh_counter_t *counter;
+    const char *name;
+  } table[] = {
+    { &control->messages_received, "messages_received" },
+    { &control->messages_rejected, "messages_rejected" },
+    { &control->received_bytes, "received_bytes" },
+    { &control->sent_bytes, "sent_bytes" },
+    { &control->polls, "polls" },
+    { &control->changes, "changes" },
+    { &control->is_leader, "leader" },
+    { &control->is_confirmed, "confirmed" },
+    { &control->term, "term" },
+    { &control->version, "version" },
+    { &control->applied_index, "applied_index" },
+    { &control->nodes, "nodes" },
+  };
+
+  oh_counters_init (&control->counters);
+  for (size_t i = 0; i < G_N_ELEMENTS (table); i++)
+    oh_counters_add (&control->counters, table[i].counter, table[i].name);
+}
+
+static void
+start_timers (control_t *control)
+{
+  static GSourceFuncs raft_timer_funcs = { .dispatch = dispatch_raft_timer };
+
+  control->raft_timer = g_source_new (&raft_timer_funcs, sizeof (GSource));
+  g_source_set_callback (control->raft_timer, on_raft_timer, control, NULL);
+  g_source_attach (control->raft_timer, NULL);
+  g_timeout_add (OH_CONTROL_TICK_US / 1000, on_tick, control);
+  g_unix_signal_add (SIGTERM, on_stop_signal, control);
+  g_unix_signal_add (SIGINT, on_stop_signal, control);
+}
+
+static bool
+run (control_t *control, oh_error_t *error)
+{
+  oh_storage_t *storage = NULL;
+  oh_recovered_t recovered = { 0 };
+  oh_control_event_t start = { .kind = OH_CONTROL_START };
+  oh_admin_t *admin = NULL;
+  bool ok = false;
+
+  storage = oh_file_storage_open (control->settings.data, control->settings.name, oh_system_random (),
+                                  &recovered, error);
+  if (storage == NULL)
+    goto out;
+  control->storage = oh_storage_worker_start (NULL, storage, on_persisted, control);
+  control->server = oh_link_serve (NULL, control->settings.listen, on_message, control, error);
+  if (control->server == NULL)
+    goto out;
+  if (control->settings.admin.port != 0)
+    {
+      admin = oh_admin_start (control->settings.admin, &control->counters, error);
+      if (admin == NULL)
+        goto out;
+    }
+  start_timers (control);
+  start.start.recovered = &recovered;
+  start.start.initial = (const oh_raft_replica_t *)(gpointer)control->initial->data;
+  start.start.n_initial = control->initial->len;
+  start.start.endpoint = control->settings.listen;
+  start.start.join = control->settings.join;
+  oh_log_info ("started", "replica=%s zone=%s listen=%s", control->settings.name, control->settings.zone,
+               control->settings.listen);
+  handle (control, &start);
+  if (!control->core.has_failed)
+    g_main_loop_run (control->loop);
+  ok = true;
+
+out:
+  oh_storage_worker_stop (control->storage);
+  if (storage != NULL)
+    oh_file_storage_close (storage);
+  oh_admin_stop (admin);
+  oh_link_close (control->server);
+  g_hash_table_remove_all (control->links);
+  oh_recovered_clear (&recovered);
+  return ok;
+}
+
+static void
+close_link (gpointer link)
+{
+  oh_link_close (link);
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp_option options[] = {
+    { "settings", 's', "FILE", 0, "Read the settings from FILE", 0 },
+    { "check", 'c', NULL, 0, "Check the settings and exit", 0 },
+    { 0 },
+  };
+  static const struct argp argp
+    = { options, parse_argument, NULL, "Control replica of oriolehaven.", NULL, NULL, NULL };
+  static const oh_control_sink_ops_t ops = {
+    .reply = on_reply,
+    .send_replica = on_send_replica,
+    .persist = on_persist,
+    .arm_timer = on_arm_timer,
+    .advance_keys = on_advance_keys,
+    .rejected = on_rejected,
+    .log = on_log,
+    .failed = on_failed,
+  };
+  arguments_t arguments = { 0 };
+  static control_t control;
+  oh_error_t error;
+
+  argp_err_exit_status = EXIT_BAD_SETTINGS;
+  argp_parse (&argp, argc, argv, 0, NULL, &arguments);
+  control.sink.ops = &ops;
+  control.initial = g_array_new (FALSE, FALSE, sizeof (oh_raft_replica_t));
+  g_array_set_clear_func (control.initial, clear_replica);
+  if (!load_settings (&control, arguments.settings_path, &error))
+    {
+      g_printerr ("oriole-control: %s\n", error.message);
+      return EXIT_BAD_SETTINGS;
+    }
+  if (arguments.check)
+    return EXIT_SUCCESS;
+  oh_log_start (control.log_level);
+  register_counters (&control);
+  control.links = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, close_link);
+  control.loop = g_main_loop_new (NULL, FALSE);
+  oh_control_core_init (&control.core, control.settings.name, oh_random_u64 (oh_system_random ()) | 1,
+                        oh_system_random (), g_get_monotonic_time ());
+  if (!run (&control, &error))
+    {
+      oh_log_error ("start_failed", "reason=\"%s\"", error.message);
+      control.status = EXIT_FAILURE;
+    }
+  oh_log_info ("stopped", "replica=%s status=%d", control.settings.name, control.status);
+  oh_control_core_finish (&control.core);
+  g_hash_table_unref (control.links);
+  g_array_unref (control.initial);
+  g_main_loop_unref (control.loop);
+  oh_keyring_finish (&control.keyring);
+  oh_settings_clear (setting_table, G_N_ELEMENTS (setting_table), &control.settings);
+  oh_log_stop ();
+  return control.status;
+}
