--- a/bench/capacity_points.c
+++ b/bench/capacity_points.c
@@ -3,7 +3,9 @@
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
+#include "adapters/udp.h"
 #include "base/seeded_random.h"
 #include "core/caller_core.h"
 #include "core/codec.h"
@@ -279,6 +281,35 @@
   oh_seeded_random_finish (&random);
 }
 
+/* Processor time of the system calls for one datagram on loopback. */
+static void
+measure_udp (unsigned length)
+{
+  const oh_address_t any = { .ipv4 = 0x7f000001, .port = 0 };
+  uint8_t buffer[OH_RELAY_MAX_BYTES] = { 0 };
+  const int from = oh_udp_open (any, NULL);
+  const int to = oh_udp_open (any, NULL);
+  const oh_address_t address = oh_udp_local_address (to);
+  double send_us = 0;
+  double receive_us = 0;
+
+  for (unsigned i = 0; i < REPEATS; i++)
+    {
+      const double start_us = cpu_us ();
+      double sent_us;
+
+      oh_udp_send (from, address, buffer, length);
+      sent_us = cpu_us ();
+      oh_udp_receive (to, NULL, buffer, sizeof buffer);
+      send_us += sent_us - start_us;
+      receive_us += cpu_us () - sent_us;
+    }
+  emit_point ("datagram_send_us", length, send_us / REPEATS);
+  emit_point ("datagram_receive_us", length, receive_us / REPEATS);
+  close (from);
+  close (to);
+}
+
 static void
 measure_agent_flows (unsigned n_flows, bool with_feed)
 {
@@ -340,11 +371,14 @@
 {
   static const unsigned sizes[] = { 30, 300, 1000, 2000 };
   static const unsigned member_sizes[] = { 1000, 4000, 16000, 32000 };
+  static const unsigned datagram_sizes[] = { 64, 128, 512, 1400 };
   static const unsigned flow_sizes[] = { 62500, 125000, 250000, 500000 };
   const uint8_t master[OH_MASTER_KEY_BYTES] = { 1 };
   oh_keyring_t keyring;
 
   oh_keyring_init (&keyring, master);
+  for (size_t i = 0; i < G_N_ELEMENTS (datagram_sizes); i++)
+    measure_udp (datagram_sizes[i]);
   for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
     {
       measure_view (sizes[i]);
