--- a/lib/adapters/file_storage.c
+++ b/lib/adapters/file_storage.c
@@ -132,8 +132,9 @@
 {
   Oh__StoredRecord record = OH__STORED_RECORD__INIT;
   Oh__HardState hard = OH__HARD_STATE__INIT;
-  g_autofree Oh__LogEntry *wires = g_new (Oh__LogEntry, entries->len);
-  g_autofree Oh__LogEntry **pointers = g_new (Oh__LogEntry *, entries->len);
+  Oh__LogEntry *wires = g_new (Oh__LogEntry, entries->len);
+  Oh__LogEntry **pointers = g_new (Oh__LogEntry *, entries->len);
+  uint8_t *bytes;
 
   hard.term = state->term;
   hard.voted_for = state->voted_for;
@@ -153,7 +154,11 @@
       wires[i].data.data = (uint8_t *)g_bytes_get_data (entry->data, &wires[i].data.len);
       pointers[i] = &wires[i];
     }
-  return make_record (&record.base, offset, length);
+
+  bytes = make_record (&record.base, offset, length);
+  g_free (pointers);
+  g_free (wires);
+  return bytes;
 }
 
 /* The state after the request; entries are shared by reference. */
@@ -211,7 +216,7 @@
   size_t length;
   const uint64_t truncate_from = state->entries->len > 0 ? state->snapshot.index + 1 : 0;
   g_autofree uint8_t *bytes = make_log_record (&state->hard, truncate_from, state->entries, 0, &length);
-  int fd;
+  int fd = -1;
 
   if (!replace_file (storage, "log", bytes, length, &fd, error))
     return false;
@@ -282,9 +287,13 @@
       goto out;
     }
   /* Snapshot first: recovery ignores log entries that it covers, and a crash in between loses nothing. */
-  if (request->snapshot.index > 0 && !write_snapshot (storage, &request->snapshot, error))
-    goto out;
-  if (request->snapshot.index > 0 || storage->log_length > MAX (REWRITE_MIN_BYTES, 2 * storage->live_bytes))
+  if (request->snapshot.index > 0)
+    {
+      if (!write_snapshot (storage, &request->snapshot, error))
+        goto out;
+      storage->rewrite = true;
+    }
+  if (storage->rewrite || storage->log_length > MAX (REWRITE_MIN_BYTES, 2 * storage->live_bytes))
     done = rewrite_log (storage, &next, error);
   else
     done = append_record (storage, request, error);
@@ -418,7 +427,7 @@
     return false;
   if (bytes == NULL)
     {
-      int fd;
+      int fd = -1;
 
       /* The log is created right after the identity, before the first request. */
       if (storage->state.snapshot.index > 0)
--- a/lib/core/raft.c
+++ b/lib/core/raft.c
@@ -370,6 +370,7 @@
   raft->sink = sink;
   raft->now_us = MAX (raft->now_us, event->now_us);
   raft->broadcast = false;
+  raft->check_learners = false;
   confirmed = oh_raft_confirmed (raft, raft->now_us);
   if (raft->role == OH_RAFT_FAILED)
     return;
@@ -379,6 +380,7 @@
       on_start (raft, event);
       break;
     case OH_RAFT_TIMER:
+      raft->timer_us = INT64_MIN;
       on_timer (raft);
       break;
     case OH_RAFT_MESSAGE:
@@ -404,6 +406,8 @@
       oh_raft_on_snapshot_ready (raft, event->snapshot.index, event->snapshot.data);
       break;
     }
+  if (raft->role == OH_RAFT_LEADER && raft->check_learners)
+    oh_raft_check_learners (raft);
   if (raft->role == OH_RAFT_LEADER && raft->broadcast)
     oh_raft_broadcast (raft);
   if (raft->role != OH_RAFT_FAILED)
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -207,6 +207,7 @@
   uint64_t term_start;   /* leader: index of its no-op */
   GArray *peers;         /* of oh_raft_peer_t */
   bool broadcast;        /* leader: send appends at the end of the event */
+  bool check_learners;   /* leader: take the next step of a repair at the end of the event */
   int64_t election_due_us;
   int64_t heartbeat_due_us;
   int64_t hello_due_us;
--- a/lib/core/raft_membership.c
+++ b/lib/core/raft_membership.c
@@ -369,7 +369,7 @@
 }
 
 void
-oh_raft_membership_tick (oh_raft_t *raft)
+oh_raft_check_learners (oh_raft_t *raft)
 {
   for (unsigned i = 0; i < raft->replicas->len; i++)
     {
--- a/lib/core/raft_persist.c
+++ b/lib/core/raft_persist.c
@@ -73,6 +73,9 @@
 {
   const uint64_t first_volatile = MIN (raft->dirty_from, raft->persist_from);
 
+  /* An installed snapshot replaces a log that did not agree with the leader's. */
+  if (raft->log.snapshot.index > raft->applied && (raft->dirty_snapshot || raft->persist_snapshot))
+    return 0;
   return MIN (oh_raft_log_last_index (&raft->log), first_volatile - 1);
 }
 
@@ -152,6 +155,8 @@
   /* What the request held goes into the next one; nothing that depends on it is sent. */
   raft->persist_outstanding = false;
   raft->dirty_from = MIN (raft->dirty_from, raft->persist_from);
+  /* A snapshot installed meanwhile has taken the place of the request's entries. */
+  raft->dirty_from = MAX (raft->dirty_from, raft->log.snapshot.index + 1);
   raft->dirty_snapshot |= raft->persist_snapshot;
   raft->dirty_hard = true;
   raft->persist_from = none;
--- a/lib/core/raft_private.h
+++ b/lib/core/raft_private.h
@@ -85,7 +85,7 @@
 oh_raft_proposal_t oh_raft_remove_replica (oh_raft_t *raft, const char *name);
 
 /* Leader: takes the next step for learners that have caught up. */
-void oh_raft_membership_tick (oh_raft_t *raft);
+void oh_raft_check_learners (oh_raft_t *raft);
 
 /* An unformed cluster of one replica, and one whose Hello messages agree, is formed here. */
 void oh_raft_try_form (oh_raft_t *raft);
--- a/lib/core/raft_replication.c
+++ b/lib/core/raft_replication.c
@@ -177,7 +177,7 @@
       oh_raft_become_follower (raft, raft->hard.term);
       return;
     }
-  oh_raft_membership_tick (raft);
+  raft->check_learners = true;
   heartbeat (raft);
 }
 
@@ -242,10 +242,12 @@
         }
       return;
     }
+  /* A follower answers before its disk has synced, to keep contact. Sending the same entries again at once
+   * would repeat this without pause; the next heartbeat does it. */
+  if (reply->match > peer->match || peer->match == last)
+    peer->awaiting = false;
   peer->match = MAX (peer->match, reply->match);
   peer->next = peer->match + 1;
-  if (reply->sent_us >= peer->sent_us)
-    peer->awaiting = false;
   oh_raft_advance_commit (raft);
   if (raft->role == OH_RAFT_LEADER && !peer->awaiting && peer->next <= last)
     send_append (raft, peer);
@@ -299,16 +301,19 @@
   oh_raft_replica_t *to = oh_raft_sender (message);
 
   reply.sent_us = message->append_request->sent_us;
-  /* A heartbeat's answer does not wait for an unrelated request: a slow disk is no lost contact. */
-  if (raft->hard.term == raft->durable_term && reply.match <= oh_raft_durable (raft))
+  /* A slow disk is no lost contact: what is durable is answered at once, and the rest when it is synced. */
+  if (raft->hard.term == raft->durable_term)
     {
       Oh__RaftMessage answer = OH__RAFT_MESSAGE__INIT;
+      Oh__AppendReply durable = reply;
 
+      durable.match = MIN (reply.match, oh_raft_durable (raft));
       answer.body_case = OH__RAFT_MESSAGE__BODY_APPEND_REPLY;
-      answer.append_reply = &reply;
+      answer.append_reply = &durable;
       oh_raft_send (raft, to, raft->hard.term, &answer);
-      oh_raft_replica_free (to);
     }
+  if (raft->hard.term == raft->durable_term && reply.match <= oh_raft_durable (raft))
+    oh_raft_replica_free (to);
   else
     oh_raft_send_synced (raft, &(oh_raft_pending_t){
                                  .to = to,
--- /dev/null
+++ b/tests/test_raft.c
@@ -0,0 +1,440 @@
+#include "raft_sim.h"
+
+/* Guards against a cluster that does not form, elect or replicate, for each usual size. */
+static void
+test_forms (void)
+{
+  static const unsigned sizes[] = { 1, 2, 3, 5 };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      sim_t sim;
+      uint64_t index;
+
+      sim_init (&sim, i, sizes[i]);
+      sim_wait_leader (&sim, 2 * SIM_S);
+      index = sim_commit (&sim, SIM_S);
+      for (unsigned slot = 0; slot < sizes[i]; slot++)
+        {
+          sim_wait_applied (&sim, slot, index, SIM_S);
+          g_assert_true (oh_raft_confirmed (&sim.nodes[slot].raft, sim.now_us));
+          g_assert_nonnull (oh_raft_leader_name (&sim.nodes[slot].raft));
+        }
+      sim_finish (&sim);
+    }
+}
+
+/* Guards against a committed entry that a crash of every replica loses, and against a second vote in a term
+ * after a restart (checked by the simulation). */
+static void
+test_restart_all (void)
+{
+  for (uint32_t seed = 0; seed < 50; seed++)
+    {
+      sim_t sim;
+      uint64_t index;
+
+      sim_init (&sim, seed, 3);
+      for (unsigned round = 0; round < 5; round++)
+        {
+          index = sim_commit (&sim, 3 * SIM_S);
+          for (unsigned slot = 0; slot < 3; slot++)
+            sim_crash (&sim, slot);
+          for (unsigned slot = 0; slot < 3; slot++)
+            sim_start (&sim, slot);
+        }
+      for (unsigned slot = 0; slot < 3; slot++)
+        sim_wait_applied (&sim, slot, index, 3 * SIM_S);
+      sim_finish (&sim);
+    }
+}
+
+/* Guards against a change lost with a leader that dies between append and answer, at any moment of it. */
+static void
+test_leader_killed (void)
+{
+  for (uint32_t seed = 0; seed < 100; seed++)
+    {
+      sim_t sim;
+      sim_node_t *leader;
+      uint64_t index;
+
+      sim_init (&sim, seed, 3);
+      leader = sim_wait_leader (&sim, 2 * SIM_S);
+      sim_commit (&sim, SIM_S);
+      g_assert_cmpint (sim_propose (&sim, leader), ==, OH_RAFT_PROPOSED);
+      sim_run (&sim, seed * 100);
+      sim_crash (&sim, leader->slot);
+      /* A new leader within about a second: election timeouts of at most 600 ms and a split vote. */
+      sim_wait_leader (&sim, 1500 * SIM_MS);
+      index = sim_commit (&sim, SIM_S);
+      sim_start (&sim, leader->slot);
+      sim_wait_applied (&sim, leader->slot, index, SIM_S);
+      sim_check_logs (&sim);
+      sim_finish (&sim);
+    }
+}
+
+/* Guards against a partitioned leader that believes it is current, commits, or is still "confirmed" after
+ * 1 s, and against an isolated replica that disturbs the others when it returns. */
+static void
+test_partitioned (void)
+{
+  for (uint32_t seed = 0; seed < 30; seed++)
+    {
+      sim_t sim;
+      sim_node_t *leader;
+      uint64_t commit;
+      uint64_t index = 0;
+      uint64_t term;
+
+      sim_init (&sim, seed, 3);
+      sim.compact_entries = seed % 2 == 0 ? 20 : 0;
+      leader = sim_wait_leader (&sim, 2 * SIM_S);
+      sim_commit (&sim, SIM_S);
+      leader->isolated = true;
+      commit = oh_raft_commit_index (&leader->raft);
+      sim_propose (&sim, leader);
+      sim_run (&sim, 1000 * SIM_MS);
+      g_assert_false (oh_raft_confirmed (&leader->raft, sim.now_us));
+      g_assert_cmpint (oh_raft_role (&leader->raft), !=, OH_RAFT_LEADER);
+      g_assert_cmpint (sim_propose (&sim, leader), ==, OH_RAFT_NOT_LEADER);
+      for (unsigned i = 0; i < 60; i++)
+        index = sim_commit (&sim, 2 * SIM_S);
+      sim_run (&sim, 60 * SIM_S);
+      g_assert_cmpuint (oh_raft_commit_index (&leader->raft), ==, commit);
+      term = oh_raft_term (&sim_leader (&sim)->raft);
+      leader->isolated = false;
+      sim_wait_applied (&sim, leader->slot, index, 2 * SIM_S);
+      /* Pre-vote: its return starts no election. */
+      g_assert_cmpuint (oh_raft_term (&sim_leader (&sim)->raft), ==, term);
+      sim_run (&sim, 200 * SIM_MS);
+      g_assert_true (oh_raft_confirmed (&leader->raft, sim.now_us));
+      sim_finish (&sim);
+    }
+}
+
+/* Guards against a replica with a lost disk that votes with what it no longer knows, and against the loss of
+ * a committed entry when a second replica is lost right after the repair of the first. */
+static void
+test_lost_disks (void)
+{
+  for (uint32_t seed = 0; seed < 60; seed++)
+    {
+      sim_t sim;
+      uint64_t index;
+
+      sim_init (&sim, seed, 3);
+      sim.compact_entries = seed % 2 == 0 ? 8 : 0;
+      sim_wait_leader (&sim, 2 * SIM_S);
+      for (unsigned round = 0; round < 6; round++)
+        {
+          const unsigned slot = (seed + round) % 3;
+
+          for (unsigned i = 0; i < 10; i++)
+            sim_commit (&sim, 3 * SIM_S);
+          sim_lose_disk (&sim, slot);
+          sim_run (&sim, round * 300 * SIM_MS);
+          sim_start (&sim, slot);
+          sim_wait_role (&sim, slot, OH__REPLICA_ROLE__REPLICA_VOTER, 6 * SIM_S);
+          g_assert_cmpuint (oh_raft_replicas (&sim.nodes[slot].raft)->len, ==, 3);
+        }
+      index = sim_commit (&sim, 3 * SIM_S);
+      for (unsigned slot = 0; slot < 3; slot++)
+        sim_wait_applied (&sim, slot, index, SIM_S);
+      sim_finish (&sim);
+    }
+}
+
+/* Guards against a new cluster formed beside the old one by replicas that lost their disks. */
+static void
+test_no_second_cluster (void)
+{
+  sim_t sim;
+
+  sim_init (&sim, 1, 3);
+  sim_wait_leader (&sim, 2 * SIM_S);
+  sim_commit (&sim, SIM_S);
+  sim_lose_disk (&sim, 0);
+  sim_lose_disk (&sim, 1);
+  sim_start (&sim, 0);
+  sim_start (&sim, 1);
+  sim_run (&sim, 30 * SIM_S);
+  g_assert_null (sim_leader (&sim));
+  g_assert_cmpint (oh_raft_role (&sim.nodes[0].raft), ==, OH_RAFT_UNFORMED);
+  g_assert_cmpint (oh_raft_role (&sim.nodes[1].raft), ==, OH_RAFT_UNFORMED);
+  sim_finish (&sim);
+}
+
+/* Guards against membership changes that overlap, a learner that counts before it has caught up, and a
+ * removed replica that disturbs the others. */
+static void
+test_membership (void)
+{
+  for (uint32_t seed = 0; seed < 30; seed++)
+    {
+      sim_t sim;
+      sim_node_t *leader;
+      uint64_t index = 0;
+      uint64_t term;
+
+      sim_init (&sim, seed, 3);
+      sim.compact_entries = seed % 2 == 0 ? 16 : 0;
+      leader = sim_wait_leader (&sim, 2 * SIM_S);
+      for (unsigned i = 0; i < 40; i++)
+        index = sim_commit (&sim, SIM_S);
+      g_assert_cmpint (sim_change (&sim, leader, OH_RAFT_ADD_REPLICA, 0), ==, OH_RAFT_CHANGE_INVALID);
+      g_assert_cmpint (sim_change (&sim, leader, OH_RAFT_REMOVE_REPLICA, 4), ==, OH_RAFT_CHANGE_INVALID);
+      /* A name that no operator added stays outside. */
+      sim_start (&sim, 4);
+      sim_run (&sim, SIM_S);
+      sim_wait_role (&sim, 4, -1, SIM_S);
+      g_assert_cmpint (sim_change (&sim, leader, OH_RAFT_ADD_REPLICA, 3), ==, OH_RAFT_PROPOSED);
+      g_assert_cmpint (sim_change (&sim, leader, OH_RAFT_ADD_REPLICA, 4), ==, OH_RAFT_CHANGE_PENDING);
+      sim_start (&sim, 3);
+      sim_wait_role (&sim, 4, -1, 3 * SIM_S);
+      sim_crash (&sim, 4);
+      sim_wait_role (&sim, 3, OH__REPLICA_ROLE__REPLICA_VOTER, 3 * SIM_S);
+      sim_wait_applied (&sim, 3, index, SIM_S);
+      /* A set is in effect before it is committed. The leader removes itself, and is not heard of again. */
+      sim_run (&sim, 300 * SIM_MS);
+      leader = sim_wait_leader (&sim, 2 * SIM_S);
+      g_assert_cmpint (sim_change (&sim, leader, OH_RAFT_REMOVE_REPLICA, leader->slot), ==, OH_RAFT_PROPOSED);
+      sim_wait_role (&sim, leader->slot, -1, 3 * SIM_S);
+      sim_run (&sim, SIM_S);
+      term = oh_raft_term (&sim_wait_leader (&sim, 2 * SIM_S)->raft);
+      sim_run (&sim, 20 * SIM_S);
+      g_assert_cmpuint (oh_raft_term (&sim_leader (&sim)->raft), ==, term);
+      g_assert_cmpint (oh_raft_role (&leader->raft), !=, OH_RAFT_LEADER);
+      sim_commit (&sim, SIM_S);
+      sim_finish (&sim);
+    }
+}
+
+/* Guards against a replica with a full disk that leads, acknowledges or loses what it has, and against one
+ * that does not return to work when there is room again. */
+static void
+test_full_disk (void)
+{
+  for (uint32_t seed = 0; seed < 30; seed++)
+    {
+      sim_t sim;
+      sim_node_t *full;
+      uint64_t index;
+      uint64_t durable;
+
+      sim_init (&sim, seed, 3);
+      full = sim_wait_leader (&sim, 2 * SIM_S);
+      sim_commit (&sim, SIM_S);
+      sim_run (&sim, 200 * SIM_MS);
+      full->disk_full = true;
+      sim_propose (&sim, full);
+      sim_run (&sim, 100 * SIM_MS);
+      g_assert_true (oh_raft_storage_full (&full->raft));
+      g_assert_cmpint (oh_raft_role (&full->raft), ==, OH_RAFT_FOLLOWER);
+      g_assert_cmpint (sim_propose (&sim, full), ==, OH_RAFT_STORAGE_FULL);
+      durable = full->disk.entries->len;
+      for (unsigned i = 0; i < 10; i++)
+        index = sim_commit (&sim, 3 * SIM_S);
+      sim_run (&sim, 5 * SIM_S);
+      g_assert_true (sim_leader (&sim) != full);
+      g_assert_cmpuint (full->disk.entries->len, ==, durable);
+      /* It follows the leader, but does not count towards a quorum. */
+      sim_crash (&sim, sim_leader (&sim)->slot);
+      sim_run (&sim, 5 * SIM_S);
+      g_assert_null (sim_leader (&sim));
+      full->disk_full = false;
+      sim_wait_leader (&sim, 4 * SIM_S);
+      sim_wait_applied (&sim, full->slot, index, 3 * SIM_S);
+      sim_finish (&sim);
+    }
+}
+
+/* Guards against a final storage error after which the replica goes on. */
+static void
+test_failed_disk (void)
+{
+  sim_t sim;
+  sim_node_t *leader;
+  oh_raft_event_t event = { .kind = OH_RAFT_STORAGE_FAILED };
+
+  sim_init (&sim, 3, 3);
+  leader = sim_wait_leader (&sim, 2 * SIM_S);
+  sim_propose (&sim, leader);
+  g_assert_nonnull (leader->request);
+  event.now_us = sim.now_us;
+  event.persist.id = leader->request->id;
+  g_clear_pointer (&leader->request, oh_persist_free);
+  oh_raft_handle (&leader->raft, &event, &leader->sink);
+  g_assert_cmpint (oh_raft_role (&leader->raft), ==, OH_RAFT_FAILED);
+  sim_run (&sim, 3 * SIM_S);
+  g_assert_cmpint (oh_raft_role (&leader->raft), ==, OH_RAFT_FAILED);
+  g_assert_true (sim_leader (&sim) != leader);
+  g_assert_false (oh_raft_confirmed (&leader->raft, sim.now_us));
+  sim_commit (&sim, SIM_S);
+  sim_finish (&sim);
+}
+
+/* Guards against a slow disk that is taken for a lost connection. */
+static void
+test_slow_disk (void)
+{
+  sim_t sim;
+  uint64_t term;
+
+  sim_init (&sim, 5, 3);
+  sim_wait_leader (&sim, 2 * SIM_S);
+  for (unsigned slot = 0; slot < 3; slot++)
+    sim.nodes[slot].sync_us = 2 * SIM_S;
+  term = oh_raft_term (&sim_leader (&sim)->raft);
+  sim_commit (&sim, 10 * SIM_S);
+  g_assert_cmpuint (oh_raft_term (&sim_leader (&sim)->raft), ==, term);
+  sim_finish (&sim);
+}
+
+/* True if every set in use has three voters or more, all with their disks: one of them may be lost then. */
+static bool
+disks_complete (const sim_t *sim)
+{
+  for (unsigned i = 0; i < SIM_MAX; i++)
+    {
+      const GPtrArray *replicas = oh_raft_replicas (&sim->nodes[i].raft);
+
+      if (sim->nodes[i].disk.id == 0 || !sim->nodes[i].alive)
+        {
+          if (i < sim->n_initial)
+            return false;
+          continue;
+        }
+      if (oh_raft_replicas_count (replicas, OH__REPLICA_ROLE__REPLICA_VOTER) < 3)
+        return false;
+      for (unsigned j = 0; j < replicas->len; j++)
+        {
+          const oh_raft_replica_t *replica = replicas->pdata[j];
+          bool found = replica->role != OH__REPLICA_ROLE__REPLICA_VOTER;
+
+          for (unsigned k = 0; k < SIM_MAX; k++)
+            found = found || sim->nodes[k].disk.id == replica->id;
+          if (!found)
+            return false;
+        }
+    }
+  return true;
+}
+
+static void
+random_fault (sim_t *sim, GRand *rand)
+{
+  sim_node_t *node = &sim->nodes[g_rand_int_range (rand, 0, 4)];
+  sim_node_t *leader = sim_leader (sim);
+
+  switch (g_rand_int_range (rand, 0, 12))
+    {
+    case 0:
+    case 1:
+      sim_crash (sim, node->slot);
+      break;
+    case 2:
+      if (disks_complete (sim))
+        {
+          sim_lose_disk (sim, node->slot);
+          sim_start (sim, node->slot);
+        }
+      break;
+    case 3:
+      node->isolated = true;
+      break;
+    case 4:
+      node->disk_full = true;
+      break;
+    case 5:
+      node->sync_us = 300 * SIM_MS;
+      break;
+    case 6:
+      if (leader != NULL)
+        sim_change (sim, leader, OH_RAFT_ADD_REPLICA, 3);
+      break;
+    case 7:
+      if (leader != NULL && disks_complete (sim))
+        sim_change (sim, leader, OH_RAFT_REMOVE_REPLICA, 3);
+      break;
+    default:
+      node->isolated = false;
+      node->disk_full = false;
+      node->sync_us = 0;
+      if (!node->alive)
+        sim_start (sim, node->slot);
+    }
+}
+
+/* Guards the safety invariants (one leader per term, leader completeness, log matching, one entry per index)
+ * and recovery under random faults: loss, duplication, reordering, crashes, lost and full disks, partitions
+ * and membership changes. */
+static void
+test_random (void)
+{
+  const char *first = g_getenv ("OH_RAFT_SEED");
+  const char *count = g_getenv ("OH_RAFT_SEEDS");
+  const uint32_t start = first != NULL ? (uint32_t)g_ascii_strtoull (first, NULL, 10) : 1000;
+  const uint32_t n = count != NULL ? (uint32_t)g_ascii_strtoull (count, NULL, 10) : 300;
+
+  for (uint32_t seed = start; seed < start + n; seed++)
+    {
+      GRand *rand = g_rand_new_with_seed (seed);
+      sim_t sim;
+      uint64_t index;
+
+      g_test_message ("seed %u", seed);
+      sim_init (&sim, seed, 3);
+      sim.loss_percent = seed % 3 * 5;
+      sim.duplicate_percent = seed % 2 * 10;
+      sim.delay_us = seed % 5 == 0 ? 80 * SIM_MS : 3 * SIM_MS;
+      sim.compact_entries = 5 + seed % 30;
+      sim_wait_leader (&sim, 20 * SIM_S);
+      for (unsigned i = 0; i < 120; i++)
+        {
+          random_fault (&sim, rand);
+          for (unsigned j = 0; j < SIM_MAX; j++)
+            if (sim.nodes[j].alive && oh_raft_role (&sim.nodes[j].raft) == OH_RAFT_LEADER)
+              sim_propose (&sim, &sim.nodes[j]);
+          sim_run (&sim, g_rand_int_range (rand, 1, 400) * SIM_MS);
+          sim_check_logs (&sim);
+        }
+      sim.loss_percent = 0;
+      for (unsigned i = 0; i < 4; i++)
+        {
+          sim.nodes[i].isolated = false;
+          sim.nodes[i].disk_full = false;
+          sim.nodes[i].sync_us = 0;
+          if (!sim.nodes[i].alive)
+            sim_start (&sim, i);
+        }
+      index = sim_commit (&sim, 10 * SIM_S);
+      for (unsigned i = 0; i < 3; i++)
+        {
+          sim_wait_role (&sim, i, OH__REPLICA_ROLE__REPLICA_VOTER, 20 * SIM_S);
+          sim_wait_applied (&sim, i, index, 5 * SIM_S);
+        }
+      sim_check_logs (&sim);
+      sim_finish (&sim);
+      g_rand_free (rand);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/raft/forms", test_forms);
+  g_test_add_func ("/raft/restart-all", test_restart_all);
+  g_test_add_func ("/raft/leader-killed", test_leader_killed);
+  g_test_add_func ("/raft/partitioned", test_partitioned);
+  g_test_add_func ("/raft/lost-disks", test_lost_disks);
+  g_test_add_func ("/raft/no-second-cluster", test_no_second_cluster);
+  g_test_add_func ("/raft/membership", test_membership);
+  g_test_add_func ("/raft/full-disk", test_full_disk);
+  g_test_add_func ("/raft/failed-disk", test_failed_disk);
+  g_test_add_func ("/raft/slow-disk", test_slow_disk);
+  g_test_add_func ("/raft/random", test_random);
+  return g_test_run ();
+}
