--- a/lib/adapters/http_upstream.c
+++ b/lib/adapters/http_upstream.c
@@ -102,7 +102,7 @@
   g_free (call);
 }
 
-/* No event follows. The memory is freed once no operation is open. */
+/* No event follows. The memory is freed by the operation in progress when it ends. */
 static void
 end_call (call_t *call)
 {
@@ -110,6 +110,12 @@
   call->ended = true;
   g_hash_table_remove (call->upstream->calls, &call->id);
   g_cancellable_cancel (call->cancellable);
+}
+
+static void
+end_call_now (call_t *call)
+{
+  end_call (call);
   if (!call->pending)
     free_call (call);
 }
@@ -370,7 +376,7 @@
   call_t *call = g_hash_table_lookup (((oh_http_upstream_t *)base)->calls, &id);
 
   if (call != NULL)
-    end_call (call);
+    end_call_now (call);
 }
 
 static void
@@ -548,7 +554,7 @@
   g_cancellable_cancel (upstream->stopped);
   for (g_hash_table_iter_init (&iter, upstream->calls); g_hash_table_iter_next (&iter, NULL, &call);
        g_hash_table_iter_init (&iter, upstream->calls))
-    end_call (call);
+    end_call_now (call);
   /* Operations that were cancelled report to their callbacks before the sessions go. */
   soup_session_abort (upstream->requests);
   soup_session_abort (upstream->polls);
--- a/lib/core/agent_reply.c
+++ b/lib/core/agent_reply.c
@@ -46,6 +46,7 @@
   load.sequence = ++core->report_sequence;
   relay->load = &load;
   length = oh_relay_encode (relay, core->keyring, buffer, sizeof buffer);
+  relay->load = NULL;
   g_assert (length > 0);
   oh_agent_emit (core, &(oh_agent_action_t){
                          .kind = OH_AGENT_ACTION_SEND,
--- a/lib/core/chunk_stream.c
+++ b/lib/core/chunk_stream.c
@@ -36,10 +36,8 @@
 }
 
 static void
-drop_first (oh_chunk_stream_t *stream)
+drop_chunk (oh_chunk_stream_t *stream, oh_chunk_t *chunk)
 {
-  oh_chunk_t *chunk = chunk_of (stream->chunks.next);
-
   oh_list_remove (&chunk->link);
   stream->n_chunks--;
   g_free (chunk);
@@ -69,8 +67,8 @@
 void
 oh_chunk_stream_finish (oh_chunk_stream_t *stream)
 {
-  while (stream->n_chunks > 0)
-    drop_first (stream);
+  oh_list_foreach_safe (&stream->chunks, link, following)
+    drop_chunk (stream, chunk_of (link));
 }
 
 void
@@ -155,10 +153,12 @@
         }
       return true;
     }
-  while (stream->n_chunks > 0 && chunk_of (stream->chunks.next)->sequence < next)
+  oh_list_foreach_safe (&stream->chunks, link, following)
     {
-      stream->acked_digest = chunk_of (stream->chunks.next)->digest;
-      drop_first (stream);
+      if (chunk_of (link)->sequence >= next)
+        break;
+      stream->acked_digest = chunk_of (link)->digest;
+      drop_chunk (stream, chunk_of (link));
     }
   stream->acked = next;
   stream->send_next = MAX (stream->send_next, next);
--- a/lib/core/flow_table.c
+++ b/lib/core/flow_table.c
@@ -43,8 +43,8 @@
 oh_flow_table_finish (oh_flow_table_t *table)
 {
   g_assert (oh_list_is_empty (&table->flows));
-  while (!oh_list_is_empty (&table->closed))
-    remove_closed (table, oh_list_entry (table->closed.next, oh_closed_flow_t, link));
+  oh_list_foreach_safe (&table->closed, link, following)
+    remove_closed (table, oh_list_entry (link, oh_closed_flow_t, link));
   g_hash_table_destroy (table->by_id);
   g_hash_table_destroy (table->closed_by_id);
 }
@@ -124,9 +124,9 @@
 void
 oh_flow_table_expire (oh_flow_table_t *table, int64_t now_us)
 {
-  while (!oh_list_is_empty (&table->closed))
+  oh_list_foreach_safe (&table->closed, link, following)
     {
-      oh_closed_flow_t *closed = oh_list_entry (table->closed.next, oh_closed_flow_t, link);
+      oh_closed_flow_t *closed = oh_list_entry (link, oh_closed_flow_t, link);
 
       if (closed->ends_us > now_us)
         return;
@@ -161,6 +161,7 @@
   oh_list_init (&entry->ready_link);
   oh_list_init (&entry->timer_link);
   oh_chunk_stream_init (&entry->stream, 0, 0, 0, 1);
+  entry->repeat_interval_ms = OH_STREAM_RETRY_MIN_MS;
   flow->entries[number % OH_REQUEST_WINDOW] = entry;
   return entry;
 }
