--- a/standins/load.c
+++ b/standins/load.c
@@ -33,6 +33,7 @@
 {
   EXIT_USAGE = 2,
   TICK_MS = 5,
+  CLOSE_LIMIT_MS = 3000, /* longer than the client tries to close a flow */
   PAYLOAD_TEXT_BYTES = 128,
   OPTION_FLOWS = 0x100,
   OPTION_FEEDS,
@@ -86,6 +87,7 @@
   uint64_t short_made;
   int64_t started_us;
   bool ending;
+  uint64_t n_closing; /* flows whose entries are written, not yet closed */
 } load_t;
 
 typedef struct
@@ -97,6 +99,7 @@
   bool opened;
   bool one_shot;
   bool over;
+  bool written; /* the ledger has all its entries */
   const char *state;
   Oh__Result result;
 } load_flow_t;
@@ -272,6 +275,12 @@
   load_flow_t *owner = data;
   call_t *call = g_hash_table_lookup (owner->calls, &action->id);
 
+  if (owner->written)
+    {
+      if (action->kind == OH_CALLER_ACTION_CLOSED && --owner->load->n_closing == 0)
+        g_main_loop_quit (owner->load->loop);
+      return;
+    }
   switch (action->kind)
     {
     case OH_CALLER_ACTION_OPENED:
@@ -429,18 +438,49 @@
   return G_SOURCE_REMOVE;
 }
 
+static gboolean
+handle_close_limit (gpointer data)
+{
+  g_main_loop_quit (data);
+  return G_SOURCE_REMOVE;
+}
+
+/* Writes the entries of all flows, then closes the flows, so that agents do not keep them. */
 static void
 close_flows (load_t *load)
 {
+  for (guint i = 0; i < load->flows->len; i++)
+    {
+      load_flow_t *owner = g_ptr_array_index (load->flows, i);
+
+      if (owner->flow == NULL)
+        continue;
+      write_flow (load, owner);
+      owner->written = true;
+      load->n_closing++;
+    }
+  fflush (load->ledger);
+  if (load->n_closing == 0)
+    return;
+  g_timeout_add (CLOSE_LIMIT_MS, handle_close_limit, load->loop);
   for (guint i = 0; i < load->flows->len; i++)
     {
       load_flow_t *owner = g_ptr_array_index (load->flows, i);
 
       if (owner->flow != NULL)
-        write_flow (load, owner);
-      g_hash_table_unref (owner->calls);
-      g_free (owner);
+        oh_client_close (owner->flow);
     }
+  if (load->n_closing > 0)
+    g_main_loop_run (load->loop);
+}
+
+static void
+free_flow (gpointer data)
+{
+  load_flow_t *owner = data;
+
+  g_hash_table_unref (owner->calls);
+  g_free (owner);
 }
 
 static gboolean
@@ -460,7 +500,7 @@
     .loop = g_main_loop_new (NULL, FALSE),
     .clock = oh_system_clock (),
     .rand = g_rand_new_with_seed ((guint32)arguments->seed),
-    .flows = g_ptr_array_new (),
+    .flows = g_ptr_array_new_with_free_func (free_flow),
     .long_flows = g_ptr_array_new (),
     .ledger = fopen (arguments->ledger_path, "we"),
   };
