--- /dev/null
+++ b/lib/adapters/operator_client.c
@@ -0,0 +1,352 @@
+#include "adapters/operator_client.h"
+
+#include <string.h>
+
+#include "adapters/link.h"
+#include "core/codec.h"
+
+enum
+{
+  ANSWER_US = 1500000, /* an election takes up to 1.2 s, so that a waiting change may still be committed */
+  RETRY_US = 100000,
+  QUERY_US = 200000,
+};
+
+typedef struct
+{
+  oh_operator_client_t *client;
+  char *endpoint;
+  oh_link_t *link;
+  Oh__StatusReply *status;
+  Oh__ChangeReply *change;
+  bool repeat; /* the last message was sent with an older key generation */
+} replica_t;
+
+struct oh_operator_client
+{
+  GMainContext *context;
+  oh_keyring_t *keyring;
+  GPtrArray *replicas; /* of replica_t *; those of the list first, then leaders that were named */
+  guint n_listed;
+};
+
+static void
+clear_answers (replica_t *replica)
+{
+  if (replica->status != NULL)
+    oh__status_reply__free_unpacked (replica->status, NULL);
+  if (replica->change != NULL)
+    oh__change_reply__free_unpacked (replica->change, NULL);
+  replica->status = NULL;
+  replica->change = NULL;
+}
+
+static void
+free_replica (gpointer data)
+{
+  replica_t *replica = data;
+
+  clear_answers (replica);
+  oh_link_close (replica->link);
+  g_free (replica->endpoint);
+  g_free (replica);
+}
+
+static void
+take_message (replica_t *replica, Oh__Control *message)
+{
+  if (message->body_case == OH__CONTROL__BODY_CHANGE_REPLY)
+    {
+      clear_answers (replica);
+      replica->change = message->change_reply;
+      message->body_case = OH__CONTROL__BODY__NOT_SET;
+    }
+  /* A status without a name only tells the key generation. */
+  else if (message->body_case == OH__CONTROL__BODY_STATUS_REPLY && message->status_reply->replica[0] != '\0')
+    {
+      clear_answers (replica);
+      replica->status = message->status_reply;
+      message->body_case = OH__CONTROL__BODY__NOT_SET;
+    }
+  oh__control__free_unpacked (message, NULL);
+}
+
+static void
+on_message (oh_link_t *link, GBytes *peer, const uint8_t *bytes, size_t length, void *data)
+{
+  replica_t *replica = data;
+  oh_keyring_t *keyring = replica->client->keyring;
+  Oh__Control *message;
+
+  (void)link;
+  (void)peer;
+  if (oh_keyring_follow (keyring, OH_KEY_OPERATOR, bytes, length))
+    for (guint i = 0; i < replica->client->replicas->len; i++)
+      ((replica_t *)g_ptr_array_index (replica->client->replicas, i))->repeat = true;
+  message = oh_control_decode (keyring, OH_KEY_OPERATOR, bytes, length, NULL);
+  if (message != NULL)
+    take_message (replica, message);
+}
+
+static replica_t *
+add_replica (oh_operator_client_t *client, const char *endpoint, oh_error_t *error)
+{
+  replica_t *replica = g_new0 (replica_t, 1);
+
+  replica->client = client;
+  replica->endpoint = g_strdup (endpoint);
+  replica->link = oh_link_connect_unqueued (client->context, endpoint, on_message, replica, error);
+  if (replica->link == NULL)
+    {
+      free_replica (replica);
+      return NULL;
+    }
+  g_ptr_array_add (client->replicas, replica);
+  return replica;
+}
+
+static bool
+send_message (replica_t *replica, Oh__Control *message)
+{
+  size_t length;
+  g_autofree uint8_t *bytes = NULL;
+
+  message->sender = (char *)"operator";
+  bytes = oh_control_encode (message, replica->client->keyring, OH_KEY_OPERATOR, &length);
+  replica->repeat = false;
+  return oh_link_send (replica->link, NULL, bytes, length);
+}
+
+static gboolean
+on_wake (gpointer data)
+{
+  *(bool *)data = true;
+  return G_SOURCE_REMOVE;
+}
+
+/* Handles messages until one has been handled or the time is over. */
+static void
+wait_until (oh_operator_client_t *client, int64_t until_us)
+{
+  const int64_t now_us = g_get_monotonic_time ();
+  bool due = false;
+  GSource *source = g_timeout_source_new (until_us > now_us ? (guint)((until_us - now_us) / 1000) + 1 : 0);
+
+  g_source_set_callback (source, on_wake, &due, NULL);
+  g_source_attach (source, client->context);
+  g_main_context_iteration (client->context, TRUE);
+  g_source_destroy (source);
+  g_source_unref (source);
+}
+
+static bool
+send_status_query (replica_t *replica, bool want_text)
+{
+  Oh__Control message = OH__CONTROL__INIT;
+  Oh__StatusQuery query = OH__STATUS_QUERY__INIT;
+
+  query.want_text = want_text;
+  message.body_case = OH__CONTROL__BODY_STATUS_QUERY;
+  message.status_query = &query;
+  return send_message (replica, &message);
+}
+
+static replica_t *
+find_or_add (oh_operator_client_t *client, const char *endpoint)
+{
+  for (guint i = 0; i < client->replicas->len; i++)
+    {
+      replica_t *replica = g_ptr_array_index (client->replicas, i);
+
+      if (strcmp (replica->endpoint, endpoint) == 0)
+        return replica;
+    }
+  return add_replica (client, endpoint, NULL);
+}
+
+static bool
+is_final (Oh__ChangeStatus status)
+{
+  return status == OH__CHANGE_STATUS__CHANGE_ACCEPTED || status == OH__CHANGE_STATUS__CHANGE_CONFLICT
+         || status == OH__CHANGE_STATUS__CHANGE_INVALID;
+}
+
+/* Sends the change to one replica and waits for its answer; NULL if there is none in time. */
+static Oh__ChangeReply *
+ask_replica (replica_t *replica, const Oh__Change *change, int64_t until_us)
+{
+  Oh__Control message = OH__CONTROL__INIT;
+  bool sent = false;
+
+  message.body_case = OH__CONTROL__BODY_CHANGE;
+  message.change = (Oh__Change *)change;
+  clear_answers (replica);
+  while (g_get_monotonic_time () < until_us)
+    {
+      Oh__ChangeReply *reply = replica->change;
+
+      if (reply != NULL && reply->id.len == change->id.len
+          && memcmp (reply->id.data, change->id.data, reply->id.len) == 0)
+        {
+          replica->change = NULL;
+          return reply;
+        }
+      if (!sent || replica->repeat)
+        sent = send_message (replica, &message);
+      wait_until (replica->client, MIN (until_us, g_get_monotonic_time () + RETRY_US));
+    }
+  return NULL;
+}
+
+/* Follows the leader that the replica named, or goes on with the next of the list. */
+static replica_t *
+choose_next (oh_operator_client_t *client, const replica_t *asked, const Oh__ChangeReply *reply,
+             guint *position)
+{
+  if (reply != NULL && reply->leader[0] != '\0' && strcmp (reply->leader, asked->endpoint) != 0)
+    {
+      replica_t *leader = find_or_add (client, reply->leader);
+
+      if (leader != NULL)
+        return leader;
+    }
+  *position = (*position + 1) % client->n_listed;
+  return g_ptr_array_index (client->replicas, *position);
+}
+
+oh_operator_client_t *
+oh_operator_client_open (const char *replicas, oh_keyring_t *keyring, oh_error_t *error)
+{
+  oh_operator_client_t *client = g_new0 (oh_operator_client_t, 1);
+  g_auto (GStrv) endpoints = g_strsplit (replicas, ",", -1);
+
+  client->context = g_main_context_new ();
+  client->keyring = keyring;
+  client->replicas = g_ptr_array_new_with_free_func (free_replica);
+  for (char **endpoint = endpoints; *endpoint != NULL; endpoint++)
+    if (add_replica (client, g_strstrip (*endpoint), error) == NULL)
+      {
+        oh_operator_client_close (client);
+        return NULL;
+      }
+  client->n_listed = client->replicas->len;
+  if (client->n_listed == 0)
+    {
+      oh_error_set (error, OH_ERROR_SETTINGS, OH_ERROR_CODE_BAD_VALUE,
+                    "replicas \"\": expected endpoints tcp://IPV4:PORT, separated by commas");
+      oh_operator_client_close (client);
+      return NULL;
+    }
+  return client;
+}
+
+void
+oh_operator_client_close (oh_operator_client_t *client)
+{
+  if (client == NULL)
+    return;
+  g_ptr_array_unref (client->replicas);
+  g_main_context_unref (client->context);
+  g_free (client);
+}
+
+Oh__ChangeReply *
+oh_operator_client_change (oh_operator_client_t *client, const Oh__Change *change, int timeout_ms,
+                           oh_error_t *error)
+{
+  const int64_t until_us = g_get_monotonic_time () + timeout_ms * G_GINT64_CONSTANT (1000);
+  guint position = 0;
+  replica_t *replica = g_ptr_array_index (client->replicas, 0);
+
+  oh_error_set (error, OH_ERROR_STATE, OH_ERROR_CODE_UNAVAILABLE, "no replica answered");
+  while (g_get_monotonic_time () < until_us)
+    {
+      Oh__ChangeReply *reply
+        = ask_replica (replica, change, MIN (until_us, g_get_monotonic_time () + ANSWER_US));
+      replica_t *next;
+
+      if (reply != NULL && is_final (reply->status))
+        return reply;
+      next = choose_next (client, replica, reply, &position);
+      if (reply != NULL)
+        {
+          oh_error_set (error, OH_ERROR_STATE, OH_ERROR_CODE_UNAVAILABLE, "%s: %s", replica->endpoint,
+                        reply->detail);
+          /* Replicas that name each other as the leader must not be asked in a tight loop. */
+          g_usleep (RETRY_US / 4);
+          oh__change_reply__free_unpacked (reply, NULL);
+        }
+      replica = next;
+    }
+  return NULL;
+}
+
+Oh__StatusReply *
+oh_operator_client_current (oh_operator_client_t *client, bool want_text, int timeout_ms, oh_error_t *error)
+{
+  const int64_t start_us = g_get_monotonic_time ();
+  const int64_t until_us = start_us + timeout_ms * G_GINT64_CONSTANT (1000);
+  int64_t now_us;
+
+  for (guint i = 0; i < client->replicas->len; i++)
+    clear_answers (g_ptr_array_index (client->replicas, i));
+  while ((now_us = g_get_monotonic_time ()) < until_us)
+    {
+      const int64_t round_us = MIN (until_us, now_us + QUERY_US);
+
+      for (guint i = 0; i < client->replicas->len; i++)
+        send_status_query (g_ptr_array_index (client->replicas, i), want_text);
+      while ((now_us = g_get_monotonic_time ()) < round_us)
+        {
+          for (guint i = 0; i < client->replicas->len; i++)
+            {
+              replica_t *replica = g_ptr_array_index (client->replicas, i);
+              const Oh__StatusReply *status = replica->status;
+
+              if (status != NULL && status->confirmed
+                  && (status->leader || now_us - start_us > (until_us - start_us) / 2))
+                return g_steal_pointer (&replica->status);
+              if (replica->repeat)
+                send_status_query (replica, want_text);
+            }
+          wait_until (client, MIN (round_us, now_us + RETRY_US));
+        }
+    }
+  oh_error_set (error, OH_ERROR_STATE, OH_ERROR_CODE_UNAVAILABLE,
+                "no replica answered that leads or is in contact with the leader");
+  return NULL;
+}
+
+GArray *
+oh_operator_client_status (oh_operator_client_t *client, int timeout_ms)
+{
+  const int64_t until_us = g_get_monotonic_time () + timeout_ms * G_GINT64_CONSTANT (1000);
+  g_autofree bool *sent = g_new0 (bool, client->n_listed);
+  GArray *result = g_array_new (FALSE, TRUE, sizeof (oh_replica_status_t));
+  guint answered = 0;
+
+  for (guint i = 0; i < client->n_listed; i++)
+    clear_answers (g_ptr_array_index (client->replicas, i));
+  while (answered < client->n_listed && g_get_monotonic_time () < until_us)
+    {
+      answered = 0;
+      for (guint i = 0; i < client->n_listed; i++)
+        {
+          replica_t *replica = g_ptr_array_index (client->replicas, i);
+
+          answered += replica->status != NULL;
+          if (!sent[i] || replica->repeat)
+            sent[i] = send_status_query (replica, false);
+        }
+      if (answered < client->n_listed)
+        wait_until (client, MIN (until_us, g_get_monotonic_time () + RETRY_US));
+    }
+  for (guint i = 0; i < client->n_listed; i++)
+    {
+      const replica_t *replica = g_ptr_array_index (client->replicas, i);
+      const oh_replica_status_t status = { .endpoint = replica->endpoint, .reply = replica->status };
+
+      g_array_append_val (result, status);
+    }
+  return result;
+}
--- a/lib/core/control_state.c
+++ b/lib/core/control_state.c
@@ -174,7 +174,7 @@
 base_matches (const oh_control_state_t *state, const Oh__Change *change)
 {
   const bool commutes
-    = change->kind == OH__CHANGE_KIND__CHANGE_DRAIN || change->kind == OH__CHANGE_KIND__CHANGE_UNDRAIN;
+    = change->kind != OH__CHANGE_KIND__CHANGE_APPLY && change->kind != OH__CHANGE_KIND__CHANGE_ROTATE_KEYS;
 
   return change->base_version == state->version || (commutes && change->base_version == 0);
 }
--- a/lib/core/membership.c
+++ b/lib/core/membership.c
@@ -297,8 +297,8 @@
   view->sequence = starting ? 0 : membership->sequence;
   view->snapshot = !delta && !starting;
   add_entries (membership, delta ? sequence : 0, members, balancers);
-  if (delta)
-    add_removals (membership, sequence, removed_members, removed_balancers);
+  if (delta || starting)
+    add_removals (membership, delta ? sequence : 0, removed_members, removed_balancers);
   view->n_members = members->len;
   view->n_balancers = balancers->len;
   view->n_removed_members = removed_members->len;
--- a/lib/core/membership.h
+++ b/lib/core/membership.h
@@ -72,8 +72,9 @@
 /*
  * Sets epoch, sequence, snapshot, members and balancers of the view to what changed after the cursor. For one
  * lease after the start nodes may not have announced themselves yet: until then what is known is given with
- * epoch 0, which adds to what the node has and moves no cursor. The entries belong to the membership; free
- * the arrays with oh_membership_clear_view before the next call that alters it.
+ * epoch 0: it adds to what the node has, removes only nodes that left since, and moves no cursor. The entries
+ * belong to the membership; free the arrays with oh_membership_clear_view before the next call that alters
+ * it.
  */
 void oh_membership_fill_view (const oh_membership_t *membership, uint64_t epoch, uint64_t sequence,
                               int64_t now_us, Oh__View *view);
--- a/tests/test_control_state.c
+++ b/tests/test_control_state.c
@@ -61,6 +61,7 @@
     DRAIN = OH__CHANGE_KIND__CHANGE_DRAIN,
     UNDRAIN = OH__CHANGE_KIND__CHANGE_UNDRAIN,
     ROTATE = OH__CHANGE_KIND__CHANGE_ROTATE_KEYS,
+    REMOVE = OH__CHANGE_KIND__CHANGE_REMOVE_REPLICA,
     OK = OH__CHANGE_STATUS__CHANGE_ACCEPTED,
     CONFLICT = OH__CHANGE_STATUS__CHANGE_CONFLICT,
     INVALID = OH__CHANGE_STATUS__CHANGE_INVALID,
@@ -92,6 +93,9 @@
     { 9, UNDRAIN, 0, "kiln-1", OK, 5, 0, 2, 0 },
     { 10, DRAIN, 0, "", INVALID, 5, 0, 2, 0 },
     { 4, DRAIN, 0, "kiln-1", OK, 3, 0, 2, 0 }, /* late resend of a drain that was undone */
+    { 11, REMOVE, 0, "control-a", OK, 5, 0, 2, 0 }, /* the set itself is in the Raft log */
+    { 11, REMOVE, 0, "control-a", OK, 5, 0, 2, 0 },
+    { 12, REMOVE, 4, "control-a", CONFLICT, 5, 9, 2, 0 },
   };
 
   for (unsigned with_restart = 0; with_restart < 2; with_restart++)
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -176,6 +176,10 @@
   oh_membership_fill_view (&membership, 5, 5, 2 * SECOND, &view);
   g_assert_cmpuint (view.replica_epoch, ==, 0);
   oh_membership_clear_view (&view);
+  g_assert_true (oh_membership_announce (&membership, agent_poll (&a, "kiln-2", 1), route, 2 * SECOND));
+  a.poll.leaving = true;
+  g_assert_true (oh_membership_announce (&membership, &a.poll, route, 2 * SECOND));
+  check_view (&membership, 5, 5, 2 * SECOND, false, 1, 0, 1);
   check_view (&membership, 5, 5, 3 * SECOND, true, 1, 0, 0);
   oh_membership_finish (&membership);
 }
