--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -376,7 +376,7 @@
   const char *first = g_getenv ("OH_RAFT_SEED");
   const char *count = g_getenv ("OH_RAFT_SEEDS");
   const uint32_t start = first != NULL ? (uint32_t)g_ascii_strtoull (first, NULL, 10) : 1000;
-  const uint32_t n = count != NULL ? (uint32_t)g_ascii_strtoull (count, NULL, 10) : 300;
+  const uint32_t n = count != NULL ? (uint32_t)g_ascii_strtoull (count, NULL, 10) : 2000;
 
   for (uint32_t seed = start; seed < start + n; seed++)
     {
