--- a/lib/adapters/operator_client.c
+++ b/lib/adapters/operator_client.c
@@ -19,7 +19,7 @@
   oh_link_t *link;
   Oh__StatusReply *status;
   Oh__ChangeReply *change;
-  bool repeat; /* the last message was sent with an older key generation */
+  bool repeat; /* the message found no connection, or was sealed with an older key generation */
 } replica_t;
 
 struct oh_operator_client
@@ -105,7 +105,7 @@
   return replica;
 }
 
-static bool
+static void
 send_message (replica_t *replica, Oh__Control *message)
 {
   size_t length;
@@ -113,8 +113,7 @@
 
   message->sender = (char *)"operator";
   bytes = oh_control_encode (message, replica->client->keyring, OH_KEY_OPERATOR, &length);
-  replica->repeat = false;
-  return oh_link_send (replica->link, NULL, bytes, length);
+  replica->repeat = !oh_link_send (replica->link, NULL, bytes, length);
 }
 
 static gboolean
@@ -139,7 +138,7 @@
   g_source_unref (source);
 }
 
-static bool
+static void
 send_status_query (replica_t *replica, bool want_text)
 {
   Oh__Control message = OH__CONTROL__INIT;
@@ -148,7 +147,7 @@
   query.want_text = want_text;
   message.body_case = OH__CONTROL__BODY_STATUS_QUERY;
   message.status_query = &query;
-  return send_message (replica, &message);
+  send_message (replica, &message);
 }
 
 static replica_t *
@@ -176,11 +175,11 @@
 ask_replica (replica_t *replica, const Oh__Change *change, int64_t until_us)
 {
   Oh__Control message = OH__CONTROL__INIT;
-  bool sent = false;
 
   message.body_case = OH__CONTROL__BODY_CHANGE;
   message.change = (Oh__Change *)change;
   clear_answers (replica);
+  send_message (replica, &message);
   while (g_get_monotonic_time () < until_us)
     {
       Oh__ChangeReply *reply = replica->change;
@@ -191,8 +190,8 @@
           replica->change = NULL;
           return reply;
         }
-      if (!sent || replica->repeat)
-        sent = send_message (replica, &message);
+      if (replica->repeat)
+        send_message (replica, &message);
       wait_until (replica->client, MIN (until_us, g_get_monotonic_time () + RETRY_US));
     }
   return NULL;
@@ -321,12 +320,16 @@
 oh_operator_client_status (oh_operator_client_t *client, int timeout_ms)
 {
   const int64_t until_us = g_get_monotonic_time () + timeout_ms * G_GINT64_CONSTANT (1000);
-  g_autofree bool *sent = g_new0 (bool, client->n_listed);
   GArray *result = g_array_new (FALSE, TRUE, sizeof (oh_replica_status_t));
   guint answered = 0;
 
   for (guint i = 0; i < client->n_listed; i++)
-    clear_answers (g_ptr_array_index (client->replicas, i));
+    {
+      replica_t *replica = g_ptr_array_index (client->replicas, i);
+
+      clear_answers (replica);
+      send_status_query (replica, false);
+    }
   while (answered < client->n_listed && g_get_monotonic_time () < until_us)
     {
       answered = 0;
@@ -335,8 +338,8 @@
           replica_t *replica = g_ptr_array_index (client->replicas, i);
 
           answered += replica->status != NULL;
-          if (!sent[i] || replica->repeat)
-            sent[i] = send_status_query (replica, false);
+          if (replica->repeat)
+            send_status_query (replica, false);
         }
       if (answered < client->n_listed)
         wait_until (client, MIN (until_us, g_get_monotonic_time () + RETRY_US));
--- a/tests/test_control_state.c
+++ b/tests/test_control_state.c
@@ -92,7 +92,7 @@
     { 8, ROTATE, 3, "", OK, 4, 0, 2, 1 },
     { 9, UNDRAIN, 0, "kiln-1", OK, 5, 0, 2, 0 },
     { 10, DRAIN, 0, "", INVALID, 5, 0, 2, 0 },
-    { 4, DRAIN, 0, "kiln-1", OK, 3, 0, 2, 0 }, /* late resend of a drain that was undone */
+    { 4, DRAIN, 0, "kiln-1", OK, 3, 0, 2, 0 },      /* late resend of a drain that was undone */
     { 11, REMOVE, 0, "control-a", OK, 5, 0, 2, 0 }, /* the set itself is in the Raft log */
     { 11, REMOVE, 0, "control-a", OK, 5, 0, 2, 0 },
     { 12, REMOVE, 4, "control-a", CONFLICT, 5, 9, 2, 0 },
