placement: require strong evidence before a dependency counts as unavailable

Cause: one lost Open put a silent dependency under suspicion for up to 2 s, and Opens of generation 0, which agents do not answer, let a caller put agents under suspicion at will. Change: the dependency check ignores suspicion until the agent has been silent for 1.5 heartbeats; Opens of generation 0 are dropped and counted. Tested: test_placement/silent-dependency, test_balancer_core/malformed, all others pass.

--- a/lib/core/balancer_core.c
+++ b/lib/core/balancer_core.c
@@ -290,6 +290,12 @@
       oh_counter_increment (&core->counters.dropped_direction);
       return;
     }
+  if (packet->body_case == OH__PACKET__BODY_OPEN && packet->open->flow_generation == 0)
+    {
+      /* Agents do not answer it, which would put them under suspicion. */
+      oh_counter_increment (&core->counters.dropped_malformed);
+      return;
+    }
   if (packet->body_case == OH__PACKET__BODY_OPEN)
     {
       open_t open = { .caller = event->datagram.from, .packet = packet, .bytes = bytes, .length = length };
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -122,6 +122,21 @@
   return upstream->state == OH__UPSTREAM_STATE__UPSTREAM_SUSPECT || upstream->slots == 0 ? 1 : 0;
 }
 
+/*
+ * Evidence that is strong enough to refuse the Opens of a dependent service. One lost Open is none, since a
+ * live agent sends a heartbeat each second.
+ */
+static bool
+is_down (const oh_upstream_t *upstream, int64_t now_us)
+{
+  const int64_t silence_us = (int64_t)OH_PLACEMENT_DOWN_MS * 1000;
+  const bool waiting = upstream->n_unanswered > 0 && now_us - upstream->unanswered[0].sent_us >= silence_us
+                       && upstream->heard_us < upstream->unanswered[0].sent_us;
+
+  return waiting || (upstream->unproven && now_us - upstream->heard_us >= silence_us)
+         || upstream->state == OH__UPSTREAM_STATE__UPSTREAM_SUSPECT || upstream->slots == 0;
+}
+
 static bool
 is_draining (const oh_upstream_t *upstream)
 {
@@ -190,7 +205,7 @@
     {
       const oh_upstream_t *upstream = g_ptr_array_index (table->upstreams, i);
 
-      if (!is_draining (upstream) && !is_full (upstream) && suspicion (upstream, now_us) == 0)
+      if (!is_draining (upstream) && !is_full (upstream) && !is_down (upstream, now_us))
         return true;
     }
   return false;
--- a/lib/core/placement.h
+++ b/lib/core/placement.h
@@ -22,6 +22,7 @@
   OH_PLACEMENT_UNANSWERED_MAX = 256,  /* Opens remembered for each upstream; more are sent but not counted */
   OH_PLACEMENT_SILENCE_MS = 300,      /* many times the 3 ms round trip, below the caller's retransmissions */
   OH_PLACEMENT_UNANSWERED_MS = 1000,  /* although the agent is heard otherwise */
+  OH_PLACEMENT_DOWN_MS = 1500,        /* one and a half heartbeats without any sign of the agent */
   OH_PLACEMENT_RESERVATION_MS = 2000, /* an agent's offer ends then, and so does an Open's share of load */
 };
 
--- a/tests/test_balancer_core.c
+++ b/tests/test_balancer_core.c
@@ -102,7 +102,7 @@
 }
 
 static size_t
-encode_open (const char *service, uint8_t *buffer)
+encode_open_generation (const char *service, uint32_t generation, uint8_t *buffer)
 {
   Oh__Packet packet = OH__PACKET__INIT;
   Oh__Open open = OH__OPEN__INIT;
@@ -113,9 +113,16 @@
   packet.body_case = OH__PACKET__BODY_OPEN;
   packet.open = &open;
   open.attempt = 3;
+  open.flow_generation = generation;
   return oh_packet_encode (&packet, buffer, OH_PACKET_MAX_BYTES);
 }
 
+static size_t
+encode_open (const char *service, uint8_t *buffer)
+{
+  return encode_open_generation (service, 1, buffer);
+}
+
 /* A datagram with an empty body of the kind; token may be NULL. */
 static size_t
 encode_packet (Oh__Packet__BodyCase body, const char *service, const oh_token_t *token, uint8_t *buffer)
@@ -302,6 +309,10 @@
       give_datagram (&fixture, OH_BALANCER_CALLER_PACKET, buffer, i);
       g_assert_cmpuint (fixture.recorder.to_agents + fixture.recorder.to_callers, ==, 0);
     }
+  /* Agents would not answer it, and a caller could put them under suspicion. */
+  give_datagram (&fixture, OH_BALANCER_CALLER_PACKET, buffer,
+                 encode_open_generation ("plan-fetch", 0, buffer));
+  g_assert_cmpuint (fixture.recorder.to_agents + fixture.recorder.to_callers, ==, 0);
   length = encode_packet (OH__PACKET__BODY_OPEN_REPLY, "plan-fetch", NULL, inner);
   length = encode_relay (&fixture, 0, inner, length, OH__RESULT__RESULT_NONE, NULL, 0, buffer);
   for (size_t i = 0; i < length; i++)
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -315,6 +315,41 @@
   fixture_finish (&fixture);
 }
 
+/* Guards against a dependency that counts as unavailable after one lost Open, and one that counts as
+ * available although its agent is silent. */
+static void
+test_silent_dependency (void)
+{
+  static const fixture_upstream_t upstreams[] = {
+    { "k1", "kiln-log", "a", 4, 0, 0, 0, READY, false },
+    { "s1", "scan-serve", "a", 4, 0, 0, 0, READY, false },
+    { NULL },
+  };
+  static const struct
+  {
+    int64_t heard_ms; /* 0: not at all */
+    int64_t now_ms;
+    bool available;
+  } cases[]
+    = { { 0, 400, true }, { 900, 1700, true }, { 0, 1700, false }, { 0, 2300, false }, { 2200, 2300, true } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fixture_t fixture;
+      const Oh__Load load = make_load ("k1", "kiln-log", fixture_incarnation (0), 2, 0);
+
+      g_test_message ("case %zu", i);
+      fixture_init (&fixture, upstreams, true);
+      place (&fixture, "kiln-log", 1, 100 * MS);
+      if (cases[i].heard_ms > 0)
+        oh_placement_report (&fixture.placement, &load, cases[i].heard_ms * MS);
+      oh_placement_expire (&fixture.placement, cases[i].now_ms * MS);
+      g_assert_cmpint (place (&fixture, "scan-serve", 2, cases[i].now_ms * MS) != NULL, ==,
+                       cases[i].available);
+      fixture_finish (&fixture);
+    }
+}
+
 /* Guards against Opens to an upstream that the view no longer lists, and a new one that gets none. */
 static void
 test_membership (void)
@@ -341,6 +376,7 @@
   g_test_add_func ("/placement/unanswered-ends", test_unanswered_ends);
   g_test_add_func ("/placement/report-order", test_report_order);
   g_test_add_func ("/placement/silent-agent", test_silent_agent);
+  g_test_add_func ("/placement/silent-dependency", test_silent_dependency);
   g_test_add_func ("/placement/membership", test_membership);
   return g_test_run ();
 }
