agent: keep the answer of a cancelled request that has begun, add guards' cases

An upstream that said nothing about a cancellation, or denied having run a request whose answer had begun, made the agent report UNKNOWN and drop the answer. The answer is now awaited.

--- a/lib/core/agent_request.c
+++ b/lib/core/agent_request.c
@@ -586,12 +586,12 @@
       abandon_run (core, run);
       finish_entry (core, entry, OH_ENTRY_CANCELLED, OH__RESULT__RESULT_UNKNOWN);
     }
-  else if (ran != OH_RAN_YES)
+  else if (ran != OH_RAN_YES && !run->answered)
     {
       detach_run (core, run);
       finish_entry (core, entry, OH_ENTRY_FAILED, OH__RESULT__RESULT_UNKNOWN);
     }
-  /* Otherwise it ran to its end and its own answer follows. */
+  /* Otherwise it runs to its end and its own answer follows. */
 }
 
 void
--- a/tests/agent_fixture.c
+++ b/tests/agent_fixture.c
@@ -543,32 +543,50 @@
   fixture_upstream (fixture, number, (oh_upstream_event_t){ .kind = OH_UPSTREAM_END });
 }
 
-bool
-fixture_pass_state (fixture_t *fixture, bool lose)
+GBytes *
+fixture_peek_state (fixture_t *fixture, unsigned *target)
 {
   for (unsigned i = 0; i < FIXTURE_AGENTS; i++)
-    {
-      fake_agent_t *agent = &fixture->agents[i];
+    if (fixture->agents[i].peer_out->len > 0)
+      for (unsigned j = 0; j < FIXTURE_AGENTS; j++)
+        if (strcmp (fixture->agents[j].endpoint, g_ptr_array_index (fixture->agents[i].peer_to, 0)) == 0)
+          {
+            *target = j;
+            return g_bytes_ref (g_ptr_array_index (fixture->agents[i].peer_out, 0));
+          }
+  return NULL;
+}
 
-      if (agent->peer_out->len == 0)
-        continue;
+void
+fixture_deliver_state (fixture_t *fixture, unsigned target, GBytes *bytes)
+{
+  gsize length;
+  const uint8_t *data = g_bytes_get_data (bytes, &length);
+  Oh__FlowState *state = oh__flow_state__unpack (NULL, length, data);
 
-      g_autoptr (GBytes) bytes = g_bytes_ref (g_ptr_array_index (agent->peer_out, 0));
-      g_autofree char *endpoint = g_strdup (g_ptr_array_index (agent->peer_to, 0));
-      gsize length;
-      const uint8_t *data = g_bytes_get_data (bytes, &length);
-      Oh__FlowState *state = oh__flow_state__unpack (NULL, length, data);
+  handle (&fixture->agents[target],
+          (oh_agent_event_t){ .kind = OH_AGENT_EVENT_PEER_REQUEST, .peer_request = { .state = state } });
+  oh__flow_state__free_unpacked (state, NULL);
+}
 
-      g_ptr_array_remove_index (agent->peer_out, 0);
-      g_ptr_array_remove_index (agent->peer_to, 0);
-      for (unsigned j = 0; j < FIXTURE_AGENTS && !lose; j++)
-        if (strcmp (fixture->agents[j].endpoint, endpoint) == 0)
-          handle (&fixture->agents[j], (oh_agent_event_t){ .kind = OH_AGENT_EVENT_PEER_REQUEST,
-                                                           .peer_request = { .state = state } });
-      oh__flow_state__free_unpacked (state, NULL);
-      return true;
-    }
-  return false;
+bool
+fixture_pass_state (fixture_t *fixture, bool lose)
+{
+  unsigned target;
+  g_autoptr (GBytes) bytes = fixture_peek_state (fixture, &target);
+
+  if (bytes == NULL)
+    return false;
+  for (unsigned i = 0; i < FIXTURE_AGENTS; i++)
+    if (fixture->agents[i].peer_out->len > 0)
+      {
+        g_ptr_array_remove_index (fixture->agents[i].peer_out, 0);
+        g_ptr_array_remove_index (fixture->agents[i].peer_to, 0);
+        break;
+      }
+  if (!lose)
+    fixture_deliver_state (fixture, target, bytes);
+  return true;
 }
 
 bool
--- a/tests/agent_fixture.h
+++ b/tests/agent_fixture.h
@@ -121,4 +121,7 @@
 
 /* Delivers the first waiting flow state or reply between agents; false if none. */
 bool fixture_pass_state (fixture_t *fixture, bool lose);
+/* Copy of the first waiting flow state and the agent that it is for. */
+GBytes *fixture_peek_state (fixture_t *fixture, unsigned *target);
+void fixture_deliver_state (fixture_t *fixture, unsigned target, GBytes *bytes);
 bool fixture_pass_reply (fixture_t *fixture, bool lose);
--- a/tests/test_agent_core.c
+++ b/tests/test_agent_core.c
@@ -12,19 +12,20 @@
 /*
  * A script is a list of steps for the request number 1, which may not be repeated:
  *
- *   open=G, reopen=G@A        open the flow as generation G, at agent 0 or A
- *   req, copy, copyopen, copyreq@A
- *                             send the request; deliver again the packets kept of the first request or Open
- *   cancel, ran=no|yes|?      cancel; the upstream's word on the cancellation
- *   answer, shed, foreign, late, error, break, notsent
- *                             what the upstream does with the request
- *   busy, full, free          occupy all slots, or also the queue, with requests 10 and up; end them all
+ *   open=G, offer=G, reopen=G@A   open the flow as generation G; without using the token; at agent A
+ *   req, copy, copyto=A, copyopen send the request; deliver the first request or Open again, at agent 0 or A
+ *   cancel, ran=no|yes|?          cancel; what the upstream says about the cancellation
+ *   began, answer, shed, foreign, late, error, break, notsent
+ *                                 what the upstream does with the request
+ *   busy, full, free              occupy the slots, or also the queue, with requests 10 and up; end them all
  *   floor=N, close, ping, wait=MS
- *   drain, undrain, restart, kill=A, state, lose-state, reply, lose-reply, moved
- *                             handover steps; moved adopts the token of the last Moved
- *   runs=N, out=RESULT, got=N what must hold: runs of request 1, its last outcome, chunks taken in order
- *   silent                    no packet since the step before
- *   gone, told-moved, closed  the last step caused this answer
+ *   restart, restart=A, kill=A, drain, drain=A, undrain
+ *   state, lose-state, keep-state, late-state, reply, lose-reply, moved
+ *                                 messages between agents; moved adopts the token of the last Moved
+ *   runs=N, out=RESULT, got=N, generation=N
+ *                                 checks: runs of request 1, its last outcome, chunks taken, token
+ *   silent, gone, told-moved, closed, no-state
+ *                                 checks: what the last step caused
  */
 typedef struct
 {
@@ -61,7 +62,8 @@
   fixture_t fixture;
   GBytes *open;
   GBytes *request;
-  GPtrArray *states; /* kept copies of flow states, for late delivery */
+  GBytes *state; /* copy of a flow state, for late delivery */
+  unsigned state_target;
   unsigned packets;
   unsigned gone;
   unsigned moved;
@@ -163,6 +165,15 @@
       fixture_update_view (fixture, "upstream-0");
       fixture_wait (fixture, 60);
     }
+  else if (strcmp (step, "keep-state") == 0)
+    {
+      g_clear_pointer (&run->state, g_bytes_unref);
+      run->state = fixture_peek_state (fixture, &run->state_target);
+    }
+  else if (strcmp (step, "late-state") == 0)
+    fixture_deliver_state (fixture, run->state_target, run->state);
+  else if (strcmp (step, "began") == 0)
+    fixture_upstream (fixture, 1, (oh_upstream_event_t){ .kind = OH_UPSTREAM_STARTED });
   else if (strcmp (step, "undrain") == 0)
     fixture_update_view (fixture, NULL);
   else if (strcmp (step, "restart") == 0)
@@ -216,6 +227,26 @@
     }
   else if (g_str_has_prefix (step, "reopen="))
     fixture_open (fixture, (unsigned)g_ascii_strtoull (strchr (value, '@') + 1, NULL, 10), number);
+  else if (g_str_has_prefix (step, "offer="))
+    {
+      g_autoptr (GBytes) open = fixture_open_packet (fixture, number);
+
+      fixture_deliver (fixture, 0, open);
+    }
+  else if (g_str_has_prefix (step, "drain="))
+    {
+      g_autofree char *name = g_strdup_printf ("upstream-%u", number);
+
+      fixture_update_view (fixture, name);
+      fixture_wait (fixture, 60);
+    }
+  else if (g_str_has_prefix (step, "restart="))
+    {
+      fixture_restart (fixture, number);
+      fixture_update_view (fixture, "upstream-0");
+    }
+  else if (g_str_has_prefix (step, "generation="))
+    g_assert_cmpuint (fixture->token.flow_generation, ==, number);
   else if (g_str_has_prefix (step, "copyto="))
     fixture_deliver (fixture, number, run->request);
   else if (g_str_has_prefix (step, "ran="))
@@ -269,6 +300,7 @@
   fixture_finish (&run.fixture);
   g_clear_pointer (&run.open, g_bytes_unref);
   g_clear_pointer (&run.request, g_bytes_unref);
+  g_clear_pointer (&run.state, g_bytes_unref);
 }
 
 static const script_t scripts[] = {
@@ -287,7 +319,8 @@
   { "open-copy-while-owned", "open=1 req copyopen copy runs=1 answer got=2" },
   { "close-copy", "open=1 close closed close closed" },
   /* Unused offers end after 2 s. */
-  { "offer-ended", "open=1 req answer close wait=3000 copy gone runs=1" },
+  { "offer-ended", "wait=20 offer=1 wait=2010 ping gone req gone runs=0" },
+  { "offer-used-late", "offer=1 wait=1900 req runs=1" },
   /* Cancellation. */
   { "cancel-first", "open=1 cancel out=cancelled req out=cancelled runs=0 copy runs=0 out=cancelled" },
   { "cancel-queued", "open=1 busy req cancel out=cancelled free runs=0 "
@@ -297,6 +330,7 @@
   { "cancel-running-unknown", "open=1 req cancel ran=? out=unknown copy out=unknown runs=1" },
   { "cancel-failed-then-not-run", "open=1 req cancel error ran=no out=cancelled" },
   { "cancel-failed-then-ran", "open=1 req cancel break ran=yes out=unknown" },
+  { "cancel-answer-began", "open=1 req began cancel ran=no answer got=2 out=none" },
   { "cancel-after-answer", "open=1 req answer cancel got=2 out=none" },
   /* What the upstream does. */
   { "upstream-sheds", "open=1 req shed out=upstream" },
@@ -338,6 +372,22 @@
                           "runs=1" },
   { "handover-sent-stays-sent",
     "open=1 drain state lose-reply undrain req silent runs=0 copy silent runs=0" },
+  { "handover-cancel-after-state", "open=1 drain state cancel silent out=none reply moved req runs=1" },
+  { "handover-close-after-state", "open=1 drain state close silent reply told-moved moved close closed" },
+  { "handover-target-generation",
+    "open=1 drain state lose-reply kill=1 wait=100 state reply moved generation=3" },
+  { "handover-target-restarted",
+    "open=1 drain lose-state restart=1 wait=100 state reply told-moved moved req runs=1" },
+  { "handover-floor", "open=1 req answer floor=2 ping drain state reply floor=0 moved req runs=1 silent" },
+  { "handover-late-state",
+    "open=1 drain keep-state state reply moved req answer runs=1 drain=1 state reply moved ping "
+    "undrain late-state copyto=1 told-moved runs=1" },
+  { "handover-late-state-closed",
+    "open=1 drain keep-state state reply moved req answer close closed late-state copyto=1 "
+    "gone runs=1" },
+  { "handover-late-state-owned",
+    "open=1 drain keep-state state reply moved req answer late-state lose-reply copyto=1 "
+    "runs=1" },
   { "handover-back", "open=1 req answer drain state reply moved ping undrain copyto=0 told-moved runs=1" },
 };
 
@@ -369,6 +419,23 @@
   fixture_finish (&fixture);
 }
 
+/* Guards against work for an upstream whose service has not been checked. */
+static void
+test_unknown_upstream (void)
+{
+  fixture_t fixture;
+  g_autoptr (GBytes) open = NULL;
+
+  fixture_init (&fixture, 4, 2);
+  fixture_update_view (&fixture, NULL);
+  fixture.agents[0].core.health.known = false;
+  open = fixture_open_packet (&fixture, 1);
+  fixture_deliver (&fixture, 0, open);
+  g_assert_cmpint (fixture.refused_open, ==, OH__RESULT__RESULT_NO_UPSTREAM);
+  g_assert_cmpuint (fixture.agents[0].load.slots, ==, 0);
+  fixture_finish (&fixture);
+}
+
 /* Guards against a table that grows without bound, and against an unused offer that holds its place. */
 static void
 test_flow_limit (void)
@@ -802,6 +869,7 @@
       g_test_add_data_func (path, &scripts[i], run_script);
     }
   g_test_add_func ("/agent/open-refused", test_open_refused);
+  g_test_add_func ("/agent/unknown-upstream", test_unknown_upstream);
   g_test_add_func ("/agent/flow-limit", test_flow_limit);
   g_test_add_func ("/agent/window", test_window);
   g_test_add_func ("/agent/deadline", test_deadline);
