--- a/lib/adapters/http_upstream.c
+++ b/lib/adapters/http_upstream.c
@@ -43,7 +43,8 @@
   SoupMessage *message;
   GInputStream *body;
   GCancellable *cancellable;
-  bool sent; /* libsoup began to write the request */
+  unsigned status; /* of the first response; 0: none yet */
+  bool sent;       /* libsoup began to write the request */
   bool paused;
   bool pending; /* an asynchronous operation holds the call */
   bool ended;   /* no event may follow */
@@ -95,6 +96,7 @@
 free_call (call_t *call)
 {
   g_clear_object (&call->body);
+  g_signal_handlers_disconnect_by_data (call->message, call);
   g_clear_object (&call->message);
   g_clear_object (&call->cancellable);
   oh_sse_parser_finish (&call->sse);
@@ -235,21 +237,20 @@
 on_response (GObject *source, GAsyncResult *result, gpointer data)
 {
   call_t *call = data;
-  unsigned status;
+  const bool good = call->status == SOUP_STATUS_OK || call->status == SOUP_STATUS_PARTIAL_CONTENT;
 
   call->body = soup_session_send_finish (SOUP_SESSION (source), result, NULL);
-  status = soup_message_get_status (call->message);
   if (call->ended)
     ;
+  else if (call->status != 0 && !good)
+    fail_call (call, failure_of_status (call->status));
   else if (call->body == NULL)
     fail_call (call, call->sent ? OH_UPSTREAM_BROKEN : OH_UPSTREAM_NOT_SENT);
-  else if (status != SOUP_STATUS_OK && status != SOUP_STATUS_PARTIAL_CONTENT)
-    fail_call (call, failure_of_status (status));
   else
     emit (call, (oh_upstream_event_t){
                   .kind = OH_UPSTREAM_STARTED,
-                  .started
-                  = { .tag = entity_tag (call->message), .partial = status == SOUP_STATUS_PARTIAL_CONTENT },
+                  .started = { .tag = entity_tag (call->message),
+                               .partial = call->status == SOUP_STATUS_PARTIAL_CONTENT },
                 });
   finish_operation (call);
 }
@@ -261,6 +262,23 @@
   ((call_t *)data)->sent = true;
 }
 
+static void
+on_headers (SoupMessage *message, gpointer data)
+{
+  call_t *call = data;
+
+  if (call->status == 0)
+    call->status = soup_message_get_status (message);
+}
+
+/* libsoup is about to send the request again, for instance after status 421. */
+static void
+on_restarted (SoupMessage *message, gpointer data)
+{
+  (void)message;
+  g_cancellable_cancel (((call_t *)data)->cancellable);
+}
+
 static void
 set_headers (SoupMessage *message, const char *service, const char *flow,
              const oh_upstream_request_t *request)
@@ -312,12 +330,14 @@
   call->message = soup_message_new ("POST", url);
   call->cancellable = g_cancellable_new ();
   oh_sse_parser_init (&call->sse);
-  /* libsoup repeats a request by itself only on a reused connection; a request must reach the upstream at
-   * most once. */
+  /* A request must reach the upstream at most once, so libsoup gets no reason to send it again: it follows no
+   * redirect and reuses no connection, which the upstream could close at that moment. */
   soup_message_add_flags (call->message, SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_NEW_CONNECTION);
   soup_message_set_request_body_from_bytes (call->message, "application/octet-stream", payload);
   set_headers (call->message, upstream->service, flow, request);
   g_signal_connect (call->message, "starting", G_CALLBACK (on_starting), call);
+  g_signal_connect (call->message, "got-headers", G_CALLBACK (on_headers), call);
+  g_signal_connect (call->message, "restarted", G_CALLBACK (on_restarted), call);
   g_hash_table_insert (upstream->calls, &call->id, call);
   call->pending = true;
   soup_session_send_async (upstream->requests, call->message, G_PRIORITY_DEFAULT, call->cancellable,
