--- a/scripts/lib/system.py
+++ b/scripts/lib/system.py
@@ -19,6 +19,7 @@
 
 ZONES = ('plv-a', 'plv-b', 'plv-c')
 STOP_LIMIT_S = 40  # above the agents' drain_limit_ms
+SLOW_START_S = 4  # a cold upstream offers one slot more each second
 PORT_RANGE = (10000, 30000)  # below the ephemeral ports of Linux
 
 
@@ -313,7 +314,7 @@
 
 
 def start_deployment(system, kiln_log=4, scan_serve=3, modes=''):
-    """All processes and the first text; returns when both services answer."""
+    """All processes and the first text; returns when both services answer and the upstreams are warm."""
     for name in system.control:
         system.start_control(name)
     for name in system.balancers:
@@ -326,3 +327,4 @@
     system.apply(services_text())
     system.wait_ready([service for service, count in (('kiln-log', kiln_log), ('scan-serve', scan_serve))
                        if count > 0])
+    time.sleep(SLOW_START_S)
