--- a/scripts/lib/system.py
+++ b/scripts/lib/system.py
@@ -138,7 +138,9 @@
             return ''.join(file.readlines()[-lines:])
 
     def write_settings(self, name, sections):
-        sections = {**sections, 'keys': {'file': self.path('master.key')}, 'log': {'level': self.log_level}}
+        sections = {**sections, 'keys': {'file': self.path('master.key')}}
+        if name != 'oriolectl':
+            sections['log'] = {'level': self.log_level}
         with open(self.path(f'{name}.ini'), 'w', encoding='ascii') as file:
             for section, values in sections.items():
                 file.write(f'[{section}]\n' + ''.join(f'{key}={value}\n' for key, value in values.items()))
