--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -186,6 +186,9 @@
   oh_raft_replica_t *self;
   GPtrArray *initial; /* of oh_raft_replica_t *; ids are filled in as they become known */
   GHashTable *agreed; /* ids whose last Hello listed the same ids as initial does */
+  uint64_t
+    hello_nonce; /* a Hello agrees only if it answers this, so that one of a lost replica does not count */
+  uint64_t heard[OH_RAFT_REPLICAS_MAX]; /* last nonce of each of initial */
   bool join;
   unsigned compact_entries;
 
--- a/lib/core/raft_election.c
+++ b/lib/core/raft_election.c
@@ -68,7 +68,8 @@
 count_votes (oh_raft_t *raft)
 {
   /* The own vote counts once it is durable: a crash must not allow a second vote in the term. */
-  unsigned granted = raft->pre_vote || raft->self_vote_id <= raft->synced_id;
+  unsigned granted
+    = oh_raft_is_voter (raft, raft->self->id) && (raft->pre_vote || raft->self_vote_id <= raft->synced_id);
 
   for (unsigned i = 0; i < raft->peers->len; i++)
     {
@@ -123,13 +124,33 @@
     raft->role = OH_RAFT_FOLLOWER;
 }
 
+/* True for voters, and for one whose removal is not known to be committed: the others may need its entries to
+ * elect a leader. */
+static bool
+may_campaign (const oh_raft_t *raft)
+{
+  const oh_raft_replica_t *self;
+  g_autoptr (GPtrArray) replicas = NULL;
+  GBytes *bytes;
+  uint64_t index;
+
+  if (oh_raft_is_voter (raft, raft->self->id))
+    return true;
+  if (raft->replicas_index <= raft->commit)
+    return false;
+  bytes = oh_raft_log_replicas (&raft->log, raft->replicas_index - 1, &index);
+  replicas = bytes != NULL ? oh_raft_replicas_decode (bytes) : NULL;
+  self = replicas != NULL ? oh_raft_replicas_find (replicas, raft->self->id) : NULL;
+  return self != NULL && self->role == OH__REPLICA_ROLE__REPLICA_VOTER;
+}
+
 void
 oh_raft_election_tick (oh_raft_t *raft)
 {
   if (raft->now_us < raft->election_due_us)
     return;
   oh_raft_set_leader (raft, NULL);
-  if (oh_raft_is_voter (raft, raft->self->id) && !raft->storage_full)
+  if (may_campaign (raft) && !raft->storage_full)
     start_pre_vote (raft);
   else
     oh_raft_reset_election (raft);
--- a/lib/core/raft_membership.c
+++ b/lib/core/raft_membership.c
@@ -50,6 +50,9 @@
   /* A replica that only joins takes no part in forming a cluster. */
   hello.n_known = raft->join ? 0 : raft->initial->len;
   hello.known = pointers;
+  hello.nonce = raft->hello_nonce;
+  hello.n_heard = hello.n_known;
+  hello.heard = raft->heard;
   message.body_case = OH__RAFT_MESSAGE__BODY_HELLO;
   message.hello = &hello;
   anyone.id = 0;
@@ -109,7 +112,7 @@
 static bool
 hello_agrees (const oh_raft_t *raft, const Oh__Hello *hello)
 {
-  if (hello->n_known != raft->initial->len)
+  if (hello->n_known != raft->initial->len || hello->n_heard != hello->n_known)
     return false;
   for (size_t i = 0; i < hello->n_known; i++)
     {
@@ -118,6 +121,8 @@
       if (replica == NULL || replica->id == 0 || replica->id != hello->known[i]->id
           || !g_str_equal (replica->endpoint, hello->known[i]->endpoint))
         return false;
+      if (replica->id == raft->self->id && hello->heard[i] != raft->hello_nonce)
+        return false;
     }
   return true;
 }
@@ -130,11 +135,15 @@
 
   if (message->cluster != 0 || hello->n_known == 0 || replica == NULL || replica->id == raft->self->id)
     return;
+  for (unsigned i = 0; i < raft->initial->len; i++)
+    if (raft->initial->pdata[i] == replica)
+      raft->heard[i] = hello->nonce;
   if (replica->id != message->from)
     {
       /* What others agreed on named the former id. */
       g_hash_table_remove_all (raft->agreed);
       replica->id = message->from;
+      raft->hello_nonce = oh_random_u64 (raft->random);
       raft->hello_due_us = raft->now_us;
     }
   if (!hello_agrees (raft, hello))
--- a/lib/wire/raft.pb-c.c
+++ b/lib/wire/raft.pb-c.c
@@ -919,7 +919,7 @@
   (ProtobufCMessageInit) oh__log_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__hello__field_descriptors[2] =
+static const ProtobufCFieldDescriptor oh__hello__field_descriptors[4] =
 {
   {
     "self",
@@ -945,15 +945,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "nonce",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Oh__Hello, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heard",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Oh__Hello, n_heard),
+    offsetof(Oh__Hello, heard),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__hello__field_indices_by_name[] = {
+  3,   /* field[3] = heard */
   1,   /* field[1] = known */
+  2,   /* field[2] = nonce */
   0,   /* field[0] = self */
 };
 static const ProtobufCIntRange oh__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor oh__hello__descriptor =
 {
@@ -963,7 +989,7 @@
   "Oh__Hello",
   "oh",
   sizeof(Oh__Hello),
-  2,
+  4,
   oh__hello__field_descriptors,
   oh__hello__field_indices_by_name,
   1,  oh__hello__number_ranges,
--- a/lib/wire/raft.pb-c.h
+++ b/lib/wire/raft.pb-c.h
@@ -114,10 +114,19 @@
    */
   size_t n_known;
   Oh__Replica **known;
+  /*
+   * drawn anew whenever known changes
+   */
+  uint64_t nonce;
+  /*
+   * for each of known: the nonce of the last Hello from it
+   */
+  size_t n_heard;
+  uint64_t *heard;
 };
 #define OH__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__hello__descriptor) \
-    , NULL, 0,NULL }
+    , NULL, 0,NULL, 0, 0,NULL }
 
 
 /*
--- a/tests/raft_sim.h
+++ b/tests/raft_sim.h
@@ -55,7 +55,8 @@
   unsigned compact_entries;
   unsigned loss_percent;
   unsigned duplicate_percent;
-  int64_t delay_us; /* greatest delay of a message */
+  size_t snapshot_bytes; /* added to the state, so that a transfer takes several chunks */
+  int64_t delay_us;      /* greatest delay of a message */
   sim_node_t nodes[SIM_MAX];
   GPtrArray *messages;
   GArray *terms;       /* of uint64_t: terms of the applied entries, by index */
