placement: pace upstreams whose load reports are false

Change: the report that comes with an accepted Open must include it. After three contradictions in a row the upstream gets Opens by count, 0.8 of the mean of the others, instead of by load, until a report is consistent again.

--- a/bench/bench_imbalance.c
+++ b/bench/bench_imbalance.c
@@ -598,8 +598,8 @@
 
 /* Events. */
 
-static void
-take_report (simulation_t *sim, const event_t *event)
+static Oh__Load
+make_load (const event_t *event)
 {
   Oh__Load load = OH__LOAD__INIT;
 
@@ -613,6 +613,14 @@
   load.flows = event->report.flows;
   load.max_flows = MAX_FLOWS;
   load.state = event->report.state;
+  return load;
+}
+
+static void
+take_report (simulation_t *sim, const event_t *event)
+{
+  const Oh__Load load = make_load (event);
+
   oh_placement_report (&sim->balancers[event->balancer].placement, &load, sim->now_us);
 }
 
@@ -652,8 +660,10 @@
 
   if (!balancer->down)
     {
+      const Oh__Load load = make_load (event);
+
       take_report (sim, event);
-      oh_placement_answered (&balancer->placement, upstream_names[event->upstream], flow->key, sim->now_us);
+      oh_placement_answered (&balancer->placement, &load, flow->key, !event->refused, sim->now_us);
     }
   if (!event->refused)
     return;
@@ -963,6 +973,7 @@
 typedef struct
 {
   double median;
+  double p99;
   double worst;
   uint64_t lost;
 } result_t;
@@ -986,6 +997,7 @@
     result.lost += simulate (shape, kind, policy, seed, windows);
   g_array_sort (windows, compare_doubles);
   result.median = g_array_index (windows, double, windows->len / 2);
+  result.p99 = g_array_index (windows, double, windows->len * 99 / 100);
   result.worst = g_array_index (windows, double, windows->len - 1);
   g_array_unref (windows);
   return result;
--- a/lib/core/balancer_core.c
+++ b/lib/core/balancer_core.c
@@ -203,12 +203,12 @@
   if (core->log_level >= OH_LOG_INFO)
     emit_log (core, sink, OH_LOG_INFO, "open_placed",
               "flow=%s service=%s caller=%s upstream=%s reason=%s load=%.3f flows=%u unanswered=%u tried=%zu "
-              "upstreams=%u candidates=%u suspects=%u excluded=%u",
+              "upstreams=%u candidates=%u suspects=%u excluded=%u distrusted=%u",
               format_flow (&open->flow, flow_text), decision.service_name,
               oh_address_format (open->caller, caller_text), decision.upstream->name,
               oh_placement_reason_name (decision.reason), decision.load, decision.upstream->flows,
               decision.upstream->n_unanswered, open->n_tried, decision.upstreams, decision.candidates,
-              decision.suspects, decision.excluded);
+              decision.suspects, decision.excluded, decision.distrusted);
 }
 
 static void
@@ -379,7 +379,8 @@
   if (relay->load != NULL && (refused || packet->body_case == OH__PACKET__BODY_OPEN_REPLY))
     {
       oh_flow_id_get (packet, &flow);
-      oh_placement_answered (&core->placement, relay->load->upstream, flow_key (&flow), event->now_us);
+      oh_placement_answered (&core->placement, relay->load, flow_key (&flow),
+                             !refused && packet->open_reply->token != NULL, event->now_us);
     }
   if (refused)
     {
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -1,7 +1,12 @@
 #include "core/placement.h"
 
+#include <math.h>
 #include <string.h>
 
+/* Of the mean of the other upstreams. What an upstream with false reports really carries is not known, and it
+ * must not be the one with the most. */
+#define PACED_SHARE 0.8
+
 typedef struct
 {
   const oh_placement_service_t *config; /* NULL if the configuration does not name the service */
@@ -39,6 +44,7 @@
   upstream->sequence = 0;
   upstream->n_unanswered = 0;
   upstream->unproven = false;
+  upstream->contradictions = 0;
 }
 
 /* True if a report of that incarnation and sequence is newer than the row. A new incarnation resets the row.
@@ -254,48 +260,44 @@
   return zone - other_zone;
 }
 
-/* Chooses among the candidates with a random choice between equals. */
+static bool
+is_distrusted (const oh_upstream_t *upstream)
+{
+  return upstream->contradictions >= OH_PLACEMENT_CONTRADICTIONS;
+}
+
+static double
+share_per_slot (const oh_upstream_t *upstream, int64_t now_us)
+{
+  const double elapsed_ms = (double)(now_us - upstream->share_us) / 1000;
+
+  return upstream->share * exp (-elapsed_ms / OH_PLACEMENT_SHARE_MS) / effective_slots (upstream);
+}
+
+/* Among the candidates whose reports can be believed, with a random choice between equals. */
 static void
-choose_candidate (oh_placement_t *placement, const service_table_t *table, const uint64_t *tried,
-                  size_t n_tried, unsigned cap, int64_t now_us, oh_placement_decision_t *decision)
+choose_by_load (oh_placement_t *placement, oh_upstream_t *const *candidates, unsigned n,
+                oh_placement_decision_t *decision)
 {
-  unsigned ties = 0;
+  unsigned ties = 1;
 
+  decision->upstream = candidates[0];
   decision->reason = OH_PLACEMENT_ONLY_CANDIDATE;
-  for (guint i = 0; i < table->upstreams->len; i++)
+  for (unsigned i = 1; i < n; i++)
     {
-      oh_upstream_t *upstream = g_ptr_array_index (table->upstreams, i);
       oh_placement_reason_t reason;
-
-      if (is_draining (upstream))
-        continue;
-      if (is_excluded (table, i, cap, now_us))
-        {
-          decision->excluded++;
-          continue;
-        }
-      if (is_full (upstream) || is_tried (upstream, tried, n_tried))
-        continue;
-      decision->candidates++;
-      if (decision->upstream == NULL)
-        {
-          decision->upstream = upstream;
-          ties = 1;
-          continue;
-        }
-
-      const int order = compare (placement, upstream, decision->upstream, &reason);
+      const int order = compare (placement, candidates[i], decision->upstream, &reason);
 
       if (order == 0)
         {
           reason = OH_PLACEMENT_RANDOM_TIE;
           ties++;
           if (oh_random_below (placement->random, ties) == 0)
-            decision->upstream = upstream;
+            decision->upstream = candidates[i];
         }
       else if (order < 0)
         {
-          decision->upstream = upstream;
+          decision->upstream = candidates[i];
           ties = 1;
         }
       /* The weakest criterion that was needed to tell the choice from another candidate. */
@@ -304,6 +306,62 @@
     }
 }
 
+/* The distrusted candidate that has had the fewest Opens lately, if it is behind its pace. */
+static oh_upstream_t *
+find_paced (oh_upstream_t *const *distrusted, unsigned n_distrusted, oh_upstream_t *const *trusted,
+            unsigned n_trusted, int64_t now_us)
+{
+  oh_upstream_t *least = NULL;
+  double sum = 0;
+
+  for (unsigned i = 0; i < n_distrusted; i++)
+    if (least == NULL || share_per_slot (distrusted[i], now_us) < share_per_slot (least, now_us))
+      least = distrusted[i];
+  for (unsigned i = 0; i < n_trusted; i++)
+    sum += share_per_slot (trusted[i], now_us);
+  if (least != NULL && n_trusted > 0 && share_per_slot (least, now_us) >= PACED_SHARE * sum / n_trusted)
+    return NULL;
+  return least;
+}
+
+static void
+choose_candidate (oh_placement_t *placement, const service_table_t *table, const uint64_t *tried,
+                  size_t n_tried, unsigned cap, int64_t now_us, oh_placement_decision_t *decision)
+{
+  /* Trusted ones from the front, distrusted ones from the back. */
+  oh_upstream_t **candidates = (oh_upstream_t **)placement->candidates->pdata;
+  unsigned trusted = 0;
+  unsigned distrusted = 0;
+  oh_upstream_t *paced;
+
+  for (guint i = 0; i < table->upstreams->len; i++)
+    {
+      oh_upstream_t *upstream = g_ptr_array_index (table->upstreams, i);
+
+      if (is_draining (upstream))
+        continue;
+      if (is_excluded (table, i, cap, now_us))
+        decision->excluded++;
+      else if (is_full (upstream) || is_tried (upstream, tried, n_tried))
+        continue;
+      else if (is_distrusted (upstream))
+        candidates[placement->candidates->len - ++distrusted] = upstream;
+      else
+        candidates[trusted++] = upstream;
+    }
+  decision->candidates = trusted + distrusted;
+  decision->distrusted = distrusted;
+  paced = find_paced (candidates + placement->candidates->len - distrusted, distrusted, candidates, trusted,
+                      now_us);
+  if (paced != NULL)
+    {
+      decision->upstream = paced;
+      decision->reason = OH_PLACEMENT_PACED;
+    }
+  else if (trusted > 0)
+    choose_by_load (placement, candidates, trusted, decision);
+}
+
 void
 oh_placement_init (oh_placement_t *placement, const char *zone, oh_random_t *random)
 {
@@ -311,6 +369,7 @@
     .random = random,
     .services = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, free_table),
     .upstreams = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free),
+    .candidates = g_ptr_array_new (),
   };
   g_strlcpy (placement->zone, zone, sizeof placement->zone);
 }
@@ -320,6 +379,7 @@
 {
   g_hash_table_unref (placement->services);
   g_hash_table_unref (placement->upstreams);
+  g_ptr_array_unref (placement->candidates);
   oh_placement_view_free (placement->view);
 }
 
@@ -332,6 +392,7 @@
   oh_placement_view_free (placement->view);
   placement->view = view;
 
+  g_ptr_array_set_size (placement->candidates, (gint)view->members->len);
   g_hash_table_remove_all (placement->services);
   for (guint i = 0; i < view->services->len; i++)
     {
@@ -417,14 +478,17 @@
 void
 oh_placement_sent (oh_placement_t *placement, oh_upstream_t *upstream, uint64_t key, int64_t now_us)
 {
+  upstream->share = share_per_slot (upstream, now_us) * effective_slots (upstream) + 1;
+  upstream->share_us = now_us;
   if (upstream->n_unanswered < OH_PLACEMENT_UNANSWERED_MAX)
     upstream->unanswered[upstream->n_unanswered++] = (oh_unanswered_t){ .key = key, .sent_us = now_us };
 }
 
 void
-oh_placement_answered (oh_placement_t *placement, const char *name, uint64_t key, int64_t now_us)
+oh_placement_answered (oh_placement_t *placement, const Oh__Load *load, uint64_t key, bool accepted,
+                       int64_t now_us)
 {
-  oh_upstream_t *upstream = g_hash_table_lookup (placement->upstreams, name);
+  oh_upstream_t *upstream = g_hash_table_lookup (placement->upstreams, load->upstream);
 
   for (unsigned i = 0; upstream != NULL && i < upstream->n_unanswered; i++)
     if (upstream->unanswered[i].key == key)
@@ -434,6 +498,10 @@
                  (upstream->n_unanswered - i) * sizeof upstream->unanswered[0]);
         upstream->answered_us = now_us;
         upstream->unproven = false;
+        if (accepted && load->busy + load->queued == 0)
+          upstream->contradictions++;
+        else
+          upstream->contradictions = 0;
         return;
       }
 }
@@ -484,6 +552,8 @@
       return "same-zone";
     case OH_PLACEMENT_RANDOM_TIE:
       return "random-tie";
+    case OH_PLACEMENT_PACED:
+      return "paced";
     case OH_PLACEMENT_NO_CONFIRMED_VIEW:
       return "no-confirmed-view";
     case OH_PLACEMENT_UNKNOWN_SERVICE:
--- a/lib/core/placement.h
+++ b/lib/core/placement.h
@@ -13,16 +13,19 @@
  * add and remove rows; load reports refresh them. Only input whose seal was checked may reach this module.
  *
  * An Open counts as load of its upstream from its sending until the agent's answer, because the report that
- * comes with the answer already includes it.
+ * comes with the answer already includes it. A report that leaves it out is false: such an upstream gets
+ * Opens at a pace instead of by load.
  */
 
 enum
 {
-  OH_PLACEMENT_TRIED_MAX = 3,         /* agents that one Open is offered to */
-  OH_PLACEMENT_UNANSWERED_MAX = 256,  /* Opens remembered for each upstream; more are sent but not counted */
-  OH_PLACEMENT_SILENCE_MS = 300,      /* many times the 3 ms round trip, below the caller's retransmissions */
-  OH_PLACEMENT_UNANSWERED_MS = 1000,  /* although the agent is heard otherwise */
-  OH_PLACEMENT_DOWN_MS = 1500,        /* one and a half heartbeats without any sign of the agent */
+  OH_PLACEMENT_TRIED_MAX = 3,        /* agents that one Open is offered to */
+  OH_PLACEMENT_UNANSWERED_MAX = 256, /* Opens remembered for each upstream; more are sent but not counted */
+  OH_PLACEMENT_SILENCE_MS = 300,     /* many times the 3 ms round trip, below the caller's retransmissions */
+  OH_PLACEMENT_UNANSWERED_MS = 1000, /* although the agent is heard otherwise */
+  OH_PLACEMENT_DOWN_MS = 1500,       /* one and a half heartbeats without any sign of the agent */
+  OH_PLACEMENT_CONTRADICTIONS = 3, /* a repeated Open may be answered without a reservation, but not often */
+  OH_PLACEMENT_SHARE_MS = 5000,
   OH_PLACEMENT_RESERVATION_MS = 2000, /* an agent's offer ends then, and so does an Open's share of load */
 };
 
@@ -49,9 +52,12 @@
   unsigned max_flows;
   Oh__UpstreamState state;
   bool drained;
-  bool unproven;       /* an Open ended without an answer; one at a time until an answer arrives */
-  int64_t heard_us;    /* last report received directly */
-  int64_t answered_us; /* last answer to an Open */
+  unsigned contradictions; /* answers in a row whose report leaves out the Open that they answer */
+  double share;            /* Opens sent lately, each fading with OH_PLACEMENT_SHARE_MS */
+  int64_t share_us;        /* when share was computed */
+  bool unproven;           /* an Open ended without an answer; one at a time until an answer arrives */
+  int64_t heard_us;        /* last report received directly */
+  int64_t answered_us;     /* last answer to an Open */
   unsigned n_unanswered;
   oh_unanswered_t unanswered[OH_PLACEMENT_UNANSWERED_MAX]; /* oldest first */
   bool listed;                                             /* scratch of the view update */
@@ -64,6 +70,7 @@
   OH_PLACEMENT_FEWEST_FLOWS,
   OH_PLACEMENT_SAME_ZONE,
   OH_PLACEMENT_RANDOM_TIE,
+  OH_PLACEMENT_PACED, /* its reports are false; it gets a part of the mean of the others */
   OH_PLACEMENT_NO_CONFIRMED_VIEW,
   OH_PLACEMENT_UNKNOWN_SERVICE,
   OH_PLACEMENT_DEPENDENCY_UNAVAILABLE,
@@ -81,6 +88,7 @@
   unsigned upstreams;       /* of the service */
   unsigned candidates;      /* that could have been chosen */
   unsigned suspects;        /* by report or for want of answers */
+  unsigned distrusted;      /* upstreams whose reports are false */
   unsigned excluded;        /* of the suspects */
   double load;              /* score of the chosen one: work per slot */
 } oh_placement_decision_t;
@@ -92,6 +100,7 @@
   oh_placement_view_t *view; /* NULL before the first */
   GHashTable *services;      /* service id to table of its upstreams, owned */
   GHashTable *upstreams;     /* name to oh_upstream_t, owned */
+  GPtrArray *candidates;     /* scratch of a choice, as long as there are upstreams */
 } oh_placement_t;
 
 void oh_placement_init (oh_placement_t *placement, const char *zone, oh_random_t *random);
@@ -107,9 +116,12 @@
 bool oh_placement_choose (oh_placement_t *placement, uint64_t service, const uint64_t *tried, size_t n_tried,
                           int64_t now_us, oh_placement_decision_t *decision);
 
-/* Notes that an Open was sent to the upstream, or that its agent answered or refused it. */
+/* Notes that an Open was sent to the upstream. */
 void oh_placement_sent (oh_placement_t *placement, oh_upstream_t *upstream, uint64_t key, int64_t now_us);
-void oh_placement_answered (oh_placement_t *placement, const char *upstream, uint64_t key, int64_t now_us);
+
+/* Notes that the agent accepted or refused an Open; load is the report that came with the answer. */
+void oh_placement_answered (oh_placement_t *placement, const Oh__Load *load, uint64_t key, bool accepted,
+                            int64_t now_us);
 
 /* Forgets Opens whose reservation has ended. */
 void oh_placement_expire (oh_placement_t *placement, int64_t now_us);
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -64,6 +64,15 @@
   return load;
 }
 
+/* The agent accepts the Open and reports the work, which includes it. */
+static void
+answer (fixture_t *fixture, const char *name, uint64_t key, unsigned busy, int64_t now_us)
+{
+  const Oh__Load load = make_load (name, "", 0, 0, busy);
+
+  oh_placement_answered (&fixture->placement, &load, key, true, now_us);
+}
+
 /* Guards against a choice that ignores load, state, limits, the zone rule, earlier refusals or dependencies.
  */
 static void
@@ -228,9 +237,9 @@
 
   fixture_init (&fixture, three_equal, true);
   upstream = oh_placement_find (&fixture.placement, place (&fixture, "plan-fetch", 1, 0));
-  oh_placement_answered (&fixture.placement, upstream->name, 2, 1 * MS);
+  answer (&fixture, upstream->name, 2, 1, 1 * MS);
   g_assert_cmpuint (upstream->n_unanswered, ==, 1);
-  oh_placement_answered (&fixture.placement, upstream->name, 1, 1 * MS);
+  answer (&fixture, upstream->name, 1, 1, 1 * MS);
   g_assert_cmpuint (upstream->n_unanswered, ==, 0);
   upstream = oh_placement_find (&fixture.placement, place (&fixture, "plan-fetch", 3, 2 * MS));
   oh_placement_expire (&fixture.placement, 2001 * MS);
@@ -296,7 +305,7 @@
 
       if (now_us >= 1 * MS + OH_PLACEMENT_SILENCE_MS * MS)
         g_assert_cmpstr (name, !=, silent);
-      oh_placement_answered (&fixture.placement, name, key, now_us);
+      answer (&fixture, name, key, 1, now_us);
     }
 
   /* The reservation has ended: one Open at a time tries the agent again. */
@@ -308,13 +317,48 @@
   /* An answer ends the suspicion. */
   load = make_load (silent, "plan-fetch", oh_placement_find (&fixture.placement, silent)->incarnation, 2, 0);
   oh_placement_report (&fixture.placement, &load, 2150 * MS);
-  oh_placement_answered (&fixture.placement, silent,
-                         oh_placement_find (&fixture.placement, silent)->unanswered[0].key, 2150 * MS);
+  answer (&fixture, silent, oh_placement_find (&fixture.placement, silent)->unanswered[0].key, 1, 2150 * MS);
   g_assert_cmpstr (place (&fixture, "plan-fetch", 200, 2200 * MS), ==, silent);
   g_assert_cmpstr (place (&fixture, "plan-fetch", 201, 2200 * MS), ==, silent);
   fixture_finish (&fixture);
 }
 
+/* Guards against an upstream that draws all Opens by reporting itself idle, and against one that is starved
+ * or remains distrusted after its reports are true again. */
+static void
+test_false_report (void)
+{
+  enum
+  {
+    OPENS = 300,
+  };
+  fixture_t fixture;
+  unsigned to_false = 0;
+
+  fixture_init (&fixture, three_equal, true);
+  for (uint64_t key = 0; key < OPENS; key++)
+    {
+      const int64_t now_us = (int64_t)key * 10 * MS;
+      const char *name = place (&fixture, "plan-fetch", key, now_us);
+      const bool false_report = g_str_equal (name, "p1");
+      const Oh__Load load
+        = make_load (name, "plan-fetch", oh_placement_find (&fixture.placement, name)->incarnation, key + 2,
+                     false_report ? 0 : 3);
+
+      to_false += false_report ? 1 : 0;
+      oh_placement_report (&fixture.placement, &load, now_us);
+      oh_placement_answered (&fixture.placement, &load, key, true, now_us);
+    }
+  g_assert_cmpuint (to_false, <=, OPENS / 3);
+  g_assert_cmpuint (to_false, >=, OPENS / 5);
+
+  place (&fixture, "plan-fetch", OPENS, 3000 * MS);
+  oh_placement_sent (&fixture.placement, oh_placement_find (&fixture.placement, "p1"), OPENS + 1, 3000 * MS);
+  answer (&fixture, "p1", OPENS + 1, 1, 3001 * MS);
+  g_assert_cmpuint (oh_placement_find (&fixture.placement, "p1")->contradictions, ==, 0);
+  fixture_finish (&fixture);
+}
+
 /* Guards against a dependency that counts as unavailable after one lost Open, and one that counts as
  * available although its agent is silent. */
 static void
@@ -376,6 +420,7 @@
   g_test_add_func ("/placement/unanswered-ends", test_unanswered_ends);
   g_test_add_func ("/placement/report-order", test_report_order);
   g_test_add_func ("/placement/silent-agent", test_silent_agent);
+  g_test_add_func ("/placement/false-report", test_false_report);
   g_test_add_func ("/placement/silent-dependency", test_silent_dependency);
   g_test_add_func ("/placement/membership", test_membership);
   return g_test_run ();
