control: report committed replica roles in the status

Cause: the status listed the latest replica set of the log, committed or not. Ruled out: transport between the replicas and votes for unknown candidates; the logs show that the promotion was proposed 12 ms before the leader was killed. Change: the status gives the committed set.

--- a/lib/core/control_core.c
+++ b/lib/core/control_core.c
@@ -237,14 +237,16 @@
 static void
 handle_status_query (const oh_control_core_t *core, GBytes *route, const Oh__StatusQuery *query)
 {
-  const GPtrArray *set = oh_raft_replicas (&core->raft);
+  /* Operators wait for a repaired replica to be a voter before they take down another one; an uncommitted
+   * promotion would tell them too early. */
+  g_autoptr (GPtrArray) set = oh_raft_committed_replicas (&core->raft);
   g_autoptr (GPtrArray) replicas = g_ptr_array_new_with_free_func (g_free);
   Oh__Control message = OH__CONTROL__INIT;
   Oh__StatusReply reply = OH__STATUS_REPLY__INIT;
   Oh__View view = OH__VIEW__INIT;
 
   oh_membership_fill_view (&core->membership, 0, 0, core->now_us, &view);
-  for (guint i = 0; set != NULL && i < set->len; i++)
+  for (guint i = 0; i < set->len; i++)
     g_ptr_array_add (replicas, make_replica (g_ptr_array_index (set, i)));
   reply.replica = core->name;
   reply.leader = oh_raft_role (&core->raft) == OH_RAFT_LEADER;
--- a/lib/core/raft.c
+++ b/lib/core/raft.c
@@ -541,6 +541,18 @@
   return raft->replicas;
 }
 
+GPtrArray *
+oh_raft_committed_replicas (const oh_raft_t *raft)
+{
+  uint64_t index = 0;
+  GBytes *bytes = oh_raft_log_replicas (&raft->log, oh_raft_commit_index (raft), &index);
+  GPtrArray *replicas = bytes != NULL ? oh_raft_replicas_decode (bytes) : oh_raft_replicas_new ();
+
+  /* The bytes were checked when they were received or recovered. */
+  g_assert (replicas != NULL);
+  return replicas;
+}
+
 bool
 oh_raft_confirmed (const oh_raft_t *raft, int64_t now_us)
 {
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -260,6 +260,9 @@
 /* Latest replica set of the log, committed or not; of oh_raft_replica_t *. */
 const GPtrArray *oh_raft_replicas (const oh_raft_t *raft);
 
+/* Latest committed replica set, of oh_raft_replica_t *; free with g_ptr_array_unref. */
+GPtrArray *oh_raft_committed_replicas (const oh_raft_t *raft);
+
 /*
  * True if the applied state was current within the last second: this replica leads, has committed an entry of
  * its term and a quorum was in contact within OH_RAFT_CONFIRMED_US, or it has applied everything that such a
