raft: test four more rules of the core

Own vote durable before it counts, learner holds what is committed before it is promoted, a leader that appended its removal campaigns, no vote given out after a full disk recovers.

--- a/tests/test_raft_rules.c
+++ b/tests/test_raft_rules.c
@@ -107,8 +107,9 @@
   oh_raft_handle (&core->raft, &event, &core->sink);
 }
 
+/* Replicas with the ids SELF, SELF + 1, ...; the last one is a learner if asked for. */
 static GBytes *
-voters (unsigned n)
+replica_set (unsigned n, bool learner)
 {
   g_autoptr (GPtrArray) replicas = oh_raft_replicas_new ();
 
@@ -116,18 +117,20 @@
     {
       g_autofree char *name = g_strdup_printf ("r%u", i);
 
-      oh_raft_replicas_add (replicas, oh_raft_replica_new (name, SELF + i, "tcp://127.0.0.1:9000",
-                                                           OH__REPLICA_ROLE__REPLICA_VOTER));
+      oh_raft_replicas_add (replicas,
+                            oh_raft_replica_new (name, SELF + i, "tcp://127.0.0.1:9000",
+                                                 learner && i == n - 1 ? OH__REPLICA_ROLE__REPLICA_LEARNER
+                                                                       : OH__REPLICA_ROLE__REPLICA_VOTER));
     }
   return oh_raft_replicas_encode (replicas);
 }
 
-/* A replica of a cluster of n voters with the ids SELF, SELF + 1, ... and a log with entries of the given
- * terms after the replica set; n 0: an empty folder of one of three initial replicas. */
+/* A replica of a cluster of n, with entries of the given terms in its log after the replica set; n 0: an
+ * empty folder of one of three initial replicas. */
 static void
-setup (core_t *core, unsigned n, uint64_t term, const char *entry_terms)
+setup_set (core_t *core, unsigned n, bool learner, uint64_t term, const char *entry_terms)
 {
-  g_autoptr (GBytes) set = voters (n);
+  g_autoptr (GBytes) set = replica_set (n, learner);
   g_autoptr (GBytes) data = g_bytes_new_static ("x", 1);
   const oh_raft_replica_t initial[] = {
     { .name = "r0", .endpoint = "tcp://127.0.0.1:9000" },
@@ -161,6 +164,12 @@
                                    } });
 }
 
+static void
+setup (core_t *core, unsigned n, uint64_t term, const char *entry_terms)
+{
+  setup_set (core, n, false, term, entry_terms);
+}
+
 static void
 teardown (core_t *core)
 {
@@ -329,6 +338,76 @@
   teardown (&core);
 }
 
+/* Guards against a candidate that counts its own vote before it is durable. */
+static void
+test_own_vote_synced (void)
+{
+  core_t core;
+
+  setup (&core, 3, 1, "1");
+  core.now_us += OH_RAFT_ELECTION_MAX_US;
+  handle (&core, (oh_raft_event_t){ .kind = OH_RAFT_TIMER });
+  receive_vote (&core, SELF + 1, 2, true);
+  receive_vote (&core, SELF + 1, 2, false);
+  g_assert_cmpint (oh_raft_role (&core.raft), ==, OH_RAFT_CANDIDATE);
+  answer_storage (&core, OH_RAFT_SYNCED);
+  g_assert_cmpint (oh_raft_role (&core.raft), ==, OH_RAFT_LEADER);
+  teardown (&core);
+}
+
+/* Guards against a learner that becomes a voter before it holds what is committed. */
+static void
+test_learner_promotion (void)
+{
+  core_t core;
+
+  setup_set (&core, 4, true, 1, "1");
+  elect (&core, 3);
+  answer_storage (&core, OH_RAFT_SYNCED);
+  receive_append_reply (&core, SELF + 1, 3);
+  for (uint64_t match = 1; match <= 3; match++)
+    {
+      const oh_raft_replica_t *learner = oh_raft_replicas_find (oh_raft_replicas (&core.raft), SELF + 3);
+
+      g_assert_cmpint (learner->role, ==, OH__REPLICA_ROLE__REPLICA_LEARNER);
+      receive_append_reply (&core, SELF + 3, match);
+      core.now_us += OH_RAFT_HEARTBEAT_US;
+      handle (&core, (oh_raft_event_t){ .kind = OH_RAFT_TIMER });
+    }
+  g_assert_cmpuint (oh_raft_replicas_count (oh_raft_replicas (&core.raft), OH__REPLICA_ROLE__REPLICA_VOTER),
+                    ==, 4);
+  teardown (&core);
+}
+
+/* Guards against a leader that appended its own removal, lost the quorum, and then does not campaign although
+ * no replica with a shorter log can win; and against one that counts itself. */
+static void
+test_removed_campaigns (void)
+{
+  core_t core;
+  oh_raft_event_t event = { .kind = OH_RAFT_REMOVE_REPLICA, .membership = { .name = "r0" } };
+
+  setup (&core, 3, 1, "1");
+  elect (&core, 3);
+  answer_storage (&core, OH_RAFT_SYNCED);
+  receive_append_reply (&core, SELF + 1, 3);
+  handle (&core, event);
+  g_assert_cmpint (core.proposal, ==, OH_RAFT_PROPOSED);
+  answer_storage (&core, OH_RAFT_SYNCED);
+  g_assert_cmpuint (oh_raft_commit_index (&core.raft), ==, 3);
+  core.now_us += 2 * OH_RAFT_ELECTION_MAX_US;
+  handle (&core, (oh_raft_event_t){ .kind = OH_RAFT_TIMER });
+  g_assert_cmpint (oh_raft_role (&core.raft), ==, OH_RAFT_FOLLOWER);
+  core.now_us += OH_RAFT_ELECTION_MAX_US;
+  handle (&core, (oh_raft_event_t){ .kind = OH_RAFT_TIMER });
+  g_assert_cmpint (oh_raft_role (&core.raft), ==, OH_RAFT_CANDIDATE);
+  receive_vote (&core, SELF + 1, 3, true);
+  g_assert_cmpuint (oh_raft_term (&core.raft), ==, 2);
+  receive_vote (&core, SELF + 2, 3, true);
+  g_assert_cmpuint (oh_raft_term (&core.raft), ==, 3);
+  teardown (&core);
+}
+
 /* Guards against votes for candidates that lack entries, second votes in a term, votes before they are
  * durable, votes with a full disk, and votes while the leader is heard. */
 static void
@@ -380,6 +459,10 @@
         g_assert_false (vote_granted (&core));
       if (cases[i / 2].hears_leader || pre)
         g_assert_cmpuint (oh_raft_term (&core.raft), <, 5);
+      /* A full disk is tried again after a second. */
+      core.now_us += cases[i / 2].full ? 1000000 : 0;
+      if (cases[i / 2].full)
+        handle (&core, (oh_raft_event_t){ .kind = OH_RAFT_TIMER });
       if (core.request != NULL)
         answer_storage (&core, OH_RAFT_SYNCED);
       g_assert_cmpint (vote_granted (&core), ==, cases[i / 2].granted);
@@ -426,7 +509,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       core_t core;
-      g_autoptr (GBytes) set = voters (3);
+      g_autoptr (GBytes) set = replica_set (3, false);
       uint8_t data[] = "12345678";
 
       setup (&core, 3, 3, "1");
@@ -576,6 +659,9 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/raft-rules/commit-own-term", test_commit_own_term);
   g_test_add_func ("/raft-rules/own-entry-synced", test_own_entry_synced);
+  g_test_add_func ("/raft-rules/own-vote-synced", test_own_vote_synced);
+  g_test_add_func ("/raft-rules/learner-promotion", test_learner_promotion);
+  g_test_add_func ("/raft-rules/removed-campaigns", test_removed_campaigns);
   g_test_add_func ("/raft-rules/votes", test_votes);
   g_test_add_func ("/raft-rules/stale-answer", test_stale_answer);
   g_test_add_func ("/raft-rules/snapshot", test_snapshot);
