--- a/lib/core/keyring.c
+++ b/lib/core/keyring.c
@@ -39,8 +39,9 @@
                    uint8_t mac[OH_MAC_BYTES])
 {
   /* Fixed layout without padding, little endian. */
-  uint8_t input[OH_FLOW_ID_BYTES + 32];
-  const uint64_t words[2] = { GUINT64_TO_LE (token->service), GUINT64_TO_LE (token->incarnation) };
+  uint8_t input[OH_FLOW_ID_BYTES + 40];
+  const uint64_t words[3]
+    = { GUINT64_TO_LE (token->service), GUINT64_TO_LE (token->incarnation), GUINT64_TO_LE (token->offer) };
   const uint32_t halves[4]
     = { GUINT32_TO_LE (token->agent.ipv4), GUINT32_TO_LE ((uint32_t)token->agent.port),
         GUINT32_TO_LE (token->flow_generation), GUINT32_TO_LE (token->key_generation) };
@@ -132,6 +133,38 @@
   return true;
 }
 
+bool
+oh_keyring_of_message (const oh_keyring_t *keyring, const uint8_t *buffer, size_t length, oh_keyring_t *other)
+{
+  uint32_t generation;
+
+  if (length < OH_SEAL_HEADER_BYTES)
+    return false;
+  memcpy (&generation, buffer + OH_MAC_BYTES, sizeof generation);
+  memcpy (other->master, keyring->master, sizeof other->master);
+  other->generation = GUINT32_FROM_LE (generation);
+  derive_keys (other);
+  return true;
+}
+
+bool
+oh_keyring_follow (oh_keyring_t *keyring, oh_key_purpose_t purpose, const uint8_t *buffer, size_t length)
+{
+  oh_keyring_t other;
+  const uint8_t *body;
+  size_t body_length;
+  bool ok;
+
+  if (!oh_keyring_of_message (keyring, buffer, length, &other))
+    return false;
+  ok = other.generation > keyring->generation
+       && oh_unseal (&other, purpose, buffer, length, &body, &body_length, NULL);
+  if (ok)
+    oh_keyring_advance (keyring, other.generation);
+  oh_keyring_finish (&other);
+  return ok;
+}
+
 void
 oh_token_sign (const oh_keyring_t *keyring, const oh_flow_id_t *flow, oh_token_t *token)
 {
