--- a/lib/adapters/packet_loop.c
+++ b/lib/adapters/packet_loop.c
@@ -13,7 +13,7 @@
 
 enum
 {
-  BATCH_DATAGRAMS = 16,
+  BATCH_DATAGRAMS = 64,
   BUFFER_BYTES = 2048, /* above every valid datagram, so that a truncated one is still too long */
 };
 
