caller_core: report unknown when only a later owner refused

One cause follows from the code: after a reopening, a repeatable request goes to another owner as attempt 2; its refusal says nothing about attempt 1, which a frozen agent runs when it is continued. Such a refusal is now reported as unknown. Test: caller/refused-by-second-owner.

--- a/lib/core/caller_core.c
+++ b/lib/core/caller_core.c
@@ -236,24 +236,35 @@
   return false;
 }
 
+/* A refusal holds for the present attempt only: an earlier owner that has not answered may still run the
+ * request, for instance after it was frozen. */
+static Oh__Result
+reported_result (const oh_caller_entry_t *entry, Oh__Result result)
+{
+  return entry->may_have_run && oh_outcome_of_result (result) == OH_OUTCOME_NOT_RUN
+           ? OH__RESULT__RESULT_UNKNOWN
+           : result;
+}
+
 /* Ends the request with the result, or tries again under another number. */
 static void
 settle (oh_caller_core_t *core, oh_caller_entry_t *entry, Oh__Result result, int64_t now_us,
         oh_caller_sink_t *sink)
 {
   const bool established = oh_caller_entry_is_stream (entry) && entry->answer.next > 0;
+  const Oh__Result reported = reported_result (entry, result);
   int64_t backoff_us;
 
   if (!may_retry (entry, result, now_us))
     {
-      finish_entry (core, entry, result, sink);
+      finish_entry (core, entry, reported, sink);
       return;
     }
   /* Ending an established stream for want of budget would break it; its retries are limited by the backoff
    * alone. */
   if (!established && (entry->tries + 1 >= TRIES_MAX || !oh_retry_budget_withdraw (core->budget)))
     {
-      finish_entry (core, entry, result, sink);
+      finish_entry (core, entry, reported, sink);
       return;
     }
   if (result == OH__RESULT__RESULT_RESUME_MISMATCH)
@@ -264,7 +275,7 @@
     }
   backoff_us = MIN (RETRY_BACKOFF_US << MIN (entry->tries, 5U), INTERVAL_MAX_US);
   entry->tries++;
-  requeue (core, entry, result, now_us + jittered (core, backoff_us), sink);
+  requeue (core, entry, reported, now_us + jittered (core, backoff_us), sink);
 }
 
 static void
--- a/tests/test_caller_core.c
+++ b/tests/test_caller_core.c
@@ -402,6 +402,22 @@
   assert_count (fixture, "data id=3 c", 1);
 }
 
+/* Guards against "not run" for a request that an earlier owner may still run: scripts/prove --fault
+ * frozen-agent
+ * --seed 1 reported one repeatable request as refused that a frozen agent ran when it was continued. */
+static void
+test_refused_by_second_owner (fixture_t *fixture, gconstpointer data)
+{
+  request (fixture, 1, OH__REQUEST_KIND__REQUEST_REPEATABLE, 0);
+  receive_gone (fixture, 1);
+  receive_token (fixture, false, 2, 2);
+  receive_outcome (fixture, 1, 2, OH__RESULT__RESULT_NOT_RUN_OVERLOADED);
+  assert_count (fixture, "renumbered id=1 number=1 unknown", 1);
+  advance (fixture, SECOND_US / 5);
+  receive_outcome (fixture, 2, 1, OH__RESULT__RESULT_NOT_RUN_DEADLINE);
+  assert_count (fixture, "done id=1 number=2 unknown", 1);
+}
+
 /* Guards against following a move back to an older owner, and requests lost in a handover. */
 static void
 test_moved (fixture_t *fixture, gconstpointer data)
@@ -625,6 +641,7 @@
     { "dependency-refusal", false, test_dependency_refusal },
     { "answer", true, test_answer },
     { "gone", true, test_gone },
+    { "refused-by-second-owner", true, test_refused_by_second_owner },
     { "moved", true, test_moved },
     { "path", true, test_path },
     { "idle-pings", true, test_idle_pings },
