standin_upstream: answer cancellations truthfully

A DELETE that overtook its POST on another connection was answered with "Oriole-Ran: no" and the request ran afterwards; a DELETE for a run that had ended was answered with "no" too.

--- a/standins/standin_upstream.c
+++ b/standins/standin_upstream.c
@@ -84,7 +84,9 @@
   unsigned reported_busy;
   bool reported_drain;
   int64_t reported_us;
-  GHashTable *runs; /* "FLOW/NUMBER" to run_t; the latest run of a number */
+  GHashTable *runs;      /* "FLOW/NUMBER" to run_t; the latest run of a number */
+  GHashTable *ran;       /* "FLOW/NUMBER" of all runs */
+  GHashTable *cancelled; /* "FLOW/NUMBER" of requests that were cancelled before they arrived */
 } upstream_t;
 
 typedef struct
@@ -279,6 +281,16 @@
   soup_server_message_set_status (message, status, NULL);
 }
 
+static bool
+is_cancelled (const upstream_t *upstream, SoupMessageHeaders *headers)
+{
+  const char *flow = soup_message_headers_get_one (headers, "Oriole-Flow");
+  const char *number = soup_message_headers_get_one (headers, "Oriole-Request");
+  g_autofree char *key = g_strdup_printf ("%s/%s", flow != NULL ? flow : "-", number != NULL ? number : "0");
+
+  return g_hash_table_contains (upstream->cancelled, key);
+}
+
 /* Returns the status of a request that does not run, or 0. */
 static unsigned
 check_request (upstream_t *upstream, SoupMessageHeaders *headers, bool takes_slot)
@@ -288,6 +300,8 @@
 
   if (service == NULL || strcmp (service, upstream->service) != 0)
     return SOUP_STATUS_MISDIRECTED_REQUEST;
+  if (is_cancelled (upstream, headers))
+    return SOUP_STATUS_SERVICE_UNAVAILABLE;
   if (deadline != NULL && g_ascii_strtoll (deadline, NULL, 10) <= 0)
     return SOUP_STATUS_GATEWAY_TIMEOUT;
   if (upstream->modes.shed != 0 || upstream->modes.drain != 0
@@ -320,6 +334,7 @@
     upstream->busy++;
   record (upstream, "start", run);
   g_hash_table_replace (upstream->runs, run->key, run);
+  g_hash_table_add (upstream->ran, g_strdup (run->key));
   g_signal_connect (message, "finished", G_CALLBACK (handle_finished), run);
   return run;
 }
@@ -364,9 +379,13 @@
 handle_cancel (upstream_t *upstream, SoupServerMessage *message, const char *key)
 {
   run_t *run = g_hash_table_lookup (upstream->runs, key);
+  const bool ran = g_hash_table_contains (upstream->ran, key);
 
+  /* "no" is a promise: the request may be on its way on another connection, and must not run then. */
+  if (!ran)
+    g_hash_table_add (upstream->cancelled, g_strdup (key));
   soup_message_headers_replace (soup_server_message_get_response_headers (message), "Oriole-Ran",
-                                run != NULL ? "yes" : "no");
+                                ran ? "yes" : "no");
   soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
   if (run == NULL || run->answered)
     return;
@@ -570,6 +589,8 @@
   oh_log_start (OH_LOG_INFO);
   upstream.loop = g_main_loop_new (NULL, FALSE);
   upstream.runs = g_hash_table_new (g_str_hash, g_str_equal);
+  upstream.ran = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  upstream.cancelled = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   upstream.ledger = open (upstream.ledger_path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   if (upstream.ledger < 0)
     {
@@ -593,6 +614,8 @@
   if (upstream.ledger >= 0)
     close (upstream.ledger);
   g_hash_table_unref (upstream.runs);
+  g_hash_table_unref (upstream.ran);
+  g_hash_table_unref (upstream.cancelled);
   g_main_loop_unref (upstream.loop);
   oh_log_stop ();
   return status;
