caller_core: accept Gone from an agent of another service

An agent that was started at the address of a killed agent of another service answers with Gone under its own service, which the caller dropped; it waited 7 s for its path checks. Gone names the incarnation of the caller's token, so the service adds nothing.

--- a/lib/core/caller_core.c
+++ b/lib/core/caller_core.c
@@ -492,7 +492,9 @@
   oh_flow_id_t flow;
 
   oh_flow_id_get (packet, &flow);
-  if (memcmp (&flow, &core->flow, sizeof flow) != 0 || packet->service != core->service)
+  /* Gone may come from an agent of another service that was started at the address of the owner. */
+  if (memcmp (&flow, &core->flow, sizeof flow) != 0
+      || (packet->service != core->service && packet->body_case != OH__PACKET__BODY_GONE))
     {
       core->n_stale_packets++;
       return;
--- a/tests/test_caller_core.c
+++ b/tests/test_caller_core.c
@@ -151,14 +151,20 @@
 }
 
 static void
-receive (fixture_t *fixture, Oh__Packet *packet)
+receive_of_service (fixture_t *fixture, Oh__Packet *packet, uint64_t service)
 {
   packet->flow.data = fixture->core.flow.bytes;
   packet->flow.len = OH_FLOW_ID_BYTES;
-  packet->service = fixture->core.service;
+  packet->service = service;
   handle (fixture, (oh_caller_event_t){ .kind = OH_CALLER_EVENT_PACKET, .packet = packet });
 }
 
+static void
+receive (fixture_t *fixture, Oh__Packet *packet)
+{
+  receive_of_service (fixture, packet, fixture->core.service);
+}
+
 /* Agents are told apart by port, which is also their incarnation. */
 static void
 receive_token (fixture_t *fixture, bool moved, unsigned agent, unsigned generation)
@@ -242,7 +248,7 @@
 }
 
 static void
-receive_gone (fixture_t *fixture, unsigned agent)
+receive_gone_of_service (fixture_t *fixture, unsigned agent, uint64_t service)
 {
   Oh__Packet packet = OH__PACKET__INIT;
   Oh__Gone gone = OH__GONE__INIT;
@@ -250,7 +256,13 @@
   gone.incarnation = agent;
   packet.body_case = OH__PACKET__BODY_GONE;
   packet.gone = &gone;
-  receive (fixture, &packet);
+  receive_of_service (fixture, &packet, service);
+}
+
+static void
+receive_gone (fixture_t *fixture, unsigned agent)
+{
+  receive_gone_of_service (fixture, agent, fixture->core.service);
 }
 
 static void
@@ -402,6 +414,16 @@
   assert_count (fixture, "data id=3 c", 1);
 }
 
+/* Guards against waiting for the path checks (7 s) when another service's agent has taken the address. */
+static void
+test_gone_of_other_service (fixture_t *fixture, gconstpointer data)
+{
+  receive_gone_of_service (fixture, 7, 43);
+  assert_count (fixture, "open", 0);
+  receive_gone_of_service (fixture, 1, 43);
+  assert_count (fixture, "open generation=2", 1);
+}
+
 /* Guards against "not run" for a request that an earlier owner may still run: scripts/prove --fault
  * frozen-agent
  * --seed 1 reported one repeatable request as refused that a frozen agent ran when it was continued. */
@@ -641,6 +663,7 @@
     { "dependency-refusal", false, test_dependency_refusal },
     { "answer", true, test_answer },
     { "gone", true, test_gone },
+    { "gone-of-other-service", true, test_gone_of_other_service },
     { "refused-by-second-owner", true, test_refused_by_second_owner },
     { "moved", true, test_moved },
     { "path", true, test_path },
