--- a/lib/core/agent_core.h
+++ b/lib/core/agent_core.h
@@ -178,7 +178,7 @@
   bool report_changed;
   unsigned offers;
   uint64_t last_offer; /* number of the last token given out for a new owner */
-  int64_t sweep_us; /* next look at idle flows and expired offers */
+  int64_t sweep_us;    /* next look at idle flows and expired offers */
   int64_t armed_us;
 
   oh_arena_t relay_arena;
