--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -186,6 +186,9 @@
   oh_raft_replica_t *self;
   GPtrArray *initial; /* of oh_raft_replica_t *; ids are filled in as they become known */
   GHashTable *agreed; /* ids whose last Hello listed the same ids as initial does */
+  uint64_t
+    hello_nonce; /* a Hello agrees only if it answers this, so that one of a lost replica does not count */
+  uint64_t heard[OH_RAFT_REPLICAS_MAX]; /* last nonce of each of initial */
   bool join;
   unsigned compact_entries;
 
@@ -257,6 +260,9 @@
 /* Latest replica set of the log, committed or not; of oh_raft_replica_t *. */
 const GPtrArray *oh_raft_replicas (const oh_raft_t *raft);
 
+/* Latest committed replica set, of oh_raft_replica_t *; free with g_ptr_array_unref. */
+GPtrArray *oh_raft_committed_replicas (const oh_raft_t *raft);
+
 /*
  * True if the applied state was current within the last second: this replica leads, has committed an entry of
  * its term and a quorum was in contact within OH_RAFT_CONFIRMED_US, or it has applied everything that such a
