--- a/daemons/oriolectl.c
+++ b/daemons/oriolectl.c
@@ -173,7 +173,8 @@
 {
   char *text = g_malloc (id->len * 2 + 1);
 
-  return sodium_bin2hex (text, id->len * 2 + 1, id->data, id->len);
+  sodium_bin2hex (text, id->len * 2 + 1, id->data, id->len);
+  return text;
 }
 
 static int
@@ -223,10 +224,10 @@
   return true;
 }
 
+/* Fills in id and author, which are valid during the call. */
 static int
-send_change (session_t *session, Oh__Change *change)
+send_own_change (session_t *session, Oh__Change *change, uint8_t id[OH_CHANGE_ID_BYTES])
 {
-  uint8_t id[OH_CHANGE_ID_BYTES];
   g_autofree char *author = g_strdup_printf ("%.24s@%.36s", g_get_user_name (), g_get_host_name ());
   g_autofree char *hex = NULL;
   oh_error_t error;
@@ -240,7 +241,7 @@
       return EXIT_USAGE;
     }
   change->id.data = id;
-  change->id.len = sizeof id;
+  change->id.len = OH_CHANGE_ID_BYTES;
   change->author = author;
   hex = format_id (&change->id);
   g_print ("id=%s\n", hex);
@@ -257,6 +258,15 @@
   return status;
 }
 
+static int
+send_change (session_t *session, const Oh__Change *change)
+{
+  Oh__Change own = *change;
+  uint8_t id[OH_CHANGE_ID_BYTES];
+
+  return send_own_change (session, &own, id);
+}
+
 /* Commands. */
 
 static int
