oriolectl: format change ids in place

An id of another length, which only a faulty replica sends, printed whatever it held; the analyzer reported the allocated text as a leak.

Tested: clang-tidy; tests/control_processes.py test_racing_operators and test_command_line.

--- a/daemons/oriolectl.c
+++ b/daemons/oriolectl.c
@@ -168,19 +168,25 @@
          && length == OH_CHANGE_ID_BYTES;
 }
 
-static char *
-format_id (const ProtobufCBinaryData *id)
+enum
 {
-  char *text = g_malloc (id->len * 2 + 1);
+  ID_TEXT_BYTES = 2 * OH_CHANGE_ID_BYTES + 1
+};
 
-  sodium_bin2hex (text, id->len * 2 + 1, id->data, id->len);
+/* Empty if the id has another length. */
+static const char *
+format_id (const ProtobufCBinaryData *id, char text[ID_TEXT_BYTES])
+{
+  text[0] = '\0';
+  if (id->len == OH_CHANGE_ID_BYTES)
+    sodium_bin2hex (text, ID_TEXT_BYTES, id->data, id->len);
   return text;
 }
 
 static int
 print_reply (const Oh__ChangeReply *reply, Oh__ChangeKind kind)
 {
-  g_autofree char *winner = format_id (&reply->winner_id);
+  char winner[ID_TEXT_BYTES];
 
   switch (reply->status)
     {
@@ -190,7 +196,7 @@
       return EXIT_DONE;
     case OH__CHANGE_STATUS__CHANGE_CONFLICT:
       g_print ("status=conflict version=%" G_GUINT64_FORMAT " winner_id=%s winner_author=%s\n",
-               reply->version, winner, reply->winner_author);
+               reply->version, format_id (&reply->winner_id, winner), reply->winner_author);
       return EXIT_CONFLICT;
     case OH__CHANGE_STATUS__CHANGE_INVALID:
       g_print ("status=invalid detail=%s\n", reply->detail);
@@ -229,7 +235,7 @@
 send_own_change (session_t *session, Oh__Change *change, uint8_t id[OH_CHANGE_ID_BYTES])
 {
   g_autofree char *author = g_strdup_printf ("%.24s@%.36s", g_get_user_name (), g_get_host_name ());
-  g_autofree char *hex = NULL;
+  char hex[ID_TEXT_BYTES];
   oh_error_t error;
   Oh__ChangeReply *reply;
   int status;
@@ -243,7 +249,7 @@
   change->id.data = id;
   change->id.len = OH_CHANGE_ID_BYTES;
   change->author = author;
-  hex = format_id (&change->id);
+  format_id (&change->id, hex);
   g_print ("id=%s\n", hex);
   fflush (stdout);
   reply = oh_operator_client_change (session->client, change, session->timeout_ms, &error);
