control_core: test answers, a cut off leader and stale heartbeats

Three cores on a virtual clock and network. Removing the leader's proof from oh_control_core_confirmed makes stale-heartbeats fail.

Tested: tests/test_control_core, also with the address sanitizer.

--- /dev/null
+++ b/tests/test_control_core.c
@@ -0,0 +1,449 @@
+#include <glib.h>
+#include <string.h>
+
+#include "base/seeded_random.h"
+#include "core/codec.h"
+#include "core/control_core.h"
+
+/* Three control cores on a virtual clock and network. */
+
+enum
+{
+  REPLICAS = 3,
+  STEP_US = 10000,
+  SECOND = G_USEC_PER_SEC,
+};
+
+#define TEXT "[oriolehaven]\nname=a\n[service kiln-log]\naddress=127.0.0.1:7000\n"
+
+typedef struct
+{
+  char route[16]; /* sender's endpoint */
+  GBytes *bytes;
+} letter_t;
+
+typedef struct
+{
+  oh_control_sink_t sink; /* first member */
+  oh_control_core_t core;
+  oh_seeded_random_t random;
+  oh_recovered_t recovered;
+  char name[2];
+  char endpoint[16];
+  bool stopped;  /* handles nothing; messages wait */
+  bool deaf;     /* messages to it are lost */
+  GQueue inbox;  /* of letter_t * */
+  GQueue synced; /* of persist ids, as pointers */
+  int64_t timer_us;
+  uint64_t view_version; /* of the last view sent */
+  bool view_confirmed;
+  Oh__ChangeStatus status; /* of the last change reply */
+  uint64_t status_version;
+  unsigned n_replies;
+} replica_t;
+
+typedef struct
+{
+  replica_t replicas[REPLICAS];
+  int64_t now_us;
+} cluster_t;
+
+static cluster_t cluster;
+
+static replica_t *
+replica_of (oh_control_sink_t *sink)
+{
+  return (replica_t *)sink;
+}
+
+static void
+post (const replica_t *from, const char *endpoint, const Oh__Control *message)
+{
+  for (unsigned i = 0; i < REPLICAS; i++)
+    {
+      replica_t *to = &cluster.replicas[i];
+      letter_t *letter;
+      uint8_t *bytes;
+      size_t length;
+
+      if (strcmp (to->endpoint, endpoint) != 0 || to->deaf)
+        continue;
+      length = oh__control__get_packed_size (message);
+      bytes = g_malloc (length);
+      oh__control__pack (message, bytes);
+      letter = g_new0 (letter_t, 1);
+      g_strlcpy (letter->route, from->endpoint, sizeof letter->route);
+      letter->bytes = g_bytes_new_take (bytes, length);
+      g_queue_push_tail (&to->inbox, letter);
+    }
+}
+
+static void
+on_reply (oh_control_sink_t *sink, GBytes *route, oh_key_purpose_t purpose, const Oh__Control *message)
+{
+  replica_t *replica = replica_of (sink);
+
+  if (message->body_case == OH__CONTROL__BODY_VIEW)
+    {
+      g_assert_cmpint (purpose, ==, OH_KEY_CONTROL);
+      replica->view_version = message->view->version;
+      replica->view_confirmed = message->view->confirmed;
+    }
+  else if (message->body_case == OH__CONTROL__BODY_CHANGE_REPLY)
+    {
+      g_assert_cmpint (purpose, ==, OH_KEY_OPERATOR);
+      replica->status = message->change_reply->status;
+      replica->status_version = message->change_reply->version;
+      replica->n_replies++;
+    }
+  else
+    post (replica, g_bytes_get_data (route, NULL), message);
+}
+
+static void
+on_send_replica (oh_control_sink_t *sink, const char *endpoint, const Oh__Control *message)
+{
+  post (replica_of (sink), endpoint, message);
+}
+
+static void
+on_persist (oh_control_sink_t *sink, oh_persist_t *request)
+{
+  g_queue_push_tail (&replica_of (sink)->synced, GSIZE_TO_POINTER (request->id));
+  oh_persist_free (request);
+}
+
+static void
+on_arm_timer (oh_control_sink_t *sink, int64_t due_us)
+{
+  replica_of (sink)->timer_us = due_us;
+}
+
+static void
+on_advance_keys (oh_control_sink_t *sink, uint32_t generation)
+{
+  (void)sink;
+  (void)generation;
+}
+
+static void
+on_rejected (oh_control_sink_t *sink, const char *sender, const char *reason)
+{
+  (void)sink;
+  g_error ("message of %s rejected: %s", sender, reason);
+}
+
+static void
+on_log (oh_control_sink_t *sink, const char *event, const char *pairs)
+{
+  (void)sink;
+  g_test_message ("%.3f %s %s", (double)cluster.now_us / SECOND, event, pairs);
+}
+
+static void
+on_failed (oh_control_sink_t *sink, const char *reason)
+{
+  g_error ("replica %s failed: %s", replica_of (sink)->name, reason);
+}
+
+static void
+handle (replica_t *replica, oh_control_event_t *event)
+{
+  event->now_us = cluster.now_us;
+  oh_control_core_handle (&replica->core, event, &replica->sink);
+}
+
+static void
+deliver (replica_t *replica, const char *route, const Oh__Control *message, oh_control_event_kind_t kind)
+{
+  g_autoptr (GBytes) bytes = g_bytes_new (route, strlen (route) + 1);
+  oh_control_event_t event = { .kind = kind, .message = { .route = bytes, .message = message } };
+
+  handle (replica, &event);
+}
+
+static void
+free_letter (gpointer data)
+{
+  letter_t *letter = data;
+
+  g_bytes_unref (letter->bytes);
+  g_free (letter);
+}
+
+/* Handles the first waiting message; false if there is none. */
+static bool
+read_letter (replica_t *replica)
+{
+  letter_t *letter = g_queue_pop_head (&replica->inbox);
+  gsize length;
+  const uint8_t *bytes;
+  Oh__Control *message;
+
+  if (letter == NULL)
+    return false;
+  bytes = g_bytes_get_data (letter->bytes, &length);
+  message = oh__control__unpack (NULL, length, bytes);
+  deliver (replica, letter->route, message, OH_CONTROL_SYSTEM_MESSAGE);
+  oh__control__free_unpacked (message, NULL);
+  free_letter (letter);
+  return true;
+}
+
+static void
+step_replica (replica_t *replica)
+{
+  oh_control_event_t tick = { .kind = OH_CONTROL_TICK };
+  oh_control_event_t timer = { .kind = OH_CONTROL_RAFT_TIMER };
+
+  while (read_letter (replica))
+    ;
+  while (!g_queue_is_empty (&replica->synced))
+    {
+      oh_control_event_t synced = { .kind = OH_CONTROL_SYNCED };
+
+      synced.persist.id = GPOINTER_TO_SIZE (g_queue_pop_head (&replica->synced));
+      handle (replica, &synced);
+    }
+  if (replica->timer_us <= cluster.now_us)
+    {
+      replica->timer_us = G_MAXINT64;
+      handle (replica, &timer);
+    }
+  if (cluster.now_us % OH_CONTROL_TICK_US == 0)
+    handle (replica, &tick);
+}
+
+static void
+run_for (int64_t duration_us)
+{
+  for (int64_t end_us = cluster.now_us + duration_us; cluster.now_us < end_us;)
+    {
+      cluster.now_us += STEP_US;
+      for (unsigned i = 0; i < REPLICAS; i++)
+        if (!cluster.replicas[i].stopped)
+          step_replica (&cluster.replicas[i]);
+    }
+}
+
+static replica_t *
+find_leader (void)
+{
+  for (unsigned i = 0; i < 500; i++)
+    {
+      for (unsigned j = 0; j < REPLICAS; j++)
+        {
+          replica_t *replica = &cluster.replicas[j];
+
+          if (!replica->stopped && !replica->deaf && oh_raft_role (&replica->core.raft) == OH_RAFT_LEADER
+              && oh_control_core_confirmed (&replica->core, cluster.now_us))
+            return replica;
+        }
+      run_for (STEP_US);
+    }
+  g_error ("no leader within 5 s");
+}
+
+static replica_t *
+find_follower (void)
+{
+  const replica_t *leader = find_leader ();
+
+  return &cluster.replicas[leader == &cluster.replicas[0] ? 1 : 0];
+}
+
+static void
+poll_view (replica_t *replica)
+{
+  Oh__Control message = OH__CONTROL__INIT;
+  Oh__Poll poll = OH__POLL__INIT;
+  Oh__Address relay;
+
+  oh_address_to_wire ((oh_address_t){ .ipv4 = 1, .port = 1 }, &relay);
+  poll.name = (char *)"lb-1";
+  poll.relay = &relay;
+  message.body_case = OH__CONTROL__BODY_POLL;
+  message.poll = &poll;
+  deliver (replica, "node", &message, OH_CONTROL_SYSTEM_MESSAGE);
+}
+
+static void
+send_apply (replica_t *replica, uint8_t id, uint64_t base)
+{
+  Oh__Control message = OH__CONTROL__INIT;
+  Oh__Change change = OH__CHANGE__INIT;
+  uint8_t bytes[OH_CHANGE_ID_BYTES] = { id };
+
+  change.id.data = bytes;
+  change.id.len = sizeof bytes;
+  change.base_version = base;
+  change.text = (char *)TEXT;
+  message.body_case = OH__CONTROL__BODY_CHANGE;
+  message.change = &change;
+  deliver (replica, "operator", &message, OH_CONTROL_OPERATOR_MESSAGE);
+}
+
+static void
+start_cluster (void)
+{
+  static const oh_control_sink_ops_t ops = {
+    .reply = on_reply,
+    .send_replica = on_send_replica,
+    .persist = on_persist,
+    .arm_timer = on_arm_timer,
+    .advance_keys = on_advance_keys,
+    .rejected = on_rejected,
+    .log = on_log,
+    .failed = on_failed,
+  };
+  oh_raft_replica_t initial[REPLICAS] = { 0 };
+
+  cluster = (cluster_t){ .now_us = SECOND };
+  for (unsigned i = 0; i < REPLICAS; i++)
+    {
+      replica_t *replica = &cluster.replicas[i];
+
+      replica->sink.ops = &ops;
+      replica->timer_us = G_MAXINT64;
+      replica->name[0] = (char)('a' + i);
+      g_snprintf (replica->endpoint, sizeof replica->endpoint, "tcp://%s", replica->name);
+      initial[i].name = replica->name;
+      initial[i].endpoint = replica->endpoint;
+      oh_seeded_random_init (&replica->random, 11 + i);
+      replica->recovered.name = g_strdup (replica->name);
+      replica->recovered.id = 100 + i;
+      replica->recovered.entries = g_ptr_array_new ();
+      oh_control_core_init (&replica->core, replica->name, 1 + i, &replica->random.base, cluster.now_us);
+    }
+  for (unsigned i = 0; i < REPLICAS; i++)
+    {
+      replica_t *replica = &cluster.replicas[i];
+      oh_control_event_t start = { .kind = OH_CONTROL_START };
+
+      start.start.recovered = &replica->recovered;
+      start.start.initial = initial;
+      start.start.n_initial = REPLICAS;
+      start.start.endpoint = replica->endpoint;
+      handle (replica, &start);
+    }
+  find_leader ();
+  run_for (SECOND);
+}
+
+static void
+stop_cluster (void)
+{
+  for (unsigned i = 0; i < REPLICAS; i++)
+    {
+      replica_t *replica = &cluster.replicas[i];
+
+      oh_control_core_finish (&replica->core);
+      oh_seeded_random_finish (&replica->random);
+      oh_recovered_clear (&replica->recovered);
+      g_queue_clear_full (&replica->inbox, free_letter);
+      g_queue_clear (&replica->synced);
+    }
+}
+
+/* Guards against a change that is answered as accepted before a quorum has it. */
+static void
+test_answer_after_commit (void)
+{
+  replica_t *leader;
+
+  start_cluster ();
+  leader = find_leader ();
+  for (unsigned i = 0; i < REPLICAS; i++)
+    cluster.replicas[i].stopped = &cluster.replicas[i] != leader;
+  send_apply (leader, 1, 0);
+  run_for (SECOND / 5);
+  g_assert_cmpuint (leader->n_replies, ==, 0);
+  g_assert_cmpuint (leader->core.state.version, ==, 0);
+  for (unsigned i = 0; i < REPLICAS; i++)
+    cluster.replicas[i].stopped = false;
+  run_for (SECOND / 5);
+  g_assert_cmpuint (leader->n_replies, ==, 1);
+  g_assert_cmpint (leader->status, ==, OH__CHANGE_STATUS__CHANGE_ACCEPTED);
+  send_apply (find_follower (), 2, 1);
+  g_assert_cmpint (find_follower ()->status, ==, OH__CHANGE_STATUS__CHANGE_NOT_LEADER);
+  stop_cluster ();
+}
+
+/* Guards against an operator who waits for ever, or hears "accepted", when the leader is cut off. */
+static void
+test_leader_cut_off (void)
+{
+  replica_t *old;
+  replica_t *leader;
+
+  start_cluster ();
+  old = find_leader ();
+  old->deaf = true;
+  send_apply (old, 1, 0);
+  run_for (2 * SECOND);
+  g_assert_cmpuint (old->n_replies, ==, 1);
+  g_assert_cmpint (old->status, ==, OH__CHANGE_STATUS__CHANGE_UNAVAILABLE);
+  poll_view (old);
+  g_assert_false (old->view_confirmed);
+  leader = find_leader ();
+  g_assert_true (leader != old);
+
+  /* The resent change gets one result, whether or not the old leader's entry was committed. */
+  send_apply (leader, 1, 0);
+  run_for (SECOND / 2);
+  g_assert_cmpint (leader->status, ==, OH__CHANGE_STATUS__CHANGE_ACCEPTED);
+  g_assert_cmpuint (leader->status_version, ==, 1);
+  old->deaf = false;
+  run_for (2 * SECOND);
+  g_assert_cmpuint (old->core.state.version, ==, 1);
+  send_apply (old, 1, 0);
+  g_assert_cmpint (old->status, ==, OH__CHANGE_STATUS__CHANGE_ACCEPTED);
+  g_assert_cmpuint (old->status_version, ==, 1);
+  stop_cluster ();
+}
+
+/* Guards against a replica that takes append requests which waited while it was stopped as news from the
+ * leader, and confirms a version that is no longer the current one. */
+static void
+test_stale_heartbeats (void)
+{
+  replica_t *follower;
+  replica_t *leader;
+
+  start_cluster ();
+  leader = find_leader ();
+  follower = find_follower ();
+  poll_view (follower);
+  g_assert_true (follower->view_confirmed);
+  follower->stopped = true;
+  run_for (2 * SECOND);
+  follower->deaf = true;
+  send_apply (leader, 1, 0);
+  run_for (SECOND);
+  g_assert_cmpint (leader->status, ==, OH__CHANGE_STATUS__CHANGE_ACCEPTED);
+  g_assert_cmpuint (g_queue_get_length (&follower->inbox), >, 10);
+  do
+    {
+      poll_view (follower);
+      g_assert_cmpuint (follower->view_version, ==, 0);
+      g_assert_false (follower->view_confirmed);
+    }
+  while (read_letter (follower));
+  follower->stopped = false;
+  follower->deaf = false;
+  run_for (2 * SECOND);
+  poll_view (follower);
+  g_assert_cmpuint (follower->view_version, ==, 1);
+  g_assert_true (follower->view_confirmed);
+  stop_cluster ();
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/control-core/answer-after-commit", test_answer_after_commit);
+  g_test_add_func ("/control-core/leader-cut-off", test_leader_cut_off);
+  g_test_add_func ("/control-core/stale-heartbeats", test_stale_heartbeats);
+  return g_test_run ();
+}
