packet_loop: poll only when both sockets are empty

The profile shows wake-ups of the registered epoll for datagrams that arrive while the thread is busy (sock_def_readable, spin locks). Ruled out: the core takes 1.47 us for a chunk, of which the MAC is 0.6 us; batches of 16 were not faster. Change: the thread reads both sockets in turn and calls ppoll only after both were empty. Tested: test_balancer_processes, test_whole_path.

--- a/lib/adapters/packet_loop.c
+++ b/lib/adapters/packet_loop.c
@@ -3,8 +3,8 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <poll.h>
 #include <string.h>
-#include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -117,7 +117,8 @@
     }
 }
 
-static void
+/* Returns the number of datagrams received. */
+static int
 receive_batch (oh_packet_loop_t *loop, int fd, oh_balancer_event_kind_t kind)
 {
   batch_t *in = &loop->batches->in;
@@ -127,7 +128,7 @@
     in->messages[i].msg_hdr.msg_namelen = sizeof in->addresses[i];
   n = recvmmsg (fd, in->messages, BATCH_DATAGRAMS, MSG_DONTWAIT, NULL);
   if (n <= 0)
-    return;
+    return 0;
   oh_counter_add (&loop->received, (uint64_t)n);
   oh_counter_increment (&loop->receive_batches);
 
@@ -149,6 +150,7 @@
     }
   flush_batch (loop, loop->caller_fd, &loop->batches->to_callers);
   flush_batch (loop, loop->relay_fd, &loop->batches->to_agents);
+  return n;
 }
 
 static void
@@ -157,6 +159,8 @@
   oh_placement_view_t *view;
   uint64_t count;
 
+  /* Cleared first: a view posted from here on sets it again. */
+  atomic_exchange (&loop->posted, false);
   if (read (loop->wake_fd, &count, sizeof count) < 0 && errno != EAGAIN)
     oh_log_warning ("wake_failed", "errno=%d", errno);
   while ((view = g_async_queue_try_pop (loop->views)) != NULL)
@@ -168,17 +172,27 @@
     }
 }
 
+/* Waits until something arrives or the timer is due. */
 static void
-dispatch (oh_packet_loop_t *loop, int fd)
+wait_for_input (oh_packet_loop_t *loop, int64_t due_us)
 {
-  if (fd == loop->caller_fd)
-    receive_batch (loop, fd, OH_BALANCER_CALLER_PACKET);
-  else if (fd == loop->relay_fd)
-    receive_batch (loop, fd, OH_BALANCER_RELAY);
-  else
-    take_views (loop);
+  struct pollfd fds[] = {
+    { .fd = loop->caller_fd, .events = POLLIN },
+    { .fd = loop->relay_fd, .events = POLLIN },
+    { .fd = loop->wake_fd, .events = POLLIN },
+  };
+  const int64_t left_us = MAX (due_us - oh_clock_now_us (loop->clock), 0);
+  const struct timespec timeout
+    = { .tv_sec = left_us / G_USEC_PER_SEC, .tv_nsec = (left_us % G_USEC_PER_SEC) * 1000 };
+
+  if (ppoll (fds, G_N_ELEMENTS (fds), &timeout, NULL) > 0 && fds[2].revents != 0)
+    atomic_store (&loop->posted, true);
 }
 
+/*
+ * Under load the sockets are read in turn without waiting. A persistent epoll registration would cost a
+ * callback for every datagram that arrives.
+ */
 static gpointer
 run (gpointer data)
 {
@@ -188,13 +202,14 @@
 
   while (!atomic_load_explicit (&loop->stop, memory_order_relaxed))
     {
-      struct epoll_event events[3];
-      int64_t now_us = oh_clock_now_us (loop->clock);
-      const int wait_ms = due_us > now_us ? (int)((due_us - now_us + 999) / 1000) : 0;
-      const int n = epoll_wait (loop->epoll_fd, events, G_N_ELEMENTS (events), wait_ms);
-
-      for (int i = 0; i < n; i++)
-        dispatch (loop, events[i].data.fd);
+      const int received = receive_batch (loop, loop->caller_fd, OH_BALANCER_CALLER_PACKET)
+                           + receive_batch (loop, loop->relay_fd, OH_BALANCER_RELAY);
+      int64_t now_us;
+
+      if (atomic_load (&loop->posted))
+        take_views (loop);
+      if (received == 0)
+        wait_for_input (loop, due_us);
       now_us = oh_clock_now_us (loop->clock);
       if (now_us >= due_us)
         {
@@ -212,22 +227,15 @@
 {
   const uint64_t one = 1;
 
+  atomic_store (&loop->posted, true);
   if (write (loop->wake_fd, &one, sizeof one) < 0)
     oh_log_warning ("wake_failed", "errno=%d", errno);
 }
 
-static bool
-watch (oh_packet_loop_t *loop, int fd)
-{
-  struct epoll_event event = { .events = EPOLLIN, .data.fd = fd };
-
-  return epoll_ctl (loop->epoll_fd, EPOLL_CTL_ADD, fd, &event) == 0;
-}
-
 static void
 close_descriptors (oh_packet_loop_t *loop)
 {
-  const int fds[] = { loop->caller_fd, loop->relay_fd, loop->wake_fd, loop->epoll_fd };
+  const int fds[] = { loop->caller_fd, loop->relay_fd, loop->wake_fd };
 
   for (size_t i = 0; i < G_N_ELEMENTS (fds); i++)
     if (fds[i] >= 0)
@@ -243,7 +251,6 @@
   loop->clock = clock;
   loop->relay_fd = -1;
   loop->wake_fd = -1;
-  loop->epoll_fd = -1;
   loop->caller_fd = oh_udp_open (listen, error);
   if (loop->caller_fd < 0)
     goto fail;
@@ -251,9 +258,7 @@
   if (loop->relay_fd < 0)
     goto fail;
   loop->wake_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
-  loop->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
-  if (loop->wake_fd < 0 || loop->epoll_fd < 0 || !watch (loop, loop->caller_fd)
-      || !watch (loop, loop->relay_fd) || !watch (loop, loop->wake_fd))
+  if (loop->wake_fd < 0)
     {
       oh_error_set (error, OH_ERROR_IO, OH_ERROR_CODE_SYSTEM, "packet loop: %s", strerror (errno));
       goto fail;
--- a/lib/adapters/packet_loop.h
+++ b/lib/adapters/packet_loop.h
@@ -23,10 +23,10 @@
   int caller_fd;
   int relay_fd;
   int wake_fd;
-  int epoll_fd;
   GAsyncQueue *views; /* of oh_placement_view_t *, owned */
   GThread *thread;
   _Atomic bool stop;
+  _Atomic bool posted; /* views wait, or the thread has to stop */
   oh_packet_batches_t *batches;
   oh_counter_t received;
   oh_counter_t receive_batches;
