placement: place by count at suspects beyond the exclusion cap

Cause: of two upstreams none may be excluded, and one that fails fast is idle, so it had the lowest load and drew nearly all Opens. Tested: test_placement, test_balancer_core.

--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -260,10 +260,11 @@
   return zone - other_zone;
 }
 
+/* True if the reported load does not tell what the upstream can take. One that fails fast is always idle. */
 static bool
-is_distrusted (const oh_upstream_t *upstream)
+is_distrusted (const oh_upstream_t *upstream, int64_t now_us)
 {
-  return upstream->contradictions >= OH_PLACEMENT_CONTRADICTIONS;
+  return upstream->contradictions >= OH_PLACEMENT_CONTRADICTIONS || suspicion (upstream, now_us) > 0;
 }
 
 static double
@@ -344,7 +345,7 @@
         decision->excluded++;
       else if (is_full (upstream) || is_tried (upstream, tried, n_tried))
         continue;
-      else if (is_distrusted (upstream))
+      else if (is_distrusted (upstream, now_us))
         candidates[placement->candidates->len - ++distrusted] = upstream;
       else
         candidates[trusted++] = upstream;
@@ -356,7 +357,7 @@
   if (paced != NULL)
     {
       decision->upstream = paced;
-      decision->reason = OH_PLACEMENT_PACED;
+      decision->reason = decision->candidates == 1 ? OH_PLACEMENT_ONLY_CANDIDATE : OH_PLACEMENT_PACED;
     }
   else if (trusted > 0)
     choose_by_load (placement, candidates, trusted, decision);
--- a/lib/core/placement.h
+++ b/lib/core/placement.h
@@ -70,7 +70,7 @@
   OH_PLACEMENT_FEWEST_FLOWS,
   OH_PLACEMENT_SAME_ZONE,
   OH_PLACEMENT_RANDOM_TIE,
-  OH_PLACEMENT_PACED, /* its reports are false; it gets a part of the mean of the others */
+  OH_PLACEMENT_PACED, /* its load is not known; it gets a part of the mean of the others */
   OH_PLACEMENT_NO_CONFIRMED_VIEW,
   OH_PLACEMENT_UNKNOWN_SERVICE,
   OH_PLACEMENT_DEPENDENCY_UNAVAILABLE,
@@ -88,9 +88,9 @@
   unsigned upstreams;       /* of the service */
   unsigned candidates;      /* that could have been chosen */
   unsigned suspects;        /* by report or for want of answers */
-  unsigned distrusted;      /* upstreams whose reports are false */
-  unsigned excluded;        /* of the suspects */
-  double load;              /* score of the chosen one: work per slot */
+  unsigned distrusted; /* candidates that get Opens by count: false reports, or suspects beyond the cap */
+  unsigned excluded;   /* of the suspects */
+  double load;         /* score of the chosen one: work per slot */
 } oh_placement_decision_t;
 
 typedef struct
