--- a/daemons/oriole_balancer.c
+++ b/daemons/oriole_balancer.c
@@ -182,6 +182,25 @@
   return ok;
 }
 
+static bool
+check_replicas (const char *path, const char *replicas, oh_error_t *error)
+{
+  static const char scheme[] = "tcp://";
+  g_auto (GStrv) endpoints = g_strsplit (replicas, ",", -1);
+
+  for (char **endpoint = endpoints; *endpoint != NULL; endpoint++)
+    {
+      oh_address_t address;
+
+      if (!g_str_has_prefix (*endpoint, scheme)
+          || !oh_address_parse (*endpoint + sizeof scheme - 1, &address))
+        return oh_error_set (
+          error, OH_ERROR_SETTINGS, OH_ERROR_CODE_BAD_VALUE,
+          "%s: section [control], key replicas, value \"%s\": expected tcp://IPV4:PORT,...", path, replicas);
+    }
+  return true;
+}
+
 static bool
 load (balancer_t *balancer, const char *path, oh_log_level_t *level, oh_error_t *error)
 {
@@ -193,7 +212,8 @@
     return oh_error_set (error, OH_ERROR_SETTINGS, OH_ERROR_CODE_BAD_VALUE,
                          "%s: section [log], key level, value \"%s\": expected error, warning, info or debug",
                          path, settings->log_level);
-  return oh_keyring_load (&balancer->keyring, settings->key_file, error);
+  return check_replicas (path, settings->replicas, error)
+         && oh_keyring_load (&balancer->keyring, settings->key_file, error);
 }
 
 int
