placement: send one Open at a time to an agent that does not answer

Cause: beyond the exclusion cap an agent with unanswered Opens kept 0.9 of the mean share, for instance one of two agents that died while control was down. Change: as long as another upstream can be chosen, an agent whose oldest Open is unanswered gets no further one; after the reservation one Open tries it again. Tested: test_placement/silent-agent-beyond-cap; the others pass.

--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -109,8 +109,14 @@
   return unlisted;
 }
 
-/* How strongly the row suggests that its upstream cannot work; 0 if it does not. */
-static unsigned
+typedef enum
+{
+  SUSPICION_NONE,
+  SUSPICION_REPORTED,   /* by the agent itself */
+  SUSPICION_UNANSWERED, /* Opens are not answered */
+} suspicion_t;
+
+static suspicion_t
 suspicion (const oh_upstream_t *upstream, int64_t now_us)
 {
   if (upstream->n_unanswered > 0)
@@ -119,13 +125,14 @@
       const int64_t age_ms = (now_us - sent_us) / 1000;
 
       if (upstream->unproven)
-        return 2;
+        return SUSPICION_UNANSWERED;
       if (age_ms >= OH_PLACEMENT_SILENCE_MS && upstream->heard_us < sent_us)
-        return 2;
+        return SUSPICION_UNANSWERED;
       if (age_ms >= OH_PLACEMENT_UNANSWERED_MS && upstream->answered_us < sent_us)
-        return 2;
+        return SUSPICION_UNANSWERED;
     }
-  return upstream->state == OH__UPSTREAM_STATE__UPSTREAM_SUSPECT || upstream->slots == 0 ? 1 : 0;
+  return upstream->state == OH__UPSTREAM_STATE__UPSTREAM_SUSPECT || upstream->slots == 0 ? SUSPICION_REPORTED
+                                                                                         : SUSPICION_NONE;
 }
 
 /*
@@ -186,15 +193,15 @@
 static bool
 is_excluded (const service_table_t *table, guint index, unsigned cap, int64_t now_us)
 {
-  const unsigned own = suspicion (g_ptr_array_index (table->upstreams, index), now_us);
+  const suspicion_t own = suspicion (g_ptr_array_index (table->upstreams, index), now_us);
   unsigned stronger = 0;
 
-  if (own == 0)
+  if (own == SUSPICION_NONE)
     return false;
   for (guint i = 0; i < table->upstreams->len; i++)
     {
       const oh_upstream_t *other = g_ptr_array_index (table->upstreams, i);
-      const unsigned theirs = is_draining (other) ? 0 : suspicion (other, now_us);
+      const suspicion_t theirs = is_draining (other) ? SUSPICION_NONE : suspicion (other, now_us);
 
       if (theirs > own || (theirs == own && i < index))
         stronger++;
@@ -264,7 +271,8 @@
 static bool
 is_distrusted (const oh_upstream_t *upstream, int64_t now_us)
 {
-  return upstream->contradictions >= OH_PLACEMENT_CONTRADICTIONS || suspicion (upstream, now_us) > 0;
+  return upstream->contradictions >= OH_PLACEMENT_CONTRADICTIONS
+         || suspicion (upstream, now_us) != SUSPICION_NONE;
 }
 
 static double
@@ -316,7 +324,9 @@
   double sum = 0;
 
   for (unsigned i = 0; i < n_distrusted; i++)
-    if (least == NULL || share_per_slot (distrusted[i], now_us) < share_per_slot (least, now_us))
+    if (n_trusted > 0 && suspicion (distrusted[i], now_us) == SUSPICION_UNANSWERED)
+      continue; /* more Opens would tell nothing new; each delays a caller until it sends again */
+    else if (least == NULL || share_per_slot (distrusted[i], now_us) < share_per_slot (least, now_us))
       least = distrusted[i];
   for (unsigned i = 0; i < n_trusted; i++)
     sum += share_per_slot (trusted[i], now_us);
@@ -462,7 +472,7 @@
       if (is_draining (upstream))
         continue;
       able++;
-      if (suspicion (upstream, now_us) > 0)
+      if (suspicion (upstream, now_us) != SUSPICION_NONE)
         decision->suspects++;
     }
   if (n_tried >= OH_PLACEMENT_TRIED_MAX)
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -16,6 +16,12 @@
   { NULL },
 };
 
+static const fixture_upstream_t two_equal[] = {
+  { "p1", "plan-fetch", "a", 4, 0, 0, 0, READY, false },
+  { "p2", "plan-fetch", "a", 4, 0, 0, 0, READY, false },
+  { NULL },
+};
+
 typedef struct
 {
   oh_placement_t placement;
@@ -323,6 +329,32 @@
   fixture_finish (&fixture);
 }
 
+/* Guards against a hanging agent beyond the exclusion cap that gets a share of all Opens while control is
+ * down. */
+static void
+test_silent_agent_beyond_cap (void)
+{
+  fixture_t fixture;
+  unsigned to_silent = 0;
+
+  fixture_init (&fixture, two_equal, true);
+  for (uint64_t key = 0; key < 1000; key++)
+    {
+      const int64_t now_us = (int64_t)(key + 1) * 10 * MS;
+      const char *name = place (&fixture, "plan-fetch", key, now_us);
+
+      if (!g_str_equal (name, "p1"))
+        answer (&fixture, name, key, 1, now_us);
+      else if (now_us > 500 * MS)
+        to_silent++;
+      oh_placement_expire (&fixture.placement, now_us);
+    }
+  /* One probe each time that the reservation of the one before has ended. */
+  g_assert_cmpuint (to_silent, <=, 10 * 1000 / OH_PLACEMENT_RESERVATION_MS);
+  g_assert_cmpuint (to_silent, >=, 1);
+  fixture_finish (&fixture);
+}
+
 /* Guards against an upstream that draws all Opens by reporting itself idle, and against one that is starved
  * or remains distrusted after its reports are true again. */
 static void
@@ -472,6 +504,7 @@
   g_test_add_func ("/placement/unanswered-ends", test_unanswered_ends);
   g_test_add_func ("/placement/report-order", test_report_order);
   g_test_add_func ("/placement/silent-agent", test_silent_agent);
+  g_test_add_func ("/placement/silent-agent-beyond-cap", test_silent_agent_beyond_cap);
   g_test_add_func ("/placement/false-report", test_false_report);
   g_test_add_func ("/placement/exclusion-cap", test_exclusion_cap);
   g_test_add_func ("/placement/silent-dependency", test_silent_dependency);
