agent: refuse flow state that was sent to an earlier incarnation

The model of flow ownership found a second run of a request that may not be repeated: a peer takes a flow and runs a request, restarts, receives a late copy of the state that was sent before, hands the flow over to a third generation, and the caller follows Moved there and sends the request again. The state now names the incarnation it is meant for.

Case handover-late-state-restarted guards the code.

--- a/lib/core/agent_drain.c
+++ b/lib/core/agent_drain.c
@@ -114,8 +114,8 @@
 static void
 emit_state (oh_agent_core_t *core, oh_flow_t *flow, const char *endpoint)
 {
-  Oh__FlowState *state
-    = oh_flow_export (flow, core->config.service, flow->sent_generation, core->config.incarnation);
+  Oh__FlowState *state = oh_flow_export (flow, core->config.service, flow->sent_generation,
+                                         core->config.incarnation, flow->target_incarnation);
 
   flow->sent_us = core->now_us;
   oh_agent_emit (core, &(oh_agent_action_t){ .kind = OH_AGENT_ACTION_SEND_PEER,
@@ -136,6 +136,7 @@
   g_free (flow->target);
   flow->target = g_strdup (target->name);
   flow->target_incarnation = target->incarnation;
+  flow->target_refused = false;
   oh_agent_log (core, OH_LOG_INFO, "handover_sent",
                 "flow=%016" G_GINT64_MODIFIER "x generation=%u target=%s busy=%u flows=%u",
                 oh_agent_flow_log_id (flow), flow->sent_generation, target->name, target->busy,
@@ -156,7 +157,14 @@
         send_to (core, flow, target);
     }
   else if (core->now_us - flow->sent_us >= (int64_t)SEND_AGAIN_MS * 1000)
-    emit_state (core, flow, target->peer_endpoint);
+    {
+      const oh_view_member_t *other = flow->target_refused ? find_target (core, flow->target) : NULL;
+
+      if (other != NULL)
+        send_to (core, flow, other);
+      else
+        emit_state (core, flow, target->peer_endpoint);
+    }
 }
 
 static void
@@ -252,6 +260,9 @@
 {
   if (state->service != core->config.service || oh_agent_is_foreign (core))
     return OH__RESULT__RESULT_WRONG_SERVICE;
+  /* A copy sent to an earlier incarnation, which may have run requests that the copy does not contain. */
+  if (state->target_incarnation != core->config.incarnation)
+    return OH__RESULT__RESULT_UNKNOWN;
   if (core->draining)
     return OH__RESULT__RESULT_NOT_RUN_DRAINING;
   if (!core->health.known)
@@ -411,14 +422,12 @@
     return;
   if (reply->refused != OH__RESULT__RESULT_NONE)
     {
-      const oh_view_member_t *target = find_target (core, flow->target);
-
       oh_agent_log (core, OH_LOG_INFO, "handover_refused",
                     "flow=%016" G_GINT64_MODIFIER "x target=%s reason=%d", oh_agent_flow_log_id (flow),
                     flow->target, (int)reply->refused);
-      /* Without another peer the state is offered again to the same one after SEND_AGAIN_MS. */
-      if (target != NULL)
-        send_to (core, flow, target);
+      /* The next attempt waits for SEND_AGAIN_MS, so that peers that all refuse are not asked without pause.
+       */
+      flow->target_refused = true;
       return;
     }
   if (!oh_token_from_wire (reply->token, &token) || !oh_token_verify (core->keyring, &id, &token)
--- a/lib/core/flow_export.c
+++ b/lib/core/flow_export.c
@@ -120,7 +120,8 @@
 }
 
 Oh__FlowState *
-oh_flow_export (const oh_flow_t *flow, uint64_t service, uint32_t generation, uint64_t incarnation)
+oh_flow_export (const oh_flow_t *flow, uint64_t service, uint32_t generation, uint64_t incarnation,
+                uint64_t target_incarnation)
 {
   Oh__FlowState *state = g_new0 (Oh__FlowState, 1);
 
@@ -130,6 +131,7 @@
   state->generation = generation;
   state->floor = flow->floor;
   state->source_incarnation = incarnation;
+  state->target_incarnation = target_incarnation;
   state->entries = g_new0 (Oh__EntryState *, OH_REQUEST_WINDOW);
   for (unsigned i = 0; i < OH_REQUEST_WINDOW; i++)
     if (flow->entries[i] != NULL)
--- a/lib/core/flow_export.h
+++ b/lib/core/flow_export.h
@@ -11,7 +11,7 @@
 /* generation is the receiver's. Nothing of the flow may be queued or at the upstream. Free the result with
  * oh__flow_state__free_unpacked (state, NULL). */
 Oh__FlowState *oh_flow_export (const oh_flow_t *flow, uint64_t service, uint32_t generation,
-                               uint64_t incarnation);
+                               uint64_t incarnation, uint64_t target_incarnation);
 
 /* Fills a flow that has no entries. On failure the flow is unchanged. */
 bool oh_flow_import (oh_flow_t *flow, const Oh__FlowState *state, int64_t now_us, oh_error_t *error);
--- a/lib/core/flow_table.h
+++ b/lib/core/flow_table.h
@@ -93,6 +93,7 @@
   uint32_t sent_generation;    /* SENT: generation offered to the target */
   uint64_t target_incarnation; /* SENT */
   char *target;                /* SENT: name of the peer */
+  bool target_refused;         /* SENT */
   int64_t sent_us;             /* SENT: last time the state was sent; MOVED: time of the move */
   int64_t first_sent_us;
   oh_token_t moved_to;
--- a/lib/wire/control.pb-c.c
+++ b/lib/wire/control.pb-c.c
@@ -1848,7 +1848,7 @@
   (ProtobufCMessageInit) oh__entry_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__flow_state__field_descriptors[8] =
+static const ProtobufCFieldDescriptor oh__flow_state__field_descriptors[9] =
 {
   {
     "flow",
@@ -1946,6 +1946,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "target_incarnation",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Oh__FlowState, target_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__flow_state__field_indices_by_name[] = {
   6,   /* field[6] = balancers */
@@ -1956,11 +1968,12 @@
   2,   /* field[2] = generation */
   1,   /* field[1] = service */
   7,   /* field[7] = source_incarnation */
+  8,   /* field[8] = target_incarnation */
 };
 static const ProtobufCIntRange oh__flow_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor oh__flow_state__descriptor =
 {
@@ -1970,7 +1983,7 @@
   "Oh__FlowState",
   "oh",
   sizeof(Oh__FlowState),
-  8,
+  9,
   oh__flow_state__field_descriptors,
   oh__flow_state__field_indices_by_name,
   1,  oh__flow_state__number_ranges,
--- a/lib/wire/control.pb-c.h
+++ b/lib/wire/control.pb-c.h
@@ -333,10 +333,14 @@
   size_t n_balancers;
   Oh__Address **balancers;
   uint64_t source_incarnation;
+  /*
+   * a copy that arrives after the target's restart is refused
+   */
+  uint64_t target_incarnation;
 };
 #define OH__FLOW_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__flow_state__descriptor) \
-    , {0,NULL}, 0, 0, 0, 0,NULL, NULL, 0,NULL, 0 }
+    , {0,NULL}, 0, 0, 0, 0,NULL, NULL, 0,NULL, 0, 0 }
 
 
 struct  Oh__FlowStateReply
--- a/tests/test_agent_core.c
+++ b/tests/test_agent_core.c
@@ -19,7 +19,7 @@
  *                                 what the upstream does with the request
  *   busy, full, free              occupy the slots, or also the queue, with requests 10 and up; end them all
  *   floor=N, close, ping, wait=MS
- *   restart, restart=A, kill=A, drain, drain=A, undrain
+ *   restart, restart=A, kill=A, drain, drain=A, undrain, upstream-drains=A
  *   state, lose-state, keep-state, late-state, reply, lose-reply, moved
  *                                 messages between agents; moved adopts the token of the last Moved
  *   runs=N, out=RESULT, got=N, generation=N
@@ -245,6 +245,8 @@
       fixture_restart (fixture, number);
       fixture_update_view (fixture, "upstream-0");
     }
+  else if (g_str_has_prefix (step, "upstream-drains="))
+    fixture_health (fixture, number, "meter-stream", OH__UPSTREAM_STATE__UPSTREAM_DRAINING, 1);
   else if (g_str_has_prefix (step, "generation="))
     g_assert_cmpuint (fixture->token.flow_generation, ==, number);
   else if (g_str_has_prefix (step, "copyto="))
@@ -388,6 +390,11 @@
   { "handover-late-state-owned",
     "open=1 drain keep-state state reply moved req answer late-state lose-reply copyto=1 "
     "runs=1" },
+  { "handover-late-state-restarted",
+    "open=1 drain keep-state state reply moved req answer runs=1 restart=1 late-state drain=1 no-state" },
+  { "handover-target-refuses", "open=1 drain keep-state lose-state upstream-drains=1 late-state reply "
+                               "wait=600 state reply moved generation=3 req "
+                               "runs=1" },
   { "handover-back", "open=1 req answer drain state reply moved ping undrain copyto=0 told-moved runs=1" },
 };
 
