--- a/models/flow.pml
+++ b/models/flow.pml
@@ -8,17 +8,25 @@
  *   2. it does not run after "not run" was said, and "not run" is not said after it ran;
  *   3. nothing runs under a generation whose state was handed over.
  *
- * Commands, in an empty folder; FLAGS is empty, or removes a guard and must give a counterexample:
- *   spin -a FLAGS models/flow.pml
- *   cc -O2 -DSAFETY -DCOLLAPSE -DMEMLIM=1000 -o pan pan.c && ./pan -m100000
- * FLAGS:
- *   -DNO_DEDUP        a copy of a request that has run is queued again
- *   -DNO_RECORD       a refusal is sent without being recorded
- *   -DNO_FREEZE       the agent goes on running requests after it has sent the flow's state
- *   -DNO_INCARNATION  packets for an earlier incarnation are taken
- *   -DNO_CLOSED       a closed flow is forgotten, so that a late Open can bring it back
- *   -DNO_TARGET       a target takes state that was sent to its earlier incarnation
- *   -DNO_GENERATION   a target takes the state of a generation that it has seen
+ * scripts/model flow runs it as it stands, which must pass, and with each guard removed, which must give a
+ * counterexample:
+ *
+ *   DEDUP        a copy of a request that has run is not queued again
+ *   RECORD       a refusal is recorded before it is sent
+ *   FREEZE       the agent runs nothing after it has sent the flow's state
+ *   INCARNATION  packets for an earlier incarnation are not taken
+ *   CLOSED       a closed flow is remembered, so that a late Open cannot bring it back
+ *   TARGET       state that was sent to an earlier incarnation of the target is refused
+ *   GENERATION   a target does not take the state of a generation that it has seen
+ *
+ * run none
+ * run DEDUP
+ * run RECORD
+ * run FREEZE
+ * run INCARNATION
+ * run CLOSED
+ * run TARGET
+ * run GENERATION
  */
 
 #define INCARNATIONS 2 /* one restart, of either agent */
