caller_core: hold back ONCE requests while the path is in doubt

A request that must not run twice and is sent to an owner that turns out to be lost ends as unknown. While two pings are unanswered, or a new path has not answered, it is not sent; it goes to the owner that answers next.

Test: caller/doubtful-path.

--- a/lib/core/caller_core.c
+++ b/lib/core/caller_core.c
@@ -13,6 +13,7 @@
   INTERVAL_MAX_US = 2000 * 1000,
   PING_INTERVAL_US = 1000 * 1000,
   UNANSWERED_PINGS_MAX = 3,
+  DOUBTFUL_PINGS = 2, /* the first of them has been unanswered for a second */
   UNANSWERED_OPENS_MAX = 3,
   OPEN_LIMIT_US = 10 * 1000 * 1000,    /* a service without an upstream is reported after this time */
   REOPEN_LIMIT_US = 120 * 1000 * 1000, /* an established flow outlives the restart of all upstreams */
@@ -582,6 +583,16 @@
     }
 }
 
+/* No word for at least a second, or none yet on a new path. A request that must not run twice is held back
+ * then: sent to an owner that turns out to be lost, it would end as unknown; not sent, it goes to the next
+ * owner. */
+static bool
+must_wait (const oh_caller_core_t *core, const oh_caller_entry_t *entry)
+{
+  return entry->kind == OH__REQUEST_KIND__REQUEST_ONCE
+         && (core->unanswered_pings >= DOUBTFUL_PINGS || core->path_replaced);
+}
+
 static void
 send_pending (oh_caller_core_t *core, int64_t now_us, oh_caller_sink_t *sink)
 {
@@ -589,7 +600,7 @@
     {
       oh_caller_entry_t *entry = oh_list_entry (link, oh_caller_entry_t, link);
 
-      if (entry->not_before_us > now_us)
+      if (entry->not_before_us > now_us || must_wait (core, entry))
         continue;
       if (!oh_caller_window_has_room (core))
         renumber_stream_at_floor (core, now_us, sink);
@@ -746,7 +757,7 @@
       const oh_caller_entry_t *entry = oh_list_entry (link, oh_caller_entry_t, link);
 
       consider (&due_us, entry->deadline_us);
-      if (core->state == OH_CALLER_OPEN && !window_full)
+      if (core->state == OH_CALLER_OPEN && !window_full && !must_wait (core, entry))
         consider (&due_us, entry->not_before_us);
     }
   if (core->state == OH_CALLER_OPENING || core->state == OH_CALLER_CLOSING)
--- a/tests/test_caller_core.c
+++ b/tests/test_caller_core.c
@@ -478,6 +478,29 @@
   assert_count (fixture, "request number=2 attempt=1 from=0 agent=1 below=2", 1);
 }
 
+/* Guards against sending what must not run twice to an owner that is probably lost, where it ends as unknown.
+ */
+static void
+test_doubtful_path (fixture_t *fixture, gconstpointer data)
+{
+  advance (fixture, 5 * SECOND_US / 2);
+  request (fixture, 1, OH__REQUEST_KIND__REQUEST_ONCE, 0);
+  request (fixture, 2, OH__REQUEST_KIND__REQUEST_REPEATABLE, 0);
+  request (fixture, 3, OH__REQUEST_KIND__REQUEST_ONCE, fixture->now_us + SECOND_US);
+  assert_count (fixture, "request", 1);
+  receive_pong (fixture);
+  assert_count (fixture, "request", 3);
+  advance (fixture, 5 * SECOND_US);
+  request (fixture, 4, OH__REQUEST_KIND__REQUEST_ONCE, 0);
+  request (fixture, 5, OH__REQUEST_KIND__REQUEST_ONCE, fixture->now_us + SECOND_US);
+  advance (fixture, 3 * SECOND_US);
+  assert_count (fixture, "done id=1 number=2 unknown", 1);
+  assert_count (fixture, "done id=4", 0);
+  assert_count (fixture, "done id=5 number=0 not_run_deadline", 1);
+  receive_token (fixture, false, 2, 2);
+  assert_count (fixture, "request number=4 attempt=1 from=0 agent=2", 1);
+}
+
 /* Guards against an idle flow whose return path is not refreshed, and against late pongs hiding a dead path.
  */
 static void
@@ -667,6 +690,7 @@
     { "refused-by-second-owner", true, test_refused_by_second_owner },
     { "moved", true, test_moved },
     { "path", true, test_path },
+    { "doubtful-path", true, test_doubtful_path },
     { "idle-pings", true, test_idle_pings },
     { "retries", true, test_retries },
     { "cancel", true, test_cancel },
