--- a/daemons/oriole_call.c
+++ b/daemons/oriole_call.c
@@ -21,6 +21,8 @@
 {
   EXIT_RUNTIME = 1,
   EXIT_USAGE = 2,
+  EXIT_NOT_RUN = 3,
+  EXIT_UNKNOWN = 4,
   OPTION_ONCE = 0x100,
   OPTION_PRIORITY,
   OPTION_DEADLINE,
@@ -129,6 +131,23 @@
     }
 }
 
+static int
+exit_status (oh_outcome_t outcome)
+{
+  switch (outcome)
+    {
+    case OH_OUTCOME_ANSWER:
+      return EXIT_SUCCESS;
+    case OH_OUTCOME_NOT_RUN:
+      return EXIT_NOT_RUN;
+    case OH_OUTCOME_UNKNOWN:
+      return EXIT_UNKNOWN;
+    case OH_OUTCOME_FAILED:
+      break;
+    }
+  return EXIT_RUNTIME;
+}
+
 static void
 finish (call_t *call, oh_client_flow_t *flow, int status)
 {
@@ -170,7 +189,7 @@
       if (outcome != OH_OUTCOME_ANSWER)
         oh_log_error ("not_answered", "outcome=%s result=%s number=%u", oh_outcome_name (outcome),
                       oh_result_name (action->result), action->number);
-      finish (call, flow, outcome == OH_OUTCOME_ANSWER ? EXIT_SUCCESS : EXIT_RUNTIME);
+      finish (call, flow, exit_status (outcome));
       break;
     case OH_CALLER_ACTION_OPEN_FAILED:
     case OH_CALLER_ACTION_CLOSED:
--- a/tests/test_caller_core.c
+++ b/tests/test_caller_core.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "base/seeded_random.h"
@@ -687,6 +688,86 @@
   assert_count (fixture, "closed", 1);
 }
 
+static void
+receive_random (fixture_t *fixture)
+{
+  GRand *rand = fixture->random.rand;
+  const uint32_t floor = fixture->core.floor;
+  const unsigned number = floor + (unsigned)g_rand_int_range (rand, 0, 8);
+  const unsigned attempt = (unsigned)g_rand_int_range (rand, 1, 4);
+  const unsigned agent = (unsigned)g_rand_int_range (rand, 1, 4);
+
+  switch (g_rand_int_range (rand, 0, 8))
+    {
+    case 0:
+      receive_token (fixture, false, agent, fixture->core.generation);
+      break;
+    case 1:
+      receive_token (fixture, true, agent,
+                     fixture->core.generation + (unsigned)g_rand_int_range (rand, 0, 2));
+      break;
+    case 2:
+      receive_gone (fixture, agent);
+      break;
+    case 3:
+      receive_pong (fixture);
+      break;
+    case 4:
+      receive_outcome (fixture, number, attempt, (Oh__Result)g_rand_int_range (rand, 0, 14));
+      break;
+    default:
+      receive_chunk (fixture, number, attempt, (unsigned)g_rand_int_range (rand, 0, 4),
+                     g_rand_int_range (rand, 0, 4) == 0);
+      break;
+    }
+}
+
+/* Guards against a sequence of packets, in any order and out of any time, that ends a request twice or never,
+ * or that breaks the bounds of the window. */
+static void
+test_random_packets (fixture_t *fixture, gconstpointer data)
+{
+  enum
+  {
+    N_STEPS = 30000,
+    MAX_OPEN = 100,
+  };
+  GRand *rand = fixture->random.rand;
+  g_autoptr (GHashTable) ended = g_hash_table_new (NULL, NULL);
+  unsigned n_requests = 0;
+  unsigned n_done = 0;
+
+  for (unsigned step = 0; step < N_STEPS || n_done < n_requests; step++)
+    {
+      const int choice = g_rand_int_range (rand, 0, 10);
+
+      if (step < N_STEPS && choice == 0 && n_requests - n_done < MAX_OPEN)
+        request (fixture, ++n_requests, (Oh__RequestKind)g_rand_int_range (rand, 0, 4),
+                 g_rand_int_range (rand, 0, 2) * (fixture->now_us + SECOND_US));
+      else if (choice == 1 && n_requests > 0)
+        cancel (fixture, (unsigned)g_rand_int_range (rand, 0, (gint32)n_requests) + 1);
+      else if (choice == 2)
+        advance (fixture, g_rand_int_range (rand, 0, SECOND_US));
+      else
+        receive_random (fixture);
+
+      g_assert_cmpuint (fixture->core.next_number - fixture->core.floor, <=, OH_REQUEST_WINDOW);
+      g_assert_cmpint (fixture->core.state, !=, OH_CALLER_CLOSED);
+      for (guint i = 0; i < fixture->lines->len; i++)
+        {
+          unsigned id;
+
+          if (sscanf (g_ptr_array_index (fixture->lines, i), "done id=%u", &id) != 1)
+            continue;
+          g_assert_true (g_hash_table_add (ended, GUINT_TO_POINTER (id)));
+          n_done++;
+        }
+      clear (fixture);
+      g_assert_cmpuint (step, <, 100 * N_STEPS);
+    }
+  g_assert_cmpuint (n_requests, >, 1000);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -715,6 +796,7 @@
     { "window-feed", true, test_window_feed },
     { "entity-change", true, test_entity_change },
     { "close", true, test_close },
+    { "random-packets", true, test_random_packets },
   };
 
   g_test_init (&argc, &argv, NULL);
