--- a/tests/test_caller_core.c
+++ b/tests/test_caller_core.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "base/seeded_random.h"
@@ -478,6 +479,44 @@
   assert_count (fixture, "request number=2 attempt=1 from=0 agent=1 below=2", 1);
 }
 
+/* Guards against a feed hiding that the path to its owner is black-holed: scripts/prove --fault
+ * black-holed-path took 10 s to replace such paths, until the feed's window was full. */
+static void
+test_one_way_path (fixture_t *fixture, gconstpointer data)
+{
+  request (fixture, 1, OH__REQUEST_KIND__REQUEST_FEED, 0);
+  for (unsigned i = 0; i < 41; i++)
+    {
+      receive_chunk (fixture, 1, 1, i, false);
+      advance (fixture, SECOND_US / 10);
+    }
+  assert_count (fixture, "data", 41);
+  assert_count (fixture, "replace-path", 1);
+}
+
+/* Guards against sending what must not run twice to an owner that is probably lost, where it ends as unknown.
+ */
+static void
+test_doubtful_path (fixture_t *fixture, gconstpointer data)
+{
+  advance (fixture, 5 * SECOND_US / 2);
+  request (fixture, 1, OH__REQUEST_KIND__REQUEST_ONCE, 0);
+  request (fixture, 2, OH__REQUEST_KIND__REQUEST_REPEATABLE, 0);
+  request (fixture, 3, OH__REQUEST_KIND__REQUEST_ONCE, fixture->now_us + SECOND_US);
+  assert_count (fixture, "request", 1);
+  receive_pong (fixture);
+  assert_count (fixture, "request", 3);
+  advance (fixture, 5 * SECOND_US);
+  request (fixture, 4, OH__REQUEST_KIND__REQUEST_ONCE, 0);
+  request (fixture, 5, OH__REQUEST_KIND__REQUEST_ONCE, fixture->now_us + SECOND_US);
+  advance (fixture, 3 * SECOND_US);
+  assert_count (fixture, "done id=1 number=2 unknown", 1);
+  assert_count (fixture, "done id=4", 0);
+  assert_count (fixture, "done id=5 number=0 not_run_deadline", 1);
+  receive_token (fixture, false, 2, 2);
+  assert_count (fixture, "request number=4 attempt=1 from=0 agent=2", 1);
+}
+
 /* Guards against an idle flow whose return path is not refreshed, and against late pongs hiding a dead path.
  */
 static void
@@ -649,6 +688,86 @@
   assert_count (fixture, "closed", 1);
 }
 
+static void
+receive_random (fixture_t *fixture)
+{
+  GRand *rand = fixture->random.rand;
+  const uint32_t floor = fixture->core.floor;
+  const unsigned number = floor + (unsigned)g_rand_int_range (rand, 0, 8);
+  const unsigned attempt = (unsigned)g_rand_int_range (rand, 1, 4);
+  const unsigned agent = (unsigned)g_rand_int_range (rand, 1, 4);
+
+  switch (g_rand_int_range (rand, 0, 8))
+    {
+    case 0:
+      receive_token (fixture, false, agent, fixture->core.generation);
+      break;
+    case 1:
+      receive_token (fixture, true, agent,
+                     fixture->core.generation + (unsigned)g_rand_int_range (rand, 0, 2));
+      break;
+    case 2:
+      receive_gone (fixture, agent);
+      break;
+    case 3:
+      receive_pong (fixture);
+      break;
+    case 4:
+      receive_outcome (fixture, number, attempt, (Oh__Result)g_rand_int_range (rand, 0, 14));
+      break;
+    default:
+      receive_chunk (fixture, number, attempt, (unsigned)g_rand_int_range (rand, 0, 4),
+                     g_rand_int_range (rand, 0, 4) == 0);
+      break;
+    }
+}
+
+/* Guards against a sequence of packets, in any order and out of any time, that ends a request twice or never,
+ * or that breaks the bounds of the window. */
+static void
+test_random_packets (fixture_t *fixture, gconstpointer data)
+{
+  enum
+  {
+    N_STEPS = 30000,
+    MAX_OPEN = 100,
+  };
+  GRand *rand = fixture->random.rand;
+  g_autoptr (GHashTable) ended = g_hash_table_new (NULL, NULL);
+  unsigned n_requests = 0;
+  unsigned n_done = 0;
+
+  for (unsigned step = 0; step < N_STEPS || n_done < n_requests; step++)
+    {
+      const int choice = g_rand_int_range (rand, 0, 10);
+
+      if (step < N_STEPS && choice == 0 && n_requests - n_done < MAX_OPEN)
+        request (fixture, ++n_requests, (Oh__RequestKind)g_rand_int_range (rand, 0, 4),
+                 g_rand_int_range (rand, 0, 2) * (fixture->now_us + SECOND_US));
+      else if (choice == 1 && n_requests > 0)
+        cancel (fixture, (unsigned)g_rand_int_range (rand, 0, (gint32)n_requests) + 1);
+      else if (choice == 2)
+        advance (fixture, g_rand_int_range (rand, 0, SECOND_US));
+      else
+        receive_random (fixture);
+
+      g_assert_cmpuint (fixture->core.next_number - fixture->core.floor, <=, OH_REQUEST_WINDOW);
+      g_assert_cmpint (fixture->core.state, !=, OH_CALLER_CLOSED);
+      for (guint i = 0; i < fixture->lines->len; i++)
+        {
+          unsigned id;
+
+          if (sscanf (g_ptr_array_index (fixture->lines, i), "done id=%u", &id) != 1)
+            continue;
+          g_assert_true (g_hash_table_add (ended, GUINT_TO_POINTER (id)));
+          n_done++;
+        }
+      clear (fixture);
+      g_assert_cmpuint (step, <, 100 * N_STEPS);
+    }
+  g_assert_cmpuint (n_requests, >, 1000);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -667,6 +786,8 @@
     { "refused-by-second-owner", true, test_refused_by_second_owner },
     { "moved", true, test_moved },
     { "path", true, test_path },
+    { "one-way-path", true, test_one_way_path },
+    { "doubtful-path", true, test_doubtful_path },
     { "idle-pings", true, test_idle_pings },
     { "retries", true, test_retries },
     { "cancel", true, test_cancel },
@@ -675,6 +796,7 @@
     { "window-feed", true, test_window_feed },
     { "entity-change", true, test_entity_change },
     { "close", true, test_close },
+    { "random-packets", true, test_random_packets },
   };
 
   g_test_init (&argc, &argv, NULL);
