caller: suspect a silent path after 1.9 s

Ruled out: a shorter ping interval (traffic of every idle flow), acting on missing chunks (a feed may be quiet). Change: after an unanswered ping the next two follow after 300 ms each. Reopening keeps 1 s between pings, because leaving the owner may make an outcome unknown.

--- a/lib/core/caller_core.c
+++ b/lib/core/caller_core.c
@@ -12,6 +12,7 @@
   INTERVAL_MIN_US = 200 * 1000,
   INTERVAL_MAX_US = 2000 * 1000,
   PING_INTERVAL_US = 1000 * 1000,
+  PING_PROBE_US = 300 * 1000, /* after an unanswered ping; many times the 5 ms round trip */
   UNANSWERED_PINGS_MAX = 3,
   DOUBTFUL_PINGS = 2, /* the first of them has been unanswered for a second */
   UNANSWERED_OPENS_MAX = 3,
@@ -677,7 +678,9 @@
         }
     }
   core->unanswered_pings++;
-  core->ping_us = now_us + PING_INTERVAL_US;
+  /* Replacing a path costs nothing, so it is suspected early. Leaving the owner may make an outcome unknown,
+   * so it gets more time. */
+  core->ping_us = now_us + (core->path_replaced ? PING_INTERVAL_US : PING_PROBE_US);
   oh_caller_send_ping (core, sink);
 }
 
--- a/tests/test_caller_core.c
+++ b/tests/test_caller_core.c
@@ -457,19 +457,25 @@
   assert_count (fixture, "done id=1 number=1 none", 1);
 }
 
+enum
+{
+  PATH_LIMIT_US
+  = 1900 * 1000, /* a ping after 1 s, two more after 0.3 s each, and the wait for the last one */
+};
+
 /* Guards against a black-holed path that is kept, and against one lost owner that is waited for. */
 static void
 test_path (fixture_t *fixture, gconstpointer data)
 {
   request (fixture, 1, OH__REQUEST_KIND__REQUEST_ONCE, 0);
-  advance (fixture, 4 * SECOND_US - 1);
+  advance (fixture, PATH_LIMIT_US - 1);
   assert_count (fixture, "ping", 3);
   assert_count (fixture, "replace-path", 0);
   advance (fixture, 1);
   assert_count (fixture, "replace-path", 1);
   assert_count (fixture, "open", 0);
   receive_pong (fixture);
-  advance (fixture, 4 * SECOND_US);
+  advance (fixture, PATH_LIMIT_US);
   assert_count (fixture, "replace-path", 2);
   advance (fixture, 3 * SECOND_US);
   assert_count (fixture, "open generation=2 attempt=1", 1);
@@ -506,7 +512,7 @@
   assert_count (fixture, "request", 1);
   receive_pong (fixture);
   assert_count (fixture, "request", 3);
-  advance (fixture, 5 * SECOND_US);
+  advance (fixture, 4 * SECOND_US);
   request (fixture, 4, OH__REQUEST_KIND__REQUEST_ONCE, 0);
   request (fixture, 5, OH__REQUEST_KIND__REQUEST_ONCE, fixture->now_us + SECOND_US);
   advance (fixture, 3 * SECOND_US);
