--- a/lib/core/raft_log.c
+++ b/lib/core/raft_log.c
@@ -89,8 +89,9 @@
   g_assert (snapshot->index > log->snapshot.index);
   if (oh_raft_log_matches (log, snapshot->index, snapshot->term))
     count = (unsigned)(snapshot->index - log->snapshot.index);
-  remove_range (log, 0, count);
+  /* The snapshot may refer to bytes that only an entry or the former snapshot holds. */
   oh_snapshot_copy (&copy, snapshot);
+  remove_range (log, 0, count);
   oh_snapshot_clear (&log->snapshot);
   log->snapshot = copy;
 }
