control: test members that a dead replica lists

Kills one replica, then an upstream that it had listed, then the other replicas: the dead upstream goes, the live one stays, also when all replicas start again.

--- a/tests/control_processes.py
+++ b/tests/control_processes.py
@@ -306,6 +306,28 @@
     wait_for("the restarted replica", lambda: cluster.counters(follower).get("confirmed") == 1)
 
 
+def test_member_of_dead_replica(cluster):
+    """A member that stays listed for ever by a replica that died first, and members lost with all replicas."""
+    assert cluster.apply(1) == 1
+    watcher = cluster.node("watcher")
+    agents = [cluster.node(f"kiln-log-{i}", agent=True) for i in range(2)]
+    wait_for("all members", lambda: watcher.views and watcher.views[-1][3].count("kiln-log-") == 2)
+    time.sleep(3.5)  # past the start phase of the leases
+    cluster.kill("c")
+    agents[0].process.kill()
+    wait_for("removal of the dead one", lambda: "kiln-log-0" not in watcher.views[-1][3], 10)
+    for name in "ab":
+        cluster.kill(name)
+    time.sleep(5)
+    assert watcher.views[-1][3] == "kiln-log-1", "without control a node keeps what it has"
+    changes = len(watcher.views)
+    for name in "abc":
+        cluster.start(name)
+    cluster.leader()
+    time.sleep(4)
+    assert all(view[3] == "kiln-log-1" for view in watcher.views[changes:]), "a restart dropped a live member"
+
+
 def test_command_line(cluster):
     """Exit statuses and outputs on which operators' scripts rely."""
     bad = cluster.path("bad.ini")
