--- a/lib/core/agent_core.c
+++ b/lib/core/agent_core.c
@@ -148,6 +148,9 @@
   oh_counters_add (counters, &core->counters.requests_unknown, "requests_unknown");
   oh_counters_add (counters, &core->counters.chunks_sent, "chunks_sent");
   oh_counters_add (counters, &core->counters.chunks_repeated, "chunk_retransmissions");
+  oh_counters_add (counters, &core->counters.slots_offered, "slots_offered");
+  oh_counters_add (counters, &core->counters.slots_busy, "slots_busy");
+  oh_counters_add (counters, &core->counters.queued, "requests_queued");
   oh_counters_add (counters, &core->counters.flows, "flows");
   oh_counters_add (counters, &core->counters.flows_moved, "flows_moved");
   oh_counters_add (counters, &core->counters.flows_received, "flows_received");
@@ -219,6 +222,9 @@
   oh_agent_run_queue (core);
   oh_agent_send_chunks (core);
   send_reports (core);
+  oh_counter_set (&core->counters.slots_offered, oh_upstream_health_offered (&core->health, core->now_us));
+  oh_counter_set (&core->counters.slots_busy, core->busy);
+  oh_counter_set (&core->counters.queued, core->queue.length);
   oh_counter_set (&core->counters.flows, core->flows.n_flows - core->flows.n_moved);
   arm_timer (core);
   core->sink = NULL;
--- a/lib/core/agent_core.h
+++ b/lib/core/agent_core.h
@@ -138,6 +138,9 @@
   oh_counter_t requests_unknown;
   oh_counter_t chunks_sent;
   oh_counter_t chunks_repeated;
+  oh_counter_t slots_offered;
+  oh_counter_t slots_busy;
+  oh_counter_t queued;
   oh_counter_t flows;
   oh_counter_t flows_moved;
   oh_counter_t flows_received;
