--- a/daemons/oriolectl.c
+++ b/daemons/oriolectl.c
@@ -168,18 +168,25 @@
          && length == OH_CHANGE_ID_BYTES;
 }
 
-static char *
-format_id (const ProtobufCBinaryData *id)
+enum
 {
-  char *text = g_malloc (id->len * 2 + 1);
+  ID_TEXT_BYTES = 2 * OH_CHANGE_ID_BYTES + 1
+};
 
-  return sodium_bin2hex (text, id->len * 2 + 1, id->data, id->len);
+/* Empty if the id has another length. */
+static const char *
+format_id (const ProtobufCBinaryData *id, char text[ID_TEXT_BYTES])
+{
+  text[0] = '\0';
+  if (id->len == OH_CHANGE_ID_BYTES)
+    sodium_bin2hex (text, ID_TEXT_BYTES, id->data, id->len);
+  return text;
 }
 
 static int
 print_reply (const Oh__ChangeReply *reply, Oh__ChangeKind kind)
 {
-  g_autofree char *winner = format_id (&reply->winner_id);
+  char winner[ID_TEXT_BYTES];
 
   switch (reply->status)
     {
@@ -189,7 +196,7 @@
       return EXIT_DONE;
     case OH__CHANGE_STATUS__CHANGE_CONFLICT:
       g_print ("status=conflict version=%" G_GUINT64_FORMAT " winner_id=%s winner_author=%s\n",
-               reply->version, winner, reply->winner_author);
+               reply->version, format_id (&reply->winner_id, winner), reply->winner_author);
       return EXIT_CONFLICT;
     case OH__CHANGE_STATUS__CHANGE_INVALID:
       g_print ("status=invalid detail=%s\n", reply->detail);
@@ -223,12 +230,12 @@
   return true;
 }
 
+/* Fills in id and author, which are valid during the call. */
 static int
-send_change (session_t *session, Oh__Change *change)
+send_own_change (session_t *session, Oh__Change *change, uint8_t id[OH_CHANGE_ID_BYTES])
 {
-  uint8_t id[OH_CHANGE_ID_BYTES];
   g_autofree char *author = g_strdup_printf ("%.24s@%.36s", g_get_user_name (), g_get_host_name ());
-  g_autofree char *hex = NULL;
+  char hex[ID_TEXT_BYTES];
   oh_error_t error;
   Oh__ChangeReply *reply;
   int status;
@@ -240,9 +247,9 @@
       return EXIT_USAGE;
     }
   change->id.data = id;
-  change->id.len = sizeof id;
+  change->id.len = OH_CHANGE_ID_BYTES;
   change->author = author;
-  hex = format_id (&change->id);
+  format_id (&change->id, hex);
   g_print ("id=%s\n", hex);
   fflush (stdout);
   reply = oh_operator_client_change (session->client, change, session->timeout_ms, &error);
@@ -257,6 +264,15 @@
   return status;
 }
 
+static int
+send_change (session_t *session, const Oh__Change *change)
+{
+  Oh__Change own = *change;
+  uint8_t id[OH_CHANGE_ID_BYTES];
+
+  return send_own_change (session, &own, id);
+}
+
 /* Commands. */
 
 static int
@@ -359,7 +375,7 @@
   const size_t n_a = g_strv_length (a);
   const size_t n_b = g_strv_length (b);
   const bool compare = (n_a + 1) * (n_b + 1) <= DIFF_MAX_CELLS && MIN (n_a, n_b) <= G_MAXUINT16;
-  g_autofree uint16_t *lengths = compare ? common_lengths (a, n_a, b, n_b) : NULL;
+  uint16_t *lengths = compare ? common_lengths (a, n_a, b, n_b) : NULL;
   size_t i = 0;
   size_t j = 0;
 
@@ -377,6 +393,7 @@
       else
         g_print ("+%s\n", b[j++]);
     }
+  g_free (lengths);
 }
 
 static int
