scripts: end the deployment when the runner gets SIGTERM

A test runner that gives up sends SIGTERM; the processes of the deployment and its folder were left. Tested: scripts/demo ended with SIGTERM after 6 s leaves no process and no folder.

--- a/scripts/lib/system.py
+++ b/scripts/lib/system.py
@@ -71,6 +71,8 @@
         with open(self.path('master.key'), 'w', encoding='ascii') as file:
             file.write(secrets.token_hex(32))
         self.replicas = ','.join(f'tcp://{text}' for text in self.control.values())
+        # A test runner that gives up sends SIGTERM; the processes end with this one.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
 
     def __enter__(self):
         return self
