--- a/bench/bench_time_in_effect.c
+++ b/bench/bench_time_in_effect.c
@@ -332,7 +332,7 @@
   const bool ok = !bench.failed && value < limit;
 
   printf ("measure=%s value=%.1f unit=%s baseline=%.0f limit=%.0f bound=%.0f verdict=%s\n", name, value, unit,
-          limit, limit, limit, ok ? "ok" : "fail");
+          limit, limit, limit, ok ? "pass" : "fail");
   bench.failed |= !ok;
 }
 
