daemon: share the command line and the common settings of the daemons

Cause: balancer, agent and control each had a copy of the options, of the check of the log level and of the loading of the key file; the agent did not check its replica endpoints with the settings.

--- a/daemons/oriole_agent.c
+++ b/daemons/oriole_agent.c
@@ -3,10 +3,12 @@
 
 #include <argp.h>
 #include <glib-unix.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "adapters/admin.h"
+#include "adapters/daemon.h"
 #include "adapters/http_upstream.h"
 #include "adapters/link.h"
 #include "adapters/system_clock.h"
@@ -21,7 +23,6 @@
 enum
 {
   EXIT_RUNTIME = 1,
-  EXIT_SETTINGS = 2,
   BATCH_DATAGRAMS = 64, /* other sources of the loop get their turn after this many */
   SPARE_CONNECTIONS = 64,
 };
@@ -83,12 +84,6 @@
   bool stopped; /* events that arrive while the adapters close are ignored */
 } agent_t;
 
-typedef struct
-{
-  const char *settings;
-  bool check;
-} arguments_t;
-
 const char *argp_program_version = "oriole-agent 0.1.0";
 
 static int64_t
@@ -391,71 +386,29 @@
   return started ? 0 : EXIT_RUNTIME;
 }
 
-static error_t
-parse_option (int key, char *value, struct argp_state *state)
-{
-  arguments_t *arguments = state->input;
-
-  switch (key)
-    {
-    case 's':
-      arguments->settings = value;
-      return 0;
-    case 'c':
-      arguments->check = true;
-      return 0;
-    case ARGP_KEY_END:
-      if (arguments->settings == NULL)
-        argp_error (state, "--settings is missing");
-      return 0;
-    default:
-      return ARGP_ERR_UNKNOWN;
-    }
-}
-
 int
 main (int argc, char **argv)
 {
-  static const struct argp_option options[] = {
-    { .name = "settings", .key = 's', .arg = "FILE", .doc = "Settings file" },
-    { .name = "check", .key = 'c', .doc = "Check the settings and exit" },
-    { 0 },
-  };
-  static const struct argp argp = {
-    .options = options,
-    .parser = parse_option,
-    .doc = "Owns the flows of one upstream and runs their requests at most once.",
-  };
   static agent_t agent;
-  arguments_t arguments = { 0 };
-  oh_error_t error;
+  const oh_daemon_settings_t common = {
+    .key_file = &agent.settings.key_file,
+    .log_level = &agent.settings.log_level,
+    .replicas = &agent.settings.replicas,
+  };
+  oh_daemon_arguments_t arguments = { 0 };
+  oh_error_t error = { .domain = OH_ERROR_NONE };
   oh_log_level_t level;
-  int status;
+  int status = EXIT_SUCCESS;
 
-  argp_err_exit_status = EXIT_SETTINGS;
-  argp_parse (&argp, argc, argv, 0, NULL, &arguments);
-  if (!oh_settings_load (arguments.settings, settings_table, G_N_ELEMENTS (settings_table), &agent.settings,
-                         &error))
-    {
-      g_printerr ("oriole-agent: %s\n", error.message);
-      return EXIT_SETTINGS;
-    }
-  if (!oh_log_level_parse (agent.settings.log_level, &level))
-    {
-      g_printerr (
-        "oriole-agent: %s: section [log], key level, value \"%s\": expected error, warning, info or "
-        "debug\n",
-        arguments.settings, agent.settings.log_level);
-      status = EXIT_SETTINGS;
-    }
-  else if (!oh_keyring_load (&agent.keyring, agent.settings.key_file, &error))
+  oh_daemon_parse_arguments (
+    argc, argv, "Owns the flows of one upstream and runs their requests at most once.", &arguments);
+  if (!oh_daemon_load (arguments.settings_path, settings_table, G_N_ELEMENTS (settings_table),
+                       &agent.settings, &common, &agent.keyring, &level, &error))
     {
       g_printerr ("oriole-agent: %s\n", error.message);
-      status = EXIT_SETTINGS;
+      status = OH_EXIT_SETTINGS;
     }
-  else if (arguments.check)
-    status = 0;
-  else
+  else if (!arguments.check)
     {
       oh_log_start (level);
       status = run (&agent);
--- a/daemons/oriole_balancer.c
+++ b/daemons/oriole_balancer.c
@@ -3,11 +3,11 @@
 #include <argp.h>
 #include <glib-unix.h>
 #include <glib.h>
-#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "adapters/admin.h"
+#include "adapters/daemon.h"
 #include "adapters/packet_loop.h"
 #include "adapters/system_clock.h"
 #include "adapters/system_random.h"
@@ -16,7 +16,6 @@
 
 enum
 {
-  EXIT_BAD_SETTINGS = 2,
   LEAVE_MS = 1000, /* packets that the fabric still sends here are forwarded for this time after SIGTERM */
 };
 
@@ -45,12 +44,6 @@
   { "log", "level", OH_SETTING_STRING, offsetof (settings_t, log_level), false, "info", 0, 0 },
 };
 
-typedef struct
-{
-  const char *settings_path;
-  bool check;
-} arguments_t;
-
 typedef struct
 {
   settings_t settings;
@@ -64,31 +57,6 @@
   bool leaving;
 } balancer_t;
 
-static error_t
-parse_option (int key, char *value, struct argp_state *state)
-{
-  arguments_t *arguments = state->input;
-
-  switch (key)
-    {
-    case 's':
-      arguments->settings_path = value;
-      return 0;
-    case 'c':
-      arguments->check = true;
-      return 0;
-    case ARGP_KEY_ARG:
-      argp_error (state, "unexpected argument \"%s\"", value);
-      return 0;
-    case ARGP_KEY_END:
-      if (arguments->settings_path == NULL)
-        argp_error (state, "--settings FILE is required");
-      return 0;
-    default:
-      return ARGP_ERR_UNKNOWN;
-    }
-}
-
 static void
 view_changed (const oh_view_t *view, void *data)
 {
@@ -182,65 +150,28 @@
   return ok;
 }
 
-static bool
-check_replicas (const char *path, const char *replicas, oh_error_t *error)
-{
-  static const char scheme[] = "tcp://";
-  g_auto (GStrv) endpoints = g_strsplit (replicas, ",", -1);
-
-  for (char **endpoint = endpoints; *endpoint != NULL; endpoint++)
-    {
-      oh_address_t address;
-
-      if (!g_str_has_prefix (*endpoint, scheme)
-          || !oh_address_parse (*endpoint + sizeof scheme - 1, &address))
-        return oh_error_set (
-          error, OH_ERROR_SETTINGS, OH_ERROR_CODE_BAD_VALUE,
-          "%s: section [control], key replicas, value \"%s\": expected tcp://IPV4:PORT,...", path, replicas);
-    }
-  return true;
-}
-
-static bool
-load (balancer_t *balancer, const char *path, oh_log_level_t *level, oh_error_t *error)
-{
-  settings_t *settings = &balancer->settings;
-
-  if (!oh_settings_load (path, table, G_N_ELEMENTS (table), settings, error))
-    return false;
-  if (!oh_log_level_parse (settings->log_level, level))
-    return oh_error_set (error, OH_ERROR_SETTINGS, OH_ERROR_CODE_BAD_VALUE,
-                         "%s: section [log], key level, value \"%s\": expected error, warning, info or debug",
-                         path, settings->log_level);
-  return check_replicas (path, settings->replicas, error)
-         && oh_keyring_load (&balancer->keyring, settings->key_file, error);
-}
-
 int
 main (int argc, char **argv)
 {
-  static const struct argp_option options[] = {
-    { "settings", 's', "FILE", 0, "Read settings from FILE", 0 },
-    { "check", 'c', NULL, 0, "Check the settings and exit", 0 },
-    { 0 },
-  };
-  static const struct argp argp = {
-    .options = options,
-    .parser = parse_option,
-    .doc = "Forwards datagrams of callers to the agents that own their flows, and places new flows.",
-  };
   static balancer_t balancer;
-  arguments_t arguments = { 0 };
+  const oh_daemon_settings_t common = {
+    .key_file = &balancer.settings.key_file,
+    .log_level = &balancer.settings.log_level,
+    .replicas = &balancer.settings.replicas,
+  };
+  oh_daemon_arguments_t arguments = { 0 };
   oh_error_t error = { .domain = OH_ERROR_NONE };
   oh_log_level_t level;
   int status = EXIT_SUCCESS;
 
-  argp_err_exit_status = EXIT_BAD_SETTINGS;
-  argp_parse (&argp, argc, argv, 0, NULL, &arguments);
-  if (sodium_init () < 0 || !load (&balancer, arguments.settings_path, &level, &error))
+  oh_daemon_parse_arguments (
+    argc, argv, "Forwards datagrams of callers to the agents that own their flows, and places new flows.",
+    &arguments);
+  if (!oh_daemon_load (arguments.settings_path, table, G_N_ELEMENTS (table), &balancer.settings, &common,
+                       &balancer.keyring, &level, &error))
     {
       fprintf (stderr, "oriole-balancer: %s\n", error.message);
-      status = EXIT_BAD_SETTINGS;
+      status = OH_EXIT_SETTINGS;
     }
   else if (!arguments.check)
     {
--- a/daemons/oriole_control.c
+++ b/daemons/oriole_control.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "adapters/admin.h"
+#include "adapters/daemon.h"
 #include "adapters/file_storage.h"
 #include "adapters/link.h"
 #include "adapters/storage_worker.h"
@@ -17,11 +18,6 @@
 
 /* Control replica: Raft, membership leases and distribution of views. */
 
-enum
-{
-  EXIT_BAD_SETTINGS = 2,
-};
-
 typedef struct
 {
   char *name;
@@ -47,12 +43,6 @@
   { "log", "level", OH_SETTING_STRING, offsetof (settings_t, log_level), false, "info", 0, 0 },
 };
 
-typedef struct
-{
-  const char *settings_path;
-  bool check;
-} arguments_t;
-
 typedef struct
 {
   oh_control_sink_t sink; /* first member */
@@ -84,28 +74,6 @@
 
 const char *argp_program_version = "oriole-control " OH_VERSION;
 
-static error_t
-parse_argument (int key, char *value, struct argp_state *state)
-{
-  arguments_t *arguments = state->input;
-
-  switch (key)
-    {
-    case 's':
-      arguments->settings_path = value;
-      return 0;
-    case 'c':
-      arguments->check = true;
-      return 0;
-    case ARGP_KEY_END:
-      if (arguments->settings_path == NULL)
-        argp_error (state, "--settings is missing");
-      return 0;
-    default:
-      return ARGP_ERR_UNKNOWN;
-    }
-}
-
 static bool
 settings_error (const control_t *control, const char *path, const char *key, const char *value,
                 const char *expected, oh_error_t *error)
@@ -168,17 +136,14 @@
 load_settings (control_t *control, const char *path, oh_error_t *error)
 {
   settings_t *settings = &control->settings;
+  const oh_daemon_settings_t common = { .key_file = &settings->key_file, .log_level = &settings->log_level };
 
-  if (!oh_settings_load (path, setting_table, G_N_ELEMENTS (setting_table), settings, error))
+  if (!oh_daemon_load (path, setting_table, G_N_ELEMENTS (setting_table), settings, &common,
+                       &control->keyring, &control->log_level, error))
     return false;
   if (!endpoint_valid (settings->listen))
     return settings_error (control, path, "listen", settings->listen, "tcp://IPV4:PORT", error);
-  if (!oh_log_level_parse (settings->log_level, &control->log_level))
-    return oh_error_set (error, OH_ERROR_SETTINGS, OH_ERROR_CODE_BAD_VALUE,
-                         "%s: section [log], key level, value \"%s\": expected error, warning, info or debug",
-                         path, settings->log_level);
-  return parse_replicas (control, path, error)
-         && oh_keyring_load (&control->keyring, settings->key_file, error);
+  return parse_replicas (control, path, error);
 }
 
 /* Actions of the core. */
@@ -550,13 +515,6 @@
 int
 main (int argc, char **argv)
 {
-  static const struct argp_option options[] = {
-    { "settings", 's', "FILE", 0, "Read the settings from FILE", 0 },
-    { "check", 'c', NULL, 0, "Check the settings and exit", 0 },
-    { 0 },
-  };
-  static const struct argp argp
-    = { options, parse_argument, NULL, "Control replica of oriolehaven.", NULL, NULL, NULL };
   static const oh_control_sink_ops_t ops = {
     .reply = on_reply,
     .send_replica = on_send_replica,
@@ -567,19 +525,18 @@
     .log = on_log,
     .failed = on_failed,
   };
-  arguments_t arguments = { 0 };
+  oh_daemon_arguments_t arguments = { 0 };
   static control_t control;
   oh_error_t error;
 
-  argp_err_exit_status = EXIT_BAD_SETTINGS;
-  argp_parse (&argp, argc, argv, 0, NULL, &arguments);
+  oh_daemon_parse_arguments (argc, argv, "Control replica of oriolehaven.", &arguments);
   control.sink.ops = &ops;
   control.initial = g_array_new (FALSE, FALSE, sizeof (oh_raft_replica_t));
   g_array_set_clear_func (control.initial, clear_replica);
   if (!load_settings (&control, arguments.settings_path, &error))
     {
       g_printerr ("oriole-control: %s\n", error.message);
-      return EXIT_BAD_SETTINGS;
+      return OH_EXIT_SETTINGS;
     }
   if (arguments.check)
     return EXIT_SUCCESS;
--- /dev/null
+++ b/lib/adapters/daemon.c
@@ -0,0 +1,82 @@
+#include "adapters/daemon.h"
+
+#include <argp.h>
+#include <glib.h>
+#include <sodium.h>
+#include <string.h>
+
+static error_t
+parse_option (int key, char *value, struct argp_state *state)
+{
+  oh_daemon_arguments_t *arguments = state->input;
+
+  switch (key)
+    {
+    case 's':
+      arguments->settings_path = value;
+      return 0;
+    case 'c':
+      arguments->check = true;
+      return 0;
+    case ARGP_KEY_ARG:
+      argp_error (state, "unexpected argument \"%s\"", value);
+      return 0;
+    case ARGP_KEY_END:
+      if (arguments->settings_path == NULL)
+        argp_error (state, "--settings FILE is required");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static bool
+check_replicas (const char *path, const char *replicas, oh_error_t *error)
+{
+  static const char scheme[] = "tcp://";
+  g_auto (GStrv) endpoints = g_strsplit (replicas, ",", -1);
+
+  for (char **endpoint = endpoints; *endpoint != NULL; endpoint++)
+    {
+      oh_address_t address;
+
+      if (!g_str_has_prefix (*endpoint, scheme) || !oh_address_parse (*endpoint + strlen (scheme), &address))
+        return oh_error_set (error, OH_ERROR_SETTINGS, OH_ERROR_CODE_BAD_VALUE,
+                             "%s: section [control], key replicas, value \"%s\": expected "
+                             "tcp://IPV4:PORT,...",
+                             path, replicas);
+    }
+  return true;
+}
+
+void
+oh_daemon_parse_arguments (int argc, char **argv, const char *doc, oh_daemon_arguments_t *arguments)
+{
+  static const struct argp_option options[] = {
+    { "settings", 's', "FILE", 0, "Read the settings from FILE", 0 },
+    { "check", 'c', NULL, 0, "Check the settings and exit", 0 },
+    { 0 },
+  };
+  const struct argp argp = { .options = options, .parser = parse_option, .doc = doc };
+
+  argp_err_exit_status = OH_EXIT_SETTINGS;
+  argp_parse (&argp, argc, argv, 0, NULL, arguments);
+}
+
+bool
+oh_daemon_load (const char *path, const oh_setting_t *table, size_t n_table, void *settings,
+                const oh_daemon_settings_t *common, oh_keyring_t *keyring, oh_log_level_t *level,
+                oh_error_t *error)
+{
+  if (sodium_init () < 0)
+    return oh_error_set (error, OH_ERROR_IO, OH_ERROR_CODE_SYSTEM, "libsodium cannot be initialised");
+  if (!oh_settings_load (path, table, n_table, settings, error))
+    return false;
+  if (!oh_log_level_parse (*common->log_level, level))
+    return oh_error_set (error, OH_ERROR_SETTINGS, OH_ERROR_CODE_BAD_VALUE,
+                         "%s: section [log], key level, value \"%s\": expected error, warning, info or debug",
+                         path, *common->log_level);
+  if (common->replicas != NULL && !check_replicas (path, *common->replicas, error))
+    return false;
+  return oh_keyring_load (keyring, *common->key_file, error);
+}
