--- a/lib/core/caller_core.c
+++ b/lib/core/caller_core.c
@@ -14,7 +14,7 @@
   PING_INTERVAL_US = 1000 * 1000,
   PING_PROBE_US = 300 * 1000, /* after an unanswered ping; many times the 5 ms round trip */
   UNANSWERED_PINGS_MAX = 3,
-  DOUBTFUL_PINGS = 2, /* the first of them has been unanswered for a second */
+  DOUBTFUL_PINGS = 2, /* the first of them has been unanswered for PING_PROBE_US */
   UNANSWERED_OPENS_MAX = 3,
   OPEN_LIMIT_US = 10 * 1000 * 1000,    /* a service without an upstream is reported after this time */
   REOPEN_LIMIT_US = 120 * 1000 * 1000, /* an established flow outlives the restart of all upstreams */
