scripts: give no port twice in one deployment

test_balancer_processes failed once with "Address already in use": two processes of one deployment were given the same port (about 40 random ones of 20,000), because a port is bound some time after it was chosen.

--- a/scripts/lib/system.py
+++ b/scripts/lib/system.py
@@ -32,14 +32,20 @@
     return time.monotonic_ns() // 1000
 
 
+GIVEN_PORTS = set()  # a port is bound some time after it was given
+
+
 def free_port():
-    """A port that is free for TCP and UDP."""
+    """A port that is free for TCP and UDP and was not given before."""
     while True:
         port = random.SystemRandom().randrange(*PORT_RANGE)
+        if port in GIVEN_PORTS:
+            continue
         with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
             try:
                 tcp.bind(('127.0.0.1', port))
                 udp.bind(('127.0.0.1', port))
+                GIVEN_PORTS.add(port)
                 return port
             except OSError:
                 continue
