caller: split the core into the flow and its requests

caller_core.c had grown to 911 lines with two jobs. Requests move to caller_request.c; no behaviour changes.

--- a/lib/core/caller_core.c
+++ b/lib/core/caller_core.c
@@ -3,92 +3,34 @@
 #include <glib.h>
 #include <string.h>
 
-#include "core/caller_entry.h"
-#include "core/caller_outcome.h"
+#include "core/caller_internal.h"
 #include "core/caller_send.h"
 
 enum
 {
-  INTERVAL_MIN_US = 200 * 1000,
-  INTERVAL_MAX_US = 2000 * 1000,
   PING_INTERVAL_US = 1000 * 1000,
   PING_PROBE_US = 300 * 1000, /* after an unanswered ping; many times the 5 ms round trip */
   UNANSWERED_PINGS_MAX = 3,
-  DOUBTFUL_PINGS = 2, /* the first of them has been unanswered for PING_PROBE_US */
   UNANSWERED_OPENS_MAX = 3,
   OPEN_LIMIT_US = 10 * 1000 * 1000,    /* a service without an upstream is reported after this time */
   REOPEN_LIMIT_US = 120 * 1000 * 1000, /* an established flow outlives the restart of all upstreams */
   CLOSE_LIMIT_US = 2 * 1000 * 1000,
-  ACK_DELAY_US = 20 * 1000,
-  ACK_CHUNKS = 8, /* an eighth of the window, so that the sender does not stall between acknowledgements */
-  STREAM_STALL_US = 10 * 1000 * 1000, /* pings watch the path; this repairs a stream the owner has lost */
-  ANSWER_STALL_US = 1000 * 1000,
-  LATE_CANCEL_US = 1000 * 1000, /* after the deadline the owner is asked to end the request */
-  LATE_LIMIT_US = 5 * 1000 * 1000,
-  RETRY_BACKOFF_US = 100 * 1000,
-  TRIES_MAX = 4,
-  ANSWER_MAX_BYTES = 1 << 20, /* answers of single requests are held in memory */
 };
 
-typedef struct
-{
-  oh_caller_entry_t *entry;
-  oh_caller_sink_t *sink;
-} delivery_t;
-
-/* 0.75 to 1.25 of the interval, so that callers that lost the same balancer do not send in step. */
-static int64_t
-jittered (const oh_caller_core_t *core, int64_t interval_us)
+int64_t
+oh_caller_jittered (const oh_caller_core_t *core, int64_t interval_us)
 {
   return interval_us * 3 / 4 + (int64_t)oh_random_below (core->random, (uint64_t)interval_us / 2 + 1);
 }
 
-static void
-sign_of_life (oh_caller_core_t *core, int64_t now_us)
+void
+oh_caller_note_contact (oh_caller_core_t *core, int64_t now_us)
 {
   core->unanswered_pings = 0;
   core->path_replaced = false;
   core->ping_us = now_us + PING_INTERVAL_US;
 }
 
-/* Reports the end of a request; the entry may be freed. */
-static void
-finish_entry (oh_caller_core_t *core, oh_caller_entry_t *entry, Oh__Result result, oh_caller_sink_t *sink)
-{
-  if (result == OH__RESULT__RESULT_NONE && entry->body != NULL)
-    sink->emit (sink, &(oh_caller_action_t){
-                        .kind = OH_CALLER_ACTION_DATA,
-                        .id = entry->id,
-                        .bytes = entry->body->data,
-                        .length = entry->body->len,
-                      });
-  sink->emit (sink, &(oh_caller_action_t){
-                      .kind = OH_CALLER_ACTION_DONE,
-                      .id = entry->id,
-                      .number = entry->number,
-                      .result = result,
-                      .total = entry->answer.length,
-                      .digest = entry->answer.digest,
-                    });
-  entry->finished = true;
-  entry->send_us = 0;
-  entry->ack_us = 0;
-  if (entry->number == 0)
-    oh_caller_entry_free (entry);
-  else
-    oh_caller_window_raise_floor (core);
-}
-
-/* Ends a request that gets no word from its owner. */
-static void
-give_up_entry (oh_caller_core_t *core, oh_caller_entry_t *entry, Oh__Result result_if_not_run,
-               oh_caller_sink_t *sink)
-{
-  const bool may_have_run = entry->sent || entry->may_have_run;
-
-  finish_entry (core, entry, may_have_run ? OH__RESULT__RESULT_UNKNOWN : result_if_not_run, sink);
-}
-
 static void
 give_up_all (oh_caller_core_t *core, Oh__Result result_if_not_run, oh_caller_sink_t *sink)
 {
@@ -97,10 +39,10 @@
       oh_caller_entry_t *entry = oh_caller_window_find (core, number);
 
       if (entry != NULL && !entry->finished)
-        give_up_entry (core, entry, result_if_not_run, sink);
+        oh_caller_give_up_entry (core, entry, result_if_not_run, sink);
     }
   oh_list_foreach_safe (&core->pending, link, following)
-    give_up_entry (core, oh_list_entry (link, oh_caller_entry_t, link), result_if_not_run, sink);
+    oh_caller_give_up_entry (core, oh_list_entry (link, oh_caller_entry_t, link), result_if_not_run, sink);
 }
 
 static void
@@ -109,9 +51,9 @@
   core->state = OH_CALLER_OPENING;
   core->open_attempt = 1;
   core->unanswered_opens = 0;
-  core->interval_us = INTERVAL_MIN_US;
+  core->interval_us = OH_CALLER_INTERVAL_MIN_US;
   core->give_up_us = now_us + limit_us;
-  core->retransmit_us = now_us + jittered (core, core->interval_us);
+  core->retransmit_us = now_us + oh_caller_jittered (core, core->interval_us);
   core->open_refusal = OH__RESULT__RESULT_NO_UPSTREAM;
   oh_caller_send_open (core, sink);
 }
@@ -128,7 +70,7 @@
         continue;
       if (entry->sent && (entry->kind == OH__REQUEST_KIND__REQUEST_ONCE || entry->cancelled))
         {
-          finish_entry (core, entry, OH__RESULT__RESULT_UNKNOWN, sink);
+          oh_caller_finish_entry (core, entry, OH__RESULT__RESULT_UNKNOWN, sink);
           continue;
         }
       entry->attempt++;
@@ -168,7 +110,7 @@
     core->state = OH_CALLER_OPEN;
   else
     core->retransmit_us = now_us;
-  sign_of_life (core, now_us);
+  oh_caller_note_contact (core, now_us);
   for (uint32_t number = core->floor; number < core->next_number; number++)
     {
       oh_caller_entry_t *entry = oh_caller_window_find (core, number);
@@ -176,7 +118,7 @@
       if (entry->finished)
         continue;
       entry->send_us = now_us;
-      entry->interval_us = INTERVAL_MIN_US;
+      entry->interval_us = OH_CALLER_INTERVAL_MIN_US;
     }
   sink->emit (sink, &(oh_caller_action_t){
                       .kind = OH_CALLER_ACTION_OPENED,
@@ -184,221 +126,6 @@
                     });
 }
 
-/* The entry's number ended with result; the request waits for another number. */
-static void
-requeue (oh_caller_core_t *core, oh_caller_entry_t *entry, Oh__Result result, int64_t not_before_us,
-         oh_caller_sink_t *sink)
-{
-  sink->emit (sink, &(oh_caller_action_t){
-                      .kind = OH_CALLER_ACTION_RENUMBERED,
-                      .id = entry->id,
-                      .number = entry->number,
-                      .result = result,
-                    });
-  entry->may_have_run
-    = entry->may_have_run || (entry->sent && oh_outcome_of_result (result) != OH_OUTCOME_NOT_RUN);
-  entry->sent = false;
-  entry->not_before_us = not_before_us;
-  oh_answer_drop_held (&entry->answer);
-  if (!oh_caller_entry_is_stream (entry))
-    {
-      oh_answer_init (&entry->answer);
-      g_byte_array_set_size (entry->body, 0);
-    }
-  oh_caller_entry_detach (core, entry);
-  oh_caller_entry_queue (core, entry);
-}
-
-static bool
-may_retry (const oh_caller_entry_t *entry, Oh__Result result, int64_t now_us)
-{
-  if (entry->cancelled || (entry->deadline_us != 0 && now_us >= entry->deadline_us))
-    return false;
-  switch (result)
-    {
-    case OH__RESULT__RESULT_NOT_RUN_OVERLOADED:
-    case OH__RESULT__RESULT_NOT_RUN_DRAINING:
-    case OH__RESULT__RESULT_NOT_RUN_UPSTREAM:
-      return true;
-    case OH__RESULT__RESULT_UNKNOWN:
-    case OH__RESULT__RESULT_FAILED:
-      return entry->kind != OH__REQUEST_KIND__REQUEST_ONCE;
-    case OH__RESULT__RESULT_RESUME_MISMATCH:
-      return entry->kind == OH__REQUEST_KIND__REQUEST_TRANSFER;
-    case OH__RESULT__RESULT_NONE:
-    case OH__RESULT__RESULT_NOT_RUN_DEADLINE:
-    case OH__RESULT__RESULT_NOT_RUN_CANCELLED:
-    case OH__RESULT__RESULT_DEPENDENCY_UNAVAILABLE:
-    case OH__RESULT__RESULT_NO_UPSTREAM:
-    case OH__RESULT__RESULT_NO_CONFIRMED_VIEW:
-    case OH__RESULT__RESULT_WRONG_SERVICE:
-    case _OH__RESULT_IS_INT_SIZE:
-      break;
-    }
-  return false;
-}
-
-/* A refusal holds for the present attempt only: an earlier owner that has not answered may still run the
- * request, for instance after it was frozen. */
-static Oh__Result
-reported_result (const oh_caller_entry_t *entry, Oh__Result result)
-{
-  return entry->may_have_run && oh_outcome_of_result (result) == OH_OUTCOME_NOT_RUN
-           ? OH__RESULT__RESULT_UNKNOWN
-           : result;
-}
-
-/* Ends the request with the result, or tries again under another number. */
-static void
-settle (oh_caller_core_t *core, oh_caller_entry_t *entry, Oh__Result result, int64_t now_us,
-        oh_caller_sink_t *sink)
-{
-  const bool established = oh_caller_entry_is_stream (entry) && entry->answer.next > 0;
-  const Oh__Result reported = reported_result (entry, result);
-  int64_t backoff_us;
-
-  if (!may_retry (entry, result, now_us))
-    {
-      finish_entry (core, entry, reported, sink);
-      return;
-    }
-  /* Ending an established stream for want of budget would break it; its retries are limited by the backoff
-   * alone. */
-  if (!established && (entry->tries + 1 >= TRIES_MAX || !oh_retry_budget_withdraw (core->budget)))
-    {
-      finish_entry (core, entry, reported, sink);
-      return;
-    }
-  if (result == OH__RESULT__RESULT_RESUME_MISMATCH)
-    {
-      oh_answer_finish (&entry->answer);
-      oh_answer_init (&entry->answer);
-      sink->emit (sink, &(oh_caller_action_t){ .kind = OH_CALLER_ACTION_RESTART, .id = entry->id });
-    }
-  backoff_us = MIN (RETRY_BACKOFF_US << MIN (entry->tries, 5U), INTERVAL_MAX_US);
-  entry->tries++;
-  requeue (core, entry, reported, now_us + jittered (core, backoff_us), sink);
-}
-
-static void
-deliver (uint64_t sequence, const uint8_t *bytes, size_t length, void *data)
-{
-  delivery_t *delivery = data;
-  oh_caller_entry_t *entry = delivery->entry;
-
-  entry->unacknowledged++;
-  if (entry->body != NULL)
-    {
-      if (length > 0 && entry->body->len + length <= ANSWER_MAX_BYTES)
-        g_byte_array_append (entry->body, bytes, length);
-      return;
-    }
-  delivery->sink->emit (delivery->sink, &(oh_caller_action_t){
-                                          .kind = OH_CALLER_ACTION_DATA,
-                                          .id = entry->id,
-                                          .sequence = sequence,
-                                          .bytes = bytes,
-                                          .length = length,
-                                        });
-}
-
-static void
-acknowledge (oh_caller_core_t *core, oh_caller_entry_t *entry, oh_caller_sink_t *sink)
-{
-  entry->ack_us = 0;
-  entry->unacknowledged = 0;
-  oh_caller_send_ack (core, entry->number, entry->attempt, entry->answer.next, sink);
-}
-
-static void
-acknowledge_later (oh_caller_entry_t *entry, int64_t now_us)
-{
-  if (entry->ack_us == 0)
-    entry->ack_us = now_us + ACK_DELAY_US;
-}
-
-static void
-handle_taken (oh_caller_core_t *core, oh_caller_entry_t *entry, int64_t now_us, oh_caller_sink_t *sink)
-{
-  /* Chunks of a stream arrive without word from this side until the window is full, so they do not show that
-   * the path to the owner works. */
-  if (!oh_caller_entry_is_stream (entry))
-    sign_of_life (core, now_us);
-  entry->tries = 0;
-  entry->interval_us = INTERVAL_MIN_US;
-  entry->send_us = now_us + (oh_caller_entry_is_stream (entry) ? STREAM_STALL_US : ANSWER_STALL_US);
-  if (entry->body != NULL && entry->answer.length > ANSWER_MAX_BYTES)
-    {
-      finish_entry (core, entry, OH__RESULT__RESULT_FAILED, sink);
-      return;
-    }
-  if (entry->answer.complete || entry->unacknowledged >= ACK_CHUNKS)
-    acknowledge (core, entry, sink);
-  else
-    acknowledge_later (entry, now_us);
-  if (entry->answer.complete)
-    finish_entry (core, entry, OH__RESULT__RESULT_NONE, sink);
-}
-
-static void
-handle_chunk (oh_caller_core_t *core, const Oh__Chunk *chunk, int64_t now_us, oh_caller_sink_t *sink)
-{
-  oh_caller_entry_t *entry = oh_caller_window_find (core, chunk->number);
-  delivery_t delivery = { .entry = entry, .sink = sink };
-
-  if (chunk->number >= core->next_number || (entry != NULL && entry->attempt != chunk->attempt))
-    {
-      core->n_stale_packets++;
-      return;
-    }
-  if (entry == NULL || entry->finished)
-    {
-      /* The owner has not learned that the number is finished. */
-      core->n_stale_packets++;
-      oh_caller_send_ack (core, chunk->number, chunk->attempt, chunk->sequence + 1, sink);
-      return;
-    }
-  switch (oh_answer_add (&entry->answer, chunk, deliver, &delivery))
-    {
-    case OH_CHUNK_TAKEN:
-      handle_taken (core, entry, now_us, sink);
-      break;
-    case OH_CHUNK_HELD:
-      acknowledge_later (entry, now_us);
-      break;
-    case OH_CHUNK_DUPLICATE:
-      core->n_stale_packets++;
-      acknowledge_later (entry, now_us);
-      break;
-    case OH_CHUNK_OUTSIDE:
-      core->n_stale_packets++;
-      break;
-    case OH_CHUNK_MISMATCH:
-      core->n_bad_chunks++;
-      acknowledge_later (entry, now_us);
-      break;
-    case OH_CHUNK_TAG_CHANGE:
-      core->n_bad_chunks++;
-      settle (core, entry, OH__RESULT__RESULT_RESUME_MISMATCH, now_us, sink);
-      break;
-    }
-}
-
-static void
-handle_outcome (oh_caller_core_t *core, const Oh__Outcome *outcome, int64_t now_us, oh_caller_sink_t *sink)
-{
-  oh_caller_entry_t *entry = oh_caller_window_find (core, outcome->number);
-
-  if (entry == NULL || entry->finished || outcome->result == OH__RESULT__RESULT_NONE
-      || (entry->attempt != outcome->attempt && !entry->cancelled))
-    {
-      core->n_stale_packets++;
-      return;
-    }
-  sign_of_life (core, now_us);
-  settle (core, entry, outcome->result, now_us, sink);
-}
-
 static void
 handle_open_reply (oh_caller_core_t *core, const Oh__OpenReply *reply, int64_t now_us, oh_caller_sink_t *sink)
 {
@@ -430,8 +157,8 @@
     }
   core->open_attempt++;
   core->unanswered_opens = 0;
-  core->retransmit_us = now_us + jittered (core, core->interval_us);
-  core->interval_us = MIN (core->interval_us * 2, INTERVAL_MAX_US);
+  core->retransmit_us = now_us + oh_caller_jittered (core, core->interval_us);
+  core->interval_us = MIN (core->interval_us * 2, OH_CALLER_INTERVAL_MAX_US);
 }
 
 static void
@@ -447,7 +174,7 @@
       return;
     }
   core->pong_sequence = pong->sequence;
-  sign_of_life (core, now_us);
+  oh_caller_note_contact (core, now_us);
   if (pong->token != NULL && oh_token_from_wire (pong->token, &token) && token.service == core->service
       && token.incarnation == core->token.incarnation && token.flow_generation == core->generation
       && oh_address_equal (token.agent, core->token.agent))
@@ -511,11 +238,11 @@
       break;
     case OH__PACKET__BODY_CHUNK:
       if (core->state == OH_CALLER_OPEN)
-        handle_chunk (core, packet->chunk, now_us, sink);
+        oh_caller_handle_chunk (core, packet->chunk, now_us, sink);
       break;
     case OH__PACKET__BODY_OUTCOME:
       if (core->state == OH_CALLER_OPEN)
-        handle_outcome (core, packet->outcome, now_us, sink);
+        oh_caller_handle_outcome (core, packet->outcome, now_us, sink);
       break;
     case OH__PACKET__BODY_PONG:
       handle_pong (core, packet->pong, now_us);
@@ -546,113 +273,6 @@
     }
 }
 
-static void
-transmit (oh_caller_core_t *core, oh_caller_entry_t *entry, int64_t now_us, oh_caller_sink_t *sink)
-{
-  if (entry->cancelled && entry->sent)
-    oh_caller_send_cancel (core, entry->number, sink);
-  else
-    {
-      oh_caller_send_request (core, entry, now_us, sink);
-      entry->sent = true;
-    }
-  entry->send_us = now_us + jittered (core, entry->interval_us);
-  entry->interval_us = MIN (entry->interval_us * 2, INTERVAL_MAX_US);
-}
-
-/* A stream at the floor of a full window would block it: the stream goes on under a new number. */
-static void
-renumber_stream_at_floor (oh_caller_core_t *core, int64_t now_us, oh_caller_sink_t *sink)
-{
-  oh_caller_entry_t *entry = oh_caller_window_find (core, core->floor);
-
-  if (!oh_caller_entry_is_stream (entry) || entry->finished)
-    return;
-  oh_caller_send_cancel (core, entry->number, sink);
-  requeue (core, entry, OH__RESULT__RESULT_NONE, now_us, sink);
-  oh_caller_entry_assign (core, entry);
-  entry->interval_us = INTERVAL_MIN_US;
-  transmit (core, entry, now_us, sink);
-}
-
-static void
-expire_pending (oh_caller_core_t *core, int64_t now_us, oh_caller_sink_t *sink)
-{
-  oh_list_foreach_safe (&core->pending, link, following)
-    {
-      oh_caller_entry_t *entry = oh_list_entry (link, oh_caller_entry_t, link);
-
-      if (entry->deadline_us != 0 && now_us >= entry->deadline_us)
-        give_up_entry (core, entry, OH__RESULT__RESULT_NOT_RUN_DEADLINE, sink);
-    }
-}
-
-/* No word for at least a second, or none yet on a new path. A request that must not run twice is held back
- * then: sent to an owner that turns out to be lost, it would end as unknown; not sent, it goes to the next
- * owner. */
-static bool
-must_wait (const oh_caller_core_t *core, const oh_caller_entry_t *entry)
-{
-  return entry->kind == OH__REQUEST_KIND__REQUEST_ONCE
-         && (core->unanswered_pings >= DOUBTFUL_PINGS || core->path_replaced);
-}
-
-static void
-send_pending (oh_caller_core_t *core, int64_t now_us, oh_caller_sink_t *sink)
-{
-  oh_list_foreach_safe (&core->pending, link, following)
-    {
-      oh_caller_entry_t *entry = oh_list_entry (link, oh_caller_entry_t, link);
-
-      if (entry->not_before_us > now_us || must_wait (core, entry))
-        continue;
-      if (!oh_caller_window_has_room (core))
-        renumber_stream_at_floor (core, now_us, sink);
-      if (!oh_caller_window_has_room (core))
-        return;
-      oh_caller_entry_assign (core, entry);
-      entry->interval_us = INTERVAL_MIN_US;
-      transmit (core, entry, now_us, sink);
-    }
-}
-
-/* A request whose deadline passed without word: asks the owner to end it, then stops waiting. Returns true if
- * the entry ended. */
-static bool
-check_late (oh_caller_core_t *core, oh_caller_entry_t *entry, int64_t now_us, oh_caller_sink_t *sink)
-{
-  if (entry->deadline_us == 0 || entry->answer.next > 0)
-    return false;
-  if (now_us >= entry->deadline_us + LATE_LIMIT_US)
-    {
-      give_up_entry (core, entry, OH__RESULT__RESULT_NOT_RUN_DEADLINE, sink);
-      return true;
-    }
-  if (now_us >= entry->deadline_us + LATE_CANCEL_US && !entry->cancelled)
-    {
-      entry->cancelled = true;
-      entry->interval_us = INTERVAL_MIN_US;
-      entry->send_us = now_us;
-    }
-  return false;
-}
-
-static void
-service_entries (oh_caller_core_t *core, int64_t now_us, oh_caller_sink_t *sink)
-{
-  for (uint32_t number = core->floor; number < core->next_number; number++)
-    {
-      oh_caller_entry_t *entry = oh_caller_window_find (core, number);
-
-      if (entry == NULL || entry->finished || check_late (core, entry, now_us, sink))
-        continue;
-      if (entry->ack_us != 0 && now_us >= entry->ack_us)
-        acknowledge (core, entry, sink);
-      if (entry->send_us != 0 && now_us >= entry->send_us)
-        transmit (core, entry, now_us, sink);
-    }
-}
-
 static void
 service_path (oh_caller_core_t *core, int64_t now_us, oh_caller_sink_t *sink)
 {
@@ -701,8 +321,8 @@
       sink->emit (sink, &(oh_caller_action_t){ .kind = OH_CALLER_ACTION_REPLACE_PATH });
     }
   oh_caller_send_open (core, sink);
-  core->retransmit_us = now_us + jittered (core, core->interval_us);
-  core->interval_us = MIN (core->interval_us * 2, INTERVAL_MAX_US);
+  core->retransmit_us = now_us + oh_caller_jittered (core, core->interval_us);
+  core->interval_us = MIN (core->interval_us * 2, OH_CALLER_INTERVAL_MAX_US);
 }
 
 static void
@@ -716,22 +336,22 @@
   if (now_us < core->retransmit_us)
     return;
   oh_caller_send_close (core, sink);
-  core->retransmit_us = now_us + jittered (core, core->interval_us);
-  core->interval_us = MIN (core->interval_us * 2, INTERVAL_MAX_US);
+  core->retransmit_us = now_us + oh_caller_jittered (core, core->interval_us);
+  core->interval_us = MIN (core->interval_us * 2, OH_CALLER_INTERVAL_MAX_US);
 }
 
 /* Does what is due; called after every event. */
 static void
 service (oh_caller_core_t *core, int64_t now_us, oh_caller_sink_t *sink)
 {
-  expire_pending (core, now_us, sink);
+  oh_caller_expire_pending (core, now_us, sink);
   if (core->state == OH_CALLER_OPEN)
     service_path (core, now_us, sink);
   switch (core->state)
     {
     case OH_CALLER_OPEN:
-      service_entries (core, now_us, sink);
-      send_pending (core, now_us, sink);
+      oh_caller_service_entries (core, now_us, sink);
+      oh_caller_send_pending (core, now_us, sink);
       break;
     case OH_CALLER_OPENING:
       service_opening (core, now_us, sink);
@@ -763,7 +383,7 @@
       const oh_caller_entry_t *entry = oh_list_entry (link, oh_caller_entry_t, link);
 
       consider (&due_us, entry->deadline_us);
-      if (core->state == OH_CALLER_OPEN && !window_full && !must_wait (core, entry))
+      if (core->state == OH_CALLER_OPEN && !window_full && !oh_caller_must_wait (core, entry))
         consider (&due_us, entry->not_before_us);
     }
   if (core->state == OH_CALLER_OPENING || core->state == OH_CALLER_CLOSING)
@@ -783,48 +403,12 @@
       consider (&due_us, entry->send_us);
       consider (&due_us, entry->ack_us);
       if (entry->deadline_us != 0 && entry->answer.next == 0)
-        consider (&due_us, entry->deadline_us + (entry->cancelled ? LATE_LIMIT_US : LATE_CANCEL_US));
+        consider (&due_us, entry->deadline_us
+                             + (entry->cancelled ? OH_CALLER_LATE_LIMIT_US : OH_CALLER_LATE_CANCEL_US));
     }
   return due_us;
 }
 
-static void
-handle_request (oh_caller_core_t *core, const oh_caller_request_t *request, oh_caller_sink_t *sink)
-{
-  oh_caller_entry_t *entry = oh_caller_entry_new (request);
-
-  g_assert (request->payload_length <= OH_PAYLOAD_MAX_BYTES);
-  oh_retry_budget_deposit (core->budget);
-  oh_caller_entry_queue (core, entry);
-  if (core->state == OH_CALLER_CLOSED || core->state == OH_CALLER_CLOSING)
-    give_up_entry (core, entry, OH__RESULT__RESULT_NO_UPSTREAM, sink);
-}
-
-static void
-handle_cancel (oh_caller_core_t *core, uint64_t id, int64_t now_us, oh_caller_sink_t *sink)
-{
-  oh_caller_entry_t *entry = oh_caller_entry_find_id (core, id);
-
-  if (entry == NULL || entry->cancelled)
-    return;
-  if (!entry->sent)
-    {
-      give_up_entry (core, entry, OH__RESULT__RESULT_NOT_RUN_CANCELLED, sink);
-      return;
-    }
-  entry->cancelled = true;
-  entry->interval_us = INTERVAL_MIN_US;
-  entry->send_us = now_us;
-  if (oh_caller_entry_is_stream (entry))
-    {
-      /* What was taken of a stream is all that its user wants; the owner learns it from ack_below if the
-       * packet is lost. */
-      if (core->state == OH_CALLER_OPEN)
-        oh_caller_send_cancel (core, entry->number, sink);
-      finish_entry (core, entry, OH__RESULT__RESULT_UNKNOWN, sink);
-    }
-}
-
 static void
 handle_close (oh_caller_core_t *core, int64_t now_us, oh_caller_sink_t *sink)
 {
@@ -834,7 +418,7 @@
     return;
   core->state = open ? OH_CALLER_CLOSING : OH_CALLER_CLOSED;
   give_up_all (core, OH__RESULT__RESULT_NOT_RUN_CANCELLED, sink);
-  core->interval_us = INTERVAL_MIN_US;
+  core->interval_us = OH_CALLER_INTERVAL_MIN_US;
   core->give_up_us = now_us + CLOSE_LIMIT_US;
   core->retransmit_us = now_us;
   if (!open)
@@ -885,10 +469,10 @@
       core->armed_us = 0;
       break;
     case OH_CALLER_EVENT_REQUEST:
-      handle_request (core, &event->request, sink);
+      oh_caller_handle_request (core, &event->request, sink);
       break;
     case OH_CALLER_EVENT_CANCEL:
-      handle_cancel (core, event->cancel_id, event->now_us, sink);
+      oh_caller_handle_cancel (core, event->cancel_id, event->now_us, sink);
       break;
     case OH_CALLER_EVENT_CLOSE:
       handle_close (core, event->now_us, sink);
--- a/lib/core/caller_core.h
+++ b/lib/core/caller_core.h
@@ -116,7 +116,7 @@
   uint64_t ping_sequence;
   uint64_t pong_sequence; /* highest one answered */
   unsigned unanswered_pings;
-  bool path_replaced; /* since the last sign of life */
+  bool path_replaced; /* since the owner was last heard */
   int64_t ping_us;
 
   /* Requests; slots are indexed by number modulo the window. */
--- a/tests/test_control_core.c
+++ b/tests/test_control_core.c
@@ -20,7 +20,7 @@
 {
   char route[16]; /* sender's endpoint */
   GBytes *bytes;
-} letter_t;
+} message_t;
 
 typedef struct
 {
@@ -32,7 +32,7 @@
   char endpoint[16];
   bool stopped;  /* handles nothing; messages wait */
   bool deaf;     /* messages to it are lost */
-  GQueue inbox;  /* of letter_t * */
+  GQueue inbox;  /* of message_t * */
   GQueue synced; /* of persist ids, as pointers */
   int64_t timer_us;
   uint64_t view_version; /* of the last view sent */
@@ -62,7 +62,7 @@
   for (unsigned i = 0; i < REPLICAS; i++)
     {
       replica_t *to = &cluster.replicas[i];
-      letter_t *letter;
+      message_t *queued;
       uint8_t *bytes;
       size_t length;
 
@@ -71,10 +71,10 @@
       length = oh__control__get_packed_size (message);
       bytes = g_malloc (length);
       oh__control__pack (message, bytes);
-      letter = g_new0 (letter_t, 1);
-      g_strlcpy (letter->route, from->endpoint, sizeof letter->route);
-      letter->bytes = g_bytes_new_take (bytes, length);
-      g_queue_push_tail (&to->inbox, letter);
+      queued = g_new0 (message_t, 1);
+      g_strlcpy (queued->route, from->endpoint, sizeof queued->route);
+      queued->bytes = g_bytes_new_take (bytes, length);
+      g_queue_push_tail (&to->inbox, queued);
     }
 }
 
@@ -163,30 +163,30 @@
 }
 
 static void
-free_letter (gpointer data)
+free_message (gpointer data)
 {
-  letter_t *letter = data;
+  message_t *queued = data;
 
-  g_bytes_unref (letter->bytes);
-  g_free (letter);
+  g_bytes_unref (queued->bytes);
+  g_free (queued);
 }
 
 /* Handles the first waiting message; false if there is none. */
 static bool
-read_letter (replica_t *replica)
+read_message (replica_t *replica)
 {
-  letter_t *letter = g_queue_pop_head (&replica->inbox);
+  message_t *queued = g_queue_pop_head (&replica->inbox);
   gsize length;
   const uint8_t *bytes;
   Oh__Control *message;
 
-  if (letter == NULL)
+  if (queued == NULL)
     return false;
-  bytes = g_bytes_get_data (letter->bytes, &length);
+  bytes = g_bytes_get_data (queued->bytes, &length);
   message = oh__control__unpack (NULL, length, bytes);
-  deliver (replica, letter->route, message, OH_CONTROL_SYSTEM_MESSAGE);
+  deliver (replica, queued->route, message, OH_CONTROL_SYSTEM_MESSAGE);
   oh__control__free_unpacked (message, NULL);
-  free_letter (letter);
+  free_message (queued);
   return true;
 }
 
@@ -196,7 +196,7 @@
   oh_control_event_t tick = { .kind = OH_CONTROL_TICK };
   oh_control_event_t timer = { .kind = OH_CONTROL_RAFT_TIMER };
 
-  while (read_letter (replica))
+  while (read_message (replica))
     ;
   while (!g_queue_is_empty (&replica->synced))
     {
@@ -340,7 +340,7 @@
       oh_control_core_finish (&replica->core);
       oh_seeded_random_finish (&replica->random);
       oh_recovered_clear (&replica->recovered);
-      g_queue_clear_full (&replica->inbox, free_letter);
+      g_queue_clear_full (&replica->inbox, free_message);
       g_queue_clear (&replica->synced);
     }
 }
@@ -428,7 +428,7 @@
       g_assert_cmpuint (follower->view_version, ==, 0);
       g_assert_false (follower->view_confirmed);
     }
-  while (read_letter (follower));
+  while (read_message (follower));
   follower->stopped = false;
   follower->deaf = false;
   run_for (2 * SECOND);
