agent: keep load reports within the control traffic of a node

Cause: each agent reported on change up to ten times a second to each balancer. With 11 upstreams under load a balancer received 10,560 bytes/s, above the 8 KB/s that a node may spend on control. Ruled out: fewer fields in the report (83 bytes, of which the seal is 20), reports through control (a second hop).

--- a/lib/core/agent_core.c
+++ b/lib/core/agent_core.c
@@ -10,7 +10,9 @@
 {
   SWEEP_MS = 250, /* offers end within a quarter of a second of their time */
   DRAIN_TICK_MS = 50,
-  SEND_AGAIN_US = 1000, /* chunks left over from one event */
+  SEND_AGAIN_US = 1000,      /* chunks left over from one event */
+  REPORT_BYTES = 120,        /* a report of 83 bytes with a long name, and the UDP and IP headers */
+  REPORT_BYTES_PER_S = 5000, /* of the 8 KB that a node may spend on control; views take the rest */
 };
 
 static guint
@@ -25,12 +27,30 @@
   return *(const uint64_t *)a == *(const uint64_t *)b;
 }
 
+/* A node spends at most REPORT_BYTES_PER_S on load reports: a balancer receives them from every member, an
+ * agent sends them to every balancer. */
+static int64_t
+change_interval_ms (const oh_agent_core_t *core)
+{
+  const int64_t nodes = MAX (core->view->members->len, core->view->balancers->len);
+  const int64_t interval_ms = nodes * REPORT_BYTES * 1000 / REPORT_BYTES_PER_S;
+
+  return CLAMP (interval_ms, OH_AGENT_REPORT_MIN_MS, OH_AGENT_REPORT_MS);
+}
+
+/* There must be a view. */
+static int64_t
+report_due_us (const oh_agent_core_t *core)
+{
+  const int64_t interval_ms = core->report_changed ? change_interval_ms (core) : OH_AGENT_REPORT_MS;
+
+  return core->report_us + interval_ms * 1000;
+}
+
 static void
 send_reports (oh_agent_core_t *core)
 {
-  const int64_t interval_ms = core->report_changed ? OH_AGENT_REPORT_MIN_MS : OH_AGENT_REPORT_MS;
-
-  if (core->view == NULL || core->now_us - core->report_us < interval_ms * 1000)
+  if (core->view == NULL || core->now_us < report_due_us (core))
     return;
   core->report_us = core->now_us;
   core->report_changed = false;
@@ -47,11 +67,10 @@
 arm_timer (oh_agent_core_t *core)
 {
   const int64_t tick_us = (int64_t)OH_AGENT_TICK_MS * 1000;
-  const int64_t report_ms = core->report_changed ? OH_AGENT_REPORT_MIN_MS : OH_AGENT_REPORT_MS;
   int64_t due_us = core->sweep_us;
 
   if (core->view != NULL)
-    due_us = MIN (due_us, core->report_us + report_ms * 1000);
+    due_us = MIN (due_us, report_due_us (core));
   if (!oh_list_is_empty (&core->timers) || core->queue.length > 0)
     due_us = MIN (due_us, (core->now_us / tick_us + 1) * tick_us);
   if (core->draining)
--- a/tests/agent_fixture.c
+++ b/tests/agent_fixture.c
@@ -93,6 +93,7 @@
   if (relay->packet.len == 0)
     {
       agent->reports++;
+      agent->report_bytes = (unsigned)action->send.length;
       return;
     }
   packet = oh_packet_decode (&packet_arena, relay->packet.data, relay->packet.len, NULL);
--- a/tests/agent_fixture.h
+++ b/tests/agent_fixture.h
@@ -47,6 +47,7 @@
   bool exited;
   Oh__Load load; /* last one reported; strings are not kept */
   unsigned reports;
+  unsigned report_bytes; /* of the last one, sealed */
 } fake_agent_t;
 
 struct fixture
--- a/tests/test_agent_core.c
+++ b/tests/test_agent_core.c
@@ -849,6 +849,40 @@
   fixture_finish (&fixture);
 }
 
+/* Guards against load reports that use up the control traffic of a balancer, 8 KB/s, at the size of a user.
+ */
+static void
+test_report_rate (void)
+{
+  enum
+  {
+    MEMBERS = 11,
+    SECONDS = 10,
+    BUDGET_BYTES_PER_S = 8000,
+    UDP_IP_BYTES = 28,
+  };
+  fixture_t fixture;
+  oh_view_member_t other = { .name = (char *)"other" };
+  unsigned bytes;
+
+  fixture_init (&fixture, 4, 10);
+  fixture_update_view (&fixture, NULL);
+  for (unsigned i = FIXTURE_AGENTS; i < MEMBERS; i++)
+    g_ptr_array_add (fixture.view.members, &other);
+  fixture.agents[0].reports = 0;
+  for (unsigned ms = 0; ms < SECONDS * 1000; ms += 10)
+    {
+      fixture.agents[0].core.report_changed = true;
+      fixture_wait (&fixture, 10);
+    }
+  bytes = fixture.agents[0].reports * (fixture.agents[0].report_bytes + UDP_IP_BYTES);
+  g_assert_cmpuint (bytes, >, 0);
+  g_assert_cmpuint (bytes * MEMBERS / SECONDS, <=, BUDGET_BYTES_PER_S);
+  while (fixture.view.members->len > FIXTURE_AGENTS)
+    g_ptr_array_steal_index (fixture.view.members, FIXTURE_AGENTS);
+  fixture_finish (&fixture);
+}
+
 /* Guards against replies that all go to a balancer that has died. */
 static void
 test_return_path (void)
@@ -890,6 +924,7 @@
   g_test_add_func ("/agent/foreign-token", test_foreign_token);
   g_test_add_func ("/agent/stop", test_stop);
   g_test_add_func ("/agent/handover-target", test_handover_target);
+  g_test_add_func ("/agent/report-rate", test_report_rate);
   g_test_add_func ("/agent/return-path", test_return_path);
   return g_test_run ();
 }
