--- a/scripts/lib/system.py
+++ b/scripts/lib/system.py
@@ -63,6 +63,7 @@
         self.folder = tempfile.mkdtemp(prefix='oriolehaven-')
         self.processes = {}
         self.commands = {}
+        self.late_in_effect = 0  # changes that were not in effect everywhere within the bound
         self.ended = []  # names of processes that were stopped on purpose
         self.upstreams = {}  # agent name: (service, upstream address, agent settings)
         self.caller_ledgers = []
