oriolectl: drain in the order of the dependencies

Ruled out: a check in the replicated state, which does not know the announced upstreams. Placement lines of the balancer name the version of the view.

--- a/daemons/oriolectl.c
+++ b/daemons/oriolectl.c
@@ -10,6 +10,7 @@
 #include "base/settings.h"
 #include "core/config_text.h"
 #include "core/control_state.h"
+#include "core/stop_order.h"
 
 /* Operator's command line. */
 
@@ -33,6 +34,7 @@
   const char *id;
   const char *base;
   const char *timeout;
+  bool force;
   const char *command;
   const char *arguments[MAX_ARGUMENTS];
   unsigned n_arguments;
@@ -101,6 +103,9 @@
     case 't':
       arguments->timeout = value;
       return 0;
+    case 'f':
+      arguments->force = true;
+      return 0;
     case ARGP_KEY_ARG:
       if (arguments->command == NULL)
         arguments->command = value;
@@ -325,9 +330,46 @@
   return send_change (session, &change);
 }
 
+/* Planned stops follow the dependencies; --force drains all the same. */
+static int
+check_stop_order (session_t *session, const char *upstream)
+{
+  oh_error_t error;
+  oh_config_t config;
+  const char *dependant;
+  Oh__StatusReply *status = oh_operator_client_current (session->client, true, session->timeout_ms, &error);
+  int result = EXIT_DONE;
+
+  if (status == NULL)
+    return report (&error, EXIT_UNKNOWN);
+  /* There is no text before the first change. */
+  if (status->text[0] != '\0' && oh_config_parse (&config, "text in effect", status->text, &error))
+    {
+      if (!oh_stop_order_allows (&config, status, upstream, &dependant))
+        {
+          g_printerr (
+            "oriolectl: %s is the last upstream of its service that takes work, and service %s depends "
+            "on it: drain that one first, or use --force\n",
+            upstream, dependant);
+          result = EXIT_FAILED;
+        }
+      oh_config_finish (&config);
+    }
+  oh__status_reply__free_unpacked (status, NULL);
+  return result;
+}
+
 static int
 run_drain (session_t *session)
 {
+  /* A change that is sent again may have been accepted already. */
+  if (!session->arguments->force && session->arguments->id == NULL)
+    {
+      const int status = check_stop_order (session, session->arguments->arguments[0]);
+
+      if (status != EXIT_DONE)
+        return status;
+    }
   return run_target (session, OH__CHANGE_KIND__CHANGE_DRAIN);
 }
 
@@ -614,6 +656,7 @@
     { "settings", 's', "FILE", 0, "Read the replicas and the key file from FILE", 0 },
     { "id", 'i', "HEX", 0, "Send the change again under this id", 0 },
     { "base", 'b', "VERSION", 0, "Version that the change was made from (default: the one in effect)", 0 },
+    { "force", 'f', NULL, 0, "Drain although services that depend on this one still take work", 0 },
     { "timeout-ms", 't', "MS", 0, "Give up after this time (default: 15000)", 0 },
     { 0 },
   };
--- a/lib/core/balancer_core.c
+++ b/lib/core/balancer_core.c
@@ -149,6 +149,13 @@
   send_bytes (sink, OH_BALANCER_SEND_AGENT, agent, core->out, written);
 }
 
+/* 0 before the first view. */
+static uint64_t
+view_version (const oh_balancer_core_t *core)
+{
+  return core->placement.view != NULL ? core->placement.view->version : 0;
+}
+
 static void
 refuse_open (oh_balancer_core_t *core, const open_t *open, const oh_placement_decision_t *decision,
              oh_balancer_sink_t *sink)
@@ -177,11 +184,11 @@
   if (core->log_level >= OH_LOG_INFO)
     emit_log (core, sink, OH_LOG_INFO, "open_refused",
               "flow=%s service=%s service_id=%016" G_GINT64_MODIFIER "x caller=%s reason=%s dependency=%s "
-              "result=%d tried=%zu upstreams=%u suspects=%u excluded=%u",
+              "result=%d tried=%zu upstreams=%u suspects=%u excluded=%u version=%" G_GUINT64_FORMAT,
               format_flow (&open->flow, flow_text), decision->service_name, open->packet->service,
               oh_address_format (open->caller, caller_text), oh_placement_reason_name (decision->reason),
               decision->blocked_by, (int)result, open->n_tried, decision->upstreams, decision->suspects,
-              decision->excluded);
+              decision->excluded, view_version (core));
 }
 
 static void
@@ -203,12 +210,12 @@
   if (core->log_level >= OH_LOG_INFO)
     emit_log (core, sink, OH_LOG_INFO, "open_placed",
               "flow=%s service=%s caller=%s upstream=%s reason=%s load=%.3f flows=%u unanswered=%u tried=%zu "
-              "upstreams=%u candidates=%u suspects=%u excluded=%u distrusted=%u",
+              "upstreams=%u candidates=%u suspects=%u excluded=%u distrusted=%u version=%" G_GUINT64_FORMAT,
               format_flow (&open->flow, flow_text), decision.service_name,
               oh_address_format (open->caller, caller_text), decision.upstream->name,
               oh_placement_reason_name (decision.reason), decision.load, decision.upstream->flows,
               decision.upstream->n_unanswered, open->n_tried, decision.upstreams, decision.candidates,
-              decision.suspects, decision.excluded, decision.distrusted);
+              decision.suspects, decision.excluded, decision.distrusted, view_version (core));
 }
 
 static void
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -2,12 +2,24 @@
 """Guards against programs that do not work together: one of each, from the operator's text to an answer."""
 import os
 import sys
+import time
 import unittest
 
 BUILD = sys.argv.pop(1)
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), '..', 'scripts', 'lib'))
 import system as deployment  # noqa: E402
 
+DEPENDENT_TEXT = '''[oriolehaven]
+name=test
+
+[service kiln-log]
+address=127.0.0.1:7000
+
+[service scan-serve]
+address=127.0.0.1:7001
+depends=kiln-log
+'''
+
 
 class WholePathTest(unittest.TestCase):
     def test_calls(self):
@@ -33,6 +45,27 @@
             for name in ('agent-kiln-log-1', 'balancer-1', 'control-1'):
                 system.stop(name)
 
+    def test_stop_order(self):
+        """A drain that takes a dependency away from a service at work, and a dependency that is not enforced."""
+        with deployment.System(BUILD, n_control=1, n_balancers=1) as system:
+            system.start_control('control-1')
+            system.start_balancer('balancer-1')
+            for service in ('kiln-log', 'scan-serve'):
+                system.add_upstream(f'{service}-1', service)
+            system.start_fabric()
+            system.apply(DEPENDENT_TEXT)
+            system.wait_ready(['kiln-log', 'scan-serve'])
+            result = system.oriolectl('drain', 'kiln-log-1', check=False)
+            self.assertEqual(result.returncode, 1)
+            self.assertIn('scan-serve', result.stderr)
+            system.oriolectl('drain', '--force', 'kiln-log-1')
+            time.sleep(2)
+            started = time.monotonic()
+            result = system.call('scan-serve', 'request', 'work_ms=5 bytes=10')
+            self.assertNotEqual(result.returncode, 0, 'a flow was opened although the dependency is drained')
+            self.assertLess(time.monotonic() - started, 2, 'the refusal took long')
+            system.oriolectl('drain', 'scan-serve-1')
+
 
 if __name__ == '__main__':
     unittest.main()
