tests: check that the cores repeat their outputs

The same inputs and seed must give the same datagrams. The caller's retransmissions differ between seeds, and the agent's datagrams between answers, so the comparison can fail.

--- a/tests/agent_fixture.c
+++ b/tests/agent_fixture.c
@@ -83,6 +83,7 @@
 
   oh_arena_init (&relay_arena);
   oh_arena_init (&packet_arena);
+  fixture->sent_digest = oh_chunk_digest (fixture->sent_digest, action->send.bytes, action->send.length);
   relay = oh_relay_decode (&relay_arena, &fixture->keyring, action->send.bytes, action->send.length, NULL);
   g_assert_nonnull (relay);
   g_assert_nonnull (relay->load);
--- a/tests/agent_fixture.h
+++ b/tests/agent_fixture.h
@@ -67,7 +67,8 @@
   bool has_token;
   oh_token_t moved; /* of the last Moved */
   unsigned n_moved;
-  unsigned n_packets; /* to the caller */
+  unsigned n_packets;   /* to the caller */
+  uint64_t sent_digest; /* of all datagrams of the agents, in order */
   unsigned n_gone;
   unsigned n_pongs;
   unsigned n_chunks;
