--- a/bench/bench_queue.c
+++ b/bench/bench_queue.c
@@ -271,6 +271,7 @@
     }
   pass &= print_measure ("command_refused", "share", refused[POLICY_PRODUCT], refused[POLICY_EDF],
                          refused[POLICY_FIFO], refused[POLICY_EDF], false);
+  /* One slot in four is reserved for commands, so readings keep three quarters of the capacity. */
   pass &= print_measure ("readings_in_time", "share", in_time[POLICY_PRODUCT], in_time[POLICY_EDF],
                          in_time[POLICY_FIFO], 0.75 * in_time[POLICY_EDF], true);
   for (policy_t policy = POLICY_PRODUCT; policy < POLICIES; policy++)
