--- a/daemons/oriole_control.c
+++ b/daemons/oriole_control.c
@@ -10,11 +10,14 @@
 #include "adapters/daemon.h"
 #include "adapters/file_storage.h"
 #include "adapters/link.h"
+#include "adapters/settings_watch.h"
 #include "adapters/storage_worker.h"
+#include "adapters/system_clock.h"
 #include "adapters/system_random.h"
 #include "base/settings.h"
 #include "core/codec.h"
 #include "core/control_core.h"
+#include "platform/operator_http.h"
 
 /* Control replica: Raft, membership leases and distribution of views. */
 
@@ -26,7 +29,12 @@
   char *data;
   oh_address_t admin;
   char *replicas;
+  char *seeds;
+  int64_t port;
   bool join;
+  int64_t tolerate;
+  int64_t compact_entries;
+  oh_address_t operators;
   char *key_file;
   char *log_level;
 } settings_t;
@@ -37,7 +45,13 @@
   { "control", "listen", OH_SETTING_STRING, offsetof (settings_t, listen), true, NULL, 0, 0 },
   { "control", "data", OH_SETTING_STRING, offsetof (settings_t, data), true, NULL, 0, 0 },
   { "control", "admin", OH_SETTING_ADDRESS, offsetof (settings_t, admin), false, NULL, 0, 0 },
-  { "control", "replicas", OH_SETTING_STRING, offsetof (settings_t, replicas), true, NULL, 0, 0 },
+  { "control", "replicas", OH_SETTING_STRING, offsetof (settings_t, replicas), false, "", 0, 0 },
+  { "control", "seeds", OH_SETTING_STRING, offsetof (settings_t, seeds), false, "", 0, 0 },
+  { "control", "port", OH_SETTING_INTEGER, offsetof (settings_t, port), false, "0", 0, G_MAXUINT16 },
+  { "control", "tolerate", OH_SETTING_INTEGER, offsetof (settings_t, tolerate), false, "0", 0, 7 },
+  { "control", "compact_entries", OH_SETTING_INTEGER, offsetof (settings_t, compact_entries), false, "0", 0,
+    1000000 },
+  { "control", "operators", OH_SETTING_ADDRESS, offsetof (settings_t, operators), false, NULL, 0, 0 },
   { "control", "join", OH_SETTING_BOOLEAN, offsetof (settings_t, join), false, "false", 0, 0 },
   { "keys", "file", OH_SETTING_STRING, offsetof (settings_t, key_file), true, NULL, 0, 0 },
   { "log", "level", OH_SETTING_STRING, offsetof (settings_t, log_level), false, "info", 0, 0 },
@@ -54,6 +68,9 @@
   oh_link_t *server;
   GHashTable *links; /* of oh_link_t * by endpoint, to other replicas */
   oh_storage_worker_t *storage;
+  oh_operator_http_t *operators; /* NULL without such an interface */
+  oh_settings_watch_t watch;
+  const char *settings_path;
   GSource *raft_timer;
   GMainLoop *loop;
   int status;
@@ -101,6 +118,15 @@
   g_free (replica->endpoint);
 }
 
+/* The address without scheme and port. */
+static char *
+seed_name (const char *endpoint)
+{
+  const char *address = endpoint + strlen ("tcp://");
+
+  return g_strndup (address, strcspn (address, ":"));
+}
+
 static bool
 parse_replicas (control_t *control, const char *path, oh_error_t *error)
 {
@@ -132,6 +158,30 @@
   return true;
 }
 
+/* Replicas that are only known by the addresses of their VMs are named after these. */
+static bool
+parse_seeds (control_t *control, const char *path, oh_error_t *error)
+{
+  g_autofree char *endpoints
+    = oh_daemon_seed_endpoints (path, control->settings.seeds, control->settings.port, error);
+  g_auto (GStrv) items = NULL;
+  bool has_self = false;
+
+  if (endpoints == NULL)
+    return false;
+  items = g_strsplit (endpoints, ",", -1);
+  for (char **item = items; *item != NULL && control->initial->len < OH_RAFT_REPLICAS_MAX; item++)
+    {
+      const oh_raft_replica_t replica = { .name = seed_name (*item), .endpoint = g_strdup (*item) };
+
+      has_self |= strcmp (*item, control->settings.listen) == 0;
+      g_array_append_val (control->initial, replica);
+    }
+  if (!has_self)
+    control->settings.join = true;
+  return true;
+}
+
 static bool
 load_settings (control_t *control, const char *path, oh_error_t *error)
 {
@@ -143,6 +193,8 @@
     return false;
   if (!endpoint_valid (settings->listen))
     return settings_error (control, path, "listen", settings->listen, "tcp://IPV4:PORT", error);
+  if (settings->seeds[0] != '\0')
+    return parse_seeds (control, path, error);
   return parse_replicas (control, path, error);
 }
 
@@ -165,18 +217,85 @@
     oh_counter_add (&control->sent_bytes, length);
 }
 
+/*
+ * Publications that came over the operators' interface go through the core like changes of other operators.
+ * Their route is a prefix that no ZeroMQ peer has, and the number of the request.
+ */
+
+static const char publication_route[] = "publication";
+
+static GBytes *
+make_publication_route (uint64_t request)
+{
+  uint8_t route[sizeof publication_route + sizeof request];
+
+  memcpy (route, publication_route, sizeof publication_route);
+  memcpy (route + sizeof publication_route, &request, sizeof request);
+  return g_bytes_new (route, sizeof route);
+}
+
+static bool
+is_publication_route (GBytes *route, uint64_t *request)
+{
+  gsize length;
+  const uint8_t *bytes = g_bytes_get_data (route, &length);
+
+  if (length != sizeof publication_route + sizeof *request
+      || memcmp (bytes, publication_route, sizeof publication_route) != 0)
+    return false;
+  memcpy (request, bytes + sizeof publication_route, sizeof *request);
+  return true;
+}
+
+static void
+answer_publication (control_t *control, uint64_t request, const Oh__ChangeReply *reply)
+{
+  oh_publish_status_t status = OH_PUBLISH_UNAVAILABLE;
+  oh_address_t leader = { 0 };
+
+  switch (reply->status)
+    {
+    case OH__CHANGE_STATUS__CHANGE_ACCEPTED:
+      status = OH_PUBLISH_ACCEPTED;
+      break;
+    case OH__CHANGE_STATUS__CHANGE_INVALID:
+      status = OH_PUBLISH_INVALID;
+      break;
+    case OH__CHANGE_STATUS__CHANGE_NOT_LEADER:
+      if (g_str_has_prefix (reply->leader, "tcp://")
+          && oh_address_parse (reply->leader + strlen ("tcp://"), &leader))
+        status = OH_PUBLISH_REDIRECT;
+      break;
+    case OH__CHANGE_STATUS__CHANGE_CONFLICT:
+    case OH__CHANGE_STATUS__CHANGE_UNAVAILABLE:
+    case _OH__CHANGE_STATUS_IS_INT_SIZE:
+      break;
+    }
+  oh_log_info ("publication_answered",
+               "request=%" G_GUINT64_FORMAT " status=%d version=%" G_GUINT64_FORMAT " detail=\"%s\"", request,
+               (int)status, reply->version, reply->detail);
+  oh_operator_http_answer (control->operators, request, status, leader.ipv4, reply->detail);
+}
+
 static void
 on_reply (oh_control_sink_t *sink, GBytes *route, oh_key_purpose_t purpose, const Oh__Control *message)
 {
   control_t *control = control_of (sink);
+  uint64_t request;
 
+  if (is_publication_route (route, &request))
+    {
+      if (message->body_case == OH__CONTROL__BODY_CHANGE_REPLY)
+        answer_publication (control, request, message->change_reply);
+      return;
+    }
   send_sealed (control, control->server, route, purpose, message);
 }
 
 static void
 handle (control_t *control, oh_control_event_t *event)
 {
-  event->now_us = g_get_monotonic_time ();
+  event->now_us = oh_clock_now_us (oh_system_clock ());
   oh_control_core_handle (&control->core, event, &control->sink);
 }
 
@@ -234,7 +353,7 @@
 static void
 on_arm_timer (oh_control_sink_t *sink, int64_t due_us)
 {
-  g_source_set_ready_time (control_of (sink)->raft_timer, due_us);
+  g_source_set_ready_time (control_of (sink)->raft_timer, oh_system_clock_ready_time (due_us));
 }
 
 static void
@@ -362,6 +481,61 @@
   oh_log_debug ("message_rejected", "length=%zu reason=\"seal\"", length);
 }
 
+/* The operators' interface. */
+
+static void
+on_publish (void *data, uint64_t request, const oh_publication_t *publication)
+{
+  control_t *control = data;
+  g_autoptr (GBytes) route = make_publication_route (request);
+  Oh__Control message = OH__CONTROL__INIT;
+  Oh__Change change = OH__CHANGE__INIT;
+  oh_control_event_t event = {
+    .kind = OH_CONTROL_OPERATOR_MESSAGE,
+    .message = { .route = route, .message = &message },
+  };
+  uint8_t id[OH_CHANGE_ID_BYTES];
+
+  /* The same publication has the same id, so that one that is sent again gets the first result. */
+  oh_change_id_of_publication (publication->number, publication->document, id);
+  change.id.data = id;
+  change.id.len = sizeof id;
+  change.kind = OH__CHANGE_KIND__CHANGE_PUBLISH;
+  change.text = publication->text;
+  change.number = publication->number;
+  change.document.data = (uint8_t *)g_bytes_get_data (publication->document, &change.document.len);
+  change.author = (char *)"operator";
+  message.sender = (char *)"operator";
+  message.body_case = OH__CONTROL__BODY_CHANGE;
+  message.change = &change;
+  oh_counter_increment (&control->changes);
+  oh_log_info ("publication_received", "request=%" G_GUINT64_FORMAT " number=%" G_GUINT64_FORMAT " bytes=%zu",
+               request, publication->number, change.document.len);
+  handle (control, &event);
+}
+
+static GBytes *
+on_read (void *data)
+{
+  const control_t *control = data;
+
+  if (!oh_control_core_confirmed (&control->core, oh_clock_now_us (oh_system_clock ()))
+      || control->core.state.document == NULL)
+    return NULL;
+  return g_bytes_ref (control->core.state.document);
+}
+
+static bool
+start_operators (control_t *control, oh_error_t *error)
+{
+  static const oh_operator_api_callbacks_t callbacks = { .publish = on_publish, .read = on_read };
+
+  if (control->settings.operators.port == 0)
+    return true;
+  control->operators = oh_operator_http_start (control->settings.operators, &callbacks, control, error);
+  return control->operators != NULL;
+}
+
 static void
 on_persisted (uint64_t id, const oh_error_t *error, void *data)
 {
@@ -446,6 +620,18 @@
     oh_counters_add (&control->counters, table[i].counter, table[i].name);
 }
 
+/* Other seeds matter only to a process that has not found its cluster yet, which starts anew to use them. */
+static void
+on_settings_changed (void *data)
+{
+  control_t *control = data;
+
+  if (oh_raft_role (&control->core.raft) != OH_RAFT_UNFORMED)
+    return;
+  oh_log_info ("restarting", "replica=%s reason=settings", control->settings.name);
+  g_main_loop_quit (control->loop);
+}
+
 static void
 start_timers (control_t *control)
 {
@@ -482,23 +668,30 @@
       if (admin == NULL)
         goto out;
     }
+  if (!start_operators (control, error))
+    goto out;
   start_timers (control);
+  oh_settings_watch_init (&control->watch, control->settings_path, on_settings_changed, control);
   start.start.recovered = &recovered;
   start.start.initial = (const oh_raft_replica_t *)(gpointer)control->initial->data;
   start.start.n_initial = control->initial->len;
   start.start.endpoint = control->settings.listen;
   start.start.join = control->settings.join;
+  start.start.voters = control->settings.tolerate > 0 ? (unsigned)control->settings.tolerate * 2 + 1 : 0;
+  start.start.compact_entries = (unsigned)control->settings.compact_entries;
   oh_log_info ("started", "replica=%s zone=%s listen=%s", control->settings.name, control->settings.zone,
                control->settings.listen);
   handle (control, &start);
   if (!control->core.has_failed)
     g_main_loop_run (control->loop);
+  oh_settings_watch_finish (&control->watch);
   ok = true;
 
 out:
   oh_storage_worker_stop (control->storage);
   if (storage != NULL)
     oh_file_storage_close (storage);
+  oh_operator_http_stop (control->operators);
   oh_admin_stop (admin);
   oh_link_close (control->server);
   g_hash_table_remove_all (control->links);
@@ -531,6 +724,7 @@
 
   oh_daemon_parse_arguments (argc, argv, "Control replica of oriolehaven.", &arguments);
   control.sink.ops = &ops;
+  control.settings_path = arguments.settings_path;
   control.initial = g_array_new (FALSE, FALSE, sizeof (oh_raft_replica_t));
   g_array_set_clear_func (control.initial, clear_replica);
   if (!load_settings (&control, arguments.settings_path, &error))
@@ -545,7 +739,7 @@
   control.links = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, close_link);
   control.loop = g_main_loop_new (NULL, FALSE);
   oh_control_core_init (&control.core, control.settings.name, oh_random_u64 (oh_system_random ()) | 1,
-                        oh_system_random (), g_get_monotonic_time ());
+                        oh_system_random (), oh_clock_now_us (oh_system_clock ()));
   if (!run (&control, &error))
     {
       oh_log_error ("start_failed", "reason=\"%s\"", error.message);
--- /dev/null
+++ b/daemons/oriole_flow_agent.c
@@ -0,0 +1,441 @@
+#define OH_LOG_MODULE "flow_agent"
+#include "base/log.h"
+
+#include <argp.h>
+#include <glib-unix.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "adapters/admin.h"
+#include "adapters/daemon.h"
+#include "adapters/settings_watch.h"
+#include "adapters/system_clock.h"
+#include "adapters/system_random.h"
+#include "adapters/udp.h"
+#include "adapters/view_client.h"
+#include "base/settings.h"
+#include "core/segment_agent.h"
+#include "platform/heartbeat_http.h"
+#include "platform/readiness_http.h"
+#include "platform/segment_codec.h"
+
+/* Agent beside an upstream whose callers do not speak the caller protocol. One task owns all sockets and
+ * state. */
+
+enum
+{
+  BATCH_DATAGRAMS = 64, /* other sources of the loop get their turn after this many */
+  STOP_MS = 200,        /* from the report that no new flow is taken to the exit of a live upstream's agent */
+};
+
+const char *argp_program_version = "oriole-flow-agent 0.1.0";
+
+typedef struct
+{
+  char *name;
+  char *zone;
+  oh_address_t relay;
+  oh_address_t outbound;
+  oh_address_t upstream;
+  oh_address_t announcements;
+  oh_address_t readiness;
+  oh_address_t admin;
+  int64_t heartbeat_ms;
+  int64_t max_flows;
+  int64_t flow_timeout_s;
+  int64_t leave_ms;
+  char *seeds;
+  int64_t port;
+  char *key_file;
+  char *log_level;
+} settings_t;
+
+static const oh_setting_t table[] = {
+  { "agent", "name", OH_SETTING_STRING, offsetof (settings_t, name), true, NULL, 0, 0 },
+  { "agent", "zone", OH_SETTING_STRING, offsetof (settings_t, zone), true, NULL, 0, 0 },
+  { "agent", "relay", OH_SETTING_ADDRESS, offsetof (settings_t, relay), true, NULL, 0, 0 },
+  { "agent", "outbound", OH_SETTING_ADDRESS, offsetof (settings_t, outbound), true, NULL, 0, 0 },
+  { "agent", "upstream", OH_SETTING_ADDRESS, offsetof (settings_t, upstream), true, NULL, 0, 0 },
+  { "agent", "announcements", OH_SETTING_ADDRESS, offsetof (settings_t, announcements), true, NULL, 0, 0 },
+  { "agent", "readiness", OH_SETTING_ADDRESS, offsetof (settings_t, readiness), false, NULL, 0, 0 },
+  { "agent", "admin", OH_SETTING_ADDRESS, offsetof (settings_t, admin), false, NULL, 0, 0 },
+  { "agent", "heartbeat_ms", OH_SETTING_INTEGER, offsetof (settings_t, heartbeat_ms), false, "1000", 10,
+    600000 },
+  { "agent", "max_flows", OH_SETTING_INTEGER, offsetof (settings_t, max_flows), false, "2000", 1, 1000000 },
+  { "agent", "flow_timeout_s", OH_SETTING_INTEGER, offsetof (settings_t, flow_timeout_s), false, "60", 1,
+    86400 },
+  { "agent", "leave_ms", OH_SETTING_INTEGER, offsetof (settings_t, leave_ms), false, "3000", 0, 3600000 },
+  { "control", "seeds", OH_SETTING_STRING, offsetof (settings_t, seeds), true, NULL, 0, 0 },
+  { "control", "port", OH_SETTING_INTEGER, offsetof (settings_t, port), true, NULL, 1, G_MAXUINT16 },
+  { "keys", "file", OH_SETTING_STRING, offsetof (settings_t, key_file), true, NULL, 0, 0 },
+  { "log", "level", OH_SETTING_STRING, offsetof (settings_t, log_level), false, "info", 0, 0 },
+};
+
+typedef struct
+{
+  oh_segment_agent_sink_t sink; /* first member */
+  settings_t settings;
+  const char *settings_path;
+  oh_keyring_t keyring; /* of the view client; the core has its own copy */
+  oh_counters_t counters;
+  oh_segment_agent_t core;
+  oh_view_client_t *view_client;
+  oh_admin_t *admin;
+  oh_readiness_http_t *readiness;
+  oh_heartbeat_http_t *heartbeats;
+  oh_settings_watch_t watch;
+  GArray *balancers; /* of oh_address_t, where load reports go */
+  Oh__Member member;
+  Oh__Load load;
+  Oh__Address load_address;
+  int relay;
+  int outbound;
+  bool leaving;
+  GMainLoop *loop;
+} agent_t;
+
+static int64_t
+now_us (void)
+{
+  return oh_clock_now_us (oh_system_clock ());
+}
+
+static void
+handle (agent_t *agent, oh_segment_agent_event_t event)
+{
+  event.now_us = now_us ();
+  oh_segment_agent_handle (&agent->core, &event, &agent->sink);
+}
+
+/* Actions of the core. */
+
+static void
+send_upstream (oh_segment_agent_sink_t *sink, const uint8_t *bytes, size_t length)
+{
+  const agent_t *agent = (agent_t *)sink;
+
+  oh_udp_send (agent->outbound, agent->settings.upstream, bytes, length);
+}
+
+static void
+send_caller (oh_segment_agent_sink_t *sink, oh_address_t caller, const uint8_t *bytes, size_t length)
+{
+  const agent_t *agent = (agent_t *)sink;
+  /* Callers take segments at the port at which agents do. */
+  const oh_address_t to = { .ipv4 = caller.ipv4, .port = agent->settings.relay.port };
+
+  oh_udp_send (agent->relay, to, bytes, length);
+}
+
+static void
+send_balancer (oh_segment_agent_sink_t *sink, oh_address_t to, const uint8_t *bytes, size_t length)
+{
+  oh_udp_send (((agent_t *)sink)->relay, to, bytes, length);
+}
+
+static void
+report (oh_segment_agent_sink_t *sink, const uint8_t *bytes, size_t length)
+{
+  const agent_t *agent = (agent_t *)sink;
+
+  for (guint i = 0; i < agent->balancers->len; i++)
+    oh_udp_send (agent->relay, g_array_index (agent->balancers, oh_address_t, i), bytes, length);
+}
+
+static void
+on_changed (oh_segment_agent_sink_t *sink)
+{
+  oh_view_client_poll_now (((agent_t *)sink)->view_client);
+}
+
+static void
+write_log (oh_segment_agent_sink_t *sink, oh_log_level_t level, const char *event, const char *pairs)
+{
+  (void)sink;
+  oh_log_event (OH_LOG_MODULE, level, event, "%s", pairs);
+}
+
+/* Sources of events. */
+
+static void
+receive_all (agent_t *agent, int fd, oh_segment_agent_event_kind_t kind)
+{
+  uint8_t buffer[OH_RELAY_MAX_BYTES];
+
+  for (unsigned i = 0; i < BATCH_DATAGRAMS; i++)
+    {
+      const ssize_t length = oh_udp_receive (fd, NULL, buffer, sizeof buffer);
+
+      if (length < 0)
+        return;
+      /* The full length is reported of a datagram that did not fit. */
+      if ((size_t)length <= sizeof buffer)
+        handle (agent, (oh_segment_agent_event_t){
+                         .kind = kind, .datagram = { .bytes = buffer, .length = (size_t)length } });
+    }
+}
+
+static gboolean
+on_relay_datagram (gint fd, GIOCondition condition, gpointer data)
+{
+  (void)condition;
+  receive_all (data, fd, OH_SEGMENT_AGENT_RELAY);
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_upstream_datagram (gint fd, GIOCondition condition, gpointer data)
+{
+  (void)condition;
+  receive_all (data, fd, OH_SEGMENT_AGENT_UPSTREAM);
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_tick (gpointer data)
+{
+  handle (data, (oh_segment_agent_event_t){ .kind = OH_SEGMENT_AGENT_TICK });
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+on_announcement (void *data, const oh_announcement_t *announcement)
+{
+  handle (data,
+          (oh_segment_agent_event_t){ .kind = OH_SEGMENT_AGENT_ANNOUNCED, .announcement = announcement });
+}
+
+static void
+on_view (const oh_view_t *view, void *data)
+{
+  agent_t *agent = data;
+
+  g_array_set_size (agent->balancers, 0);
+  for (guint i = 0; i < view->balancers->len; i++)
+    {
+      const oh_view_balancer_t *balancer = g_ptr_array_index (view->balancers, i);
+
+      g_array_append_val (agent->balancers, balancer->relay);
+    }
+}
+
+static void
+fill_poll (Oh__Poll *poll, void *data)
+{
+  agent_t *agent = data;
+  const char *service = oh_segment_agent_service (&agent->core);
+
+  poll->without_text = true;
+  if (service[0] == '\0')
+    return; /* there is no upstream to announce yet */
+  oh__member__init (&agent->member);
+  oh_segment_agent_load (&agent->core, now_us (), &agent->load, &agent->load_address);
+  agent->member.load = &agent->load;
+  agent->member.service_name = (char *)service;
+  agent->member.zone = agent->settings.zone;
+  poll->member = &agent->member;
+}
+
+static bool
+is_ready (void *data)
+{
+  return !((agent_t *)data)->leaving;
+}
+
+static gboolean
+quit (gpointer data)
+{
+  g_main_loop_quit (((agent_t *)data)->loop);
+  return G_SOURCE_REMOVE;
+}
+
+/* With an upstream that is gone the agent stays to tell callers so; otherwise it is about to be restarted,
+ * and the less time that takes the better. */
+static gboolean
+on_stop_signal (gpointer data)
+{
+  agent_t *agent = data;
+  const bool gone = agent->core.identity.state == OH_ANNOUNCED_LEFT;
+  const int64_t delay_ms = gone ? agent->settings.leave_ms : STOP_MS;
+
+  if (agent->leaving)
+    return G_SOURCE_CONTINUE;
+  agent->leaving = true;
+  oh_log_info ("leaving", "name=%s upstream_gone=%d delay_ms=%" G_GINT64_FORMAT, agent->settings.name, gone,
+               delay_ms);
+  g_timeout_add ((guint)delay_ms, quit, agent);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+on_settings_changed (void *data)
+{
+  agent_t *agent = data;
+  settings_t changed;
+  oh_error_t error;
+  g_autofree char *endpoints = NULL;
+
+  if (!oh_settings_load (agent->settings_path, table, G_N_ELEMENTS (table), &changed, &error))
+    {
+      oh_log_error ("settings_rejected", "reason=\"%s\"", error.message);
+      return;
+    }
+  endpoints = oh_daemon_seed_endpoints (agent->settings_path, changed.seeds, changed.port, &error);
+  if (endpoints == NULL || !oh_view_client_set_replicas (agent->view_client, endpoints, &error))
+    oh_log_error ("settings_rejected", "reason=\"%s\"", error.message);
+  else
+    oh_log_info ("reloaded", "seeds=%s", changed.seeds);
+  oh_settings_clear (table, G_N_ELEMENTS (table), &changed);
+}
+
+/* Life of the process. */
+
+static bool
+open_sockets (agent_t *agent, oh_error_t *error)
+{
+  agent->relay = oh_udp_open (agent->settings.relay, error);
+  if (agent->relay < 0)
+    return false;
+  agent->outbound = oh_udp_open (agent->settings.outbound, error);
+  if (agent->outbound < 0)
+    return false;
+  g_unix_fd_add (agent->relay, G_IO_IN, on_relay_datagram, agent);
+  g_unix_fd_add (agent->outbound, G_IO_IN, on_upstream_datagram, agent);
+  return true;
+}
+
+static bool
+start (agent_t *agent, oh_error_t *error)
+{
+  static const oh_view_client_callbacks_t callbacks = { .changed = on_view, .fill_poll = fill_poll };
+  const settings_t *settings = &agent->settings;
+  g_autofree char *endpoints
+    = oh_daemon_seed_endpoints (agent->settings_path, settings->seeds, settings->port, error);
+
+  if (endpoints == NULL || !open_sockets (agent, error))
+    return false;
+  agent->view_client = oh_view_client_start (NULL, settings->name, OH__NODE_ROLE__NODE_AGENT, settings->zone,
+                                             endpoints, &agent->keyring, &callbacks, agent, error);
+  if (agent->view_client == NULL)
+    return false;
+  agent->heartbeats = oh_heartbeat_http_start (settings->announcements, on_announcement, agent, error);
+  if (agent->heartbeats == NULL)
+    return false;
+  if (settings->admin.port != 0)
+    {
+      agent->admin = oh_admin_start (settings->admin, &agent->counters, error);
+      if (agent->admin == NULL)
+        return false;
+    }
+  if (settings->readiness.port != 0)
+    {
+      agent->readiness = oh_readiness_http_start (settings->readiness, is_ready, agent, error);
+      if (agent->readiness == NULL)
+        return false;
+    }
+  return true;
+}
+
+static void
+stop (agent_t *agent)
+{
+  oh_heartbeat_http_stop (agent->heartbeats);
+  oh_view_client_stop (agent->view_client);
+  oh_readiness_http_stop (agent->readiness);
+  oh_admin_stop (agent->admin);
+  if (agent->relay >= 0)
+    close (agent->relay);
+  if (agent->outbound >= 0)
+    close (agent->outbound);
+}
+
+static bool
+run (agent_t *agent, oh_error_t *error)
+{
+  static const oh_segment_agent_sink_ops_t ops = {
+    .send_upstream = send_upstream,
+    .send_caller = send_caller,
+    .send_balancer = send_balancer,
+    .report = report,
+    .changed = on_changed,
+    .log = write_log,
+  };
+  const settings_t *settings = &agent->settings;
+  const oh_segment_agent_config_t config = {
+    .format = oh_platform_segment_format (),
+    .name = settings->name,
+    .zone = settings->zone,
+    .incarnation = oh_random_u64 (oh_system_random ()),
+    .relay = settings->relay,
+    .heartbeat_ms = settings->heartbeat_ms,
+    .flow_timeout_ms = settings->flow_timeout_s * 1000,
+    .max_flows = (unsigned)settings->max_flows,
+  };
+  bool ok;
+
+  agent->sink.ops = &ops;
+  agent->relay = -1;
+  agent->outbound = -1;
+  agent->balancers = g_array_new (FALSE, FALSE, sizeof (oh_address_t));
+  agent->loop = g_main_loop_new (NULL, FALSE);
+  oh_segment_agent_init (&agent->core, &config, &agent->keyring);
+  oh_counters_init (&agent->counters);
+  oh_segment_agent_add_counters (&agent->core, &agent->counters);
+  ok = start (agent, error);
+  if (ok)
+    {
+      g_timeout_add (OH_SEGMENT_AGENT_TICK_MS, on_tick, agent);
+      g_unix_signal_add (SIGTERM, on_stop_signal, agent);
+      g_unix_signal_add (SIGINT, on_stop_signal, agent);
+      oh_settings_watch_init (&agent->watch, agent->settings_path, on_settings_changed, agent);
+      oh_log_info ("started", "name=%s zone=%s", settings->name, settings->zone);
+      g_main_loop_run (agent->loop);
+      oh_log_info ("stopped", "name=%s", settings->name);
+      oh_settings_watch_finish (&agent->watch);
+    }
+  stop (agent);
+  oh_segment_agent_finish (&agent->core);
+  oh_counters_finish (&agent->counters);
+  g_array_unref (agent->balancers);
+  g_main_loop_unref (agent->loop);
+  return ok;
+}
+
+int
+main (int argc, char **argv)
+{
+  static agent_t agent;
+  const oh_daemon_settings_t common = {
+    .key_file = &agent.settings.key_file,
+    .log_level = &agent.settings.log_level,
+  };
+  oh_daemon_arguments_t arguments = { 0 };
+  oh_error_t error = { .domain = OH_ERROR_NONE };
+  oh_log_level_t level;
+  int status = EXIT_SUCCESS;
+
+  oh_daemon_parse_arguments (
+    argc, argv, "Stands between balancers and one upstream for callers without the caller library.",
+    &arguments);
+  agent.settings_path = arguments.settings_path;
+  if (!oh_daemon_load (arguments.settings_path, table, G_N_ELEMENTS (table), &agent.settings, &common,
+                       &agent.keyring, &level, &error))
+    {
+      fprintf (stderr, "oriole-flow-agent: %s\n", error.message);
+      status = OH_EXIT_SETTINGS;
+    }
+  else if (!arguments.check)
+    {
+      oh_log_start (level);
+      if (!run (&agent, &error))
+        {
+          oh_log_error ("start_failed", "reason=\"%s\"", error.message);
+          status = EXIT_FAILURE;
+        }
+      oh_log_stop ();
+    }
+  oh_keyring_finish (&agent.keyring);
+  oh_settings_clear (table, G_N_ELEMENTS (table), &agent.settings);
+  return status;
+}
--- /dev/null
+++ b/daemons/oriole_flow_balancer.c
@@ -0,0 +1,362 @@
+#define OH_LOG_MODULE "flow_balancer"
+#include "base/log.h"
+
+#include <argp.h>
+#include <glib-unix.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "adapters/admin.h"
+#include "adapters/daemon.h"
+#include "adapters/settings_watch.h"
+#include "adapters/system_clock.h"
+#include "adapters/system_random.h"
+#include "adapters/udp.h"
+#include "adapters/view_client.h"
+#include "base/settings.h"
+#include "core/segment_balancer.h"
+#include "platform/readiness_http.h"
+#include "platform/segment_codec.h"
+
+/* Balancer for flows whose ends do not speak the caller protocol. One task owns both sockets and all state.
+ */
+
+enum
+{
+  BATCH_DATAGRAMS = 64, /* other sources of the loop get their turn after this many */
+};
+
+const char *argp_program_version = "oriole-flow-balancer 0.1.0";
+
+typedef struct
+{
+  char *name;
+  char *zone;
+  oh_address_t listen;
+  oh_address_t relay;
+  oh_address_t readiness;
+  oh_address_t admin;
+  int64_t max_flows;
+  int64_t flow_timeout_s;
+  int64_t leave_ms;
+  char *seeds;
+  int64_t port;
+  char *key_file;
+  char *log_level;
+} settings_t;
+
+static const oh_setting_t table[] = {
+  { "balancer", "name", OH_SETTING_STRING, offsetof (settings_t, name), true, NULL, 0, 0 },
+  { "balancer", "zone", OH_SETTING_STRING, offsetof (settings_t, zone), true, NULL, 0, 0 },
+  { "balancer", "listen", OH_SETTING_ADDRESS, offsetof (settings_t, listen), true, NULL, 0, 0 },
+  { "balancer", "relay", OH_SETTING_ADDRESS, offsetof (settings_t, relay), true, NULL, 0, 0 },
+  { "balancer", "readiness", OH_SETTING_ADDRESS, offsetof (settings_t, readiness), false, NULL, 0, 0 },
+  { "balancer", "admin", OH_SETTING_ADDRESS, offsetof (settings_t, admin), false, NULL, 0, 0 },
+  { "balancer", "max_flows", OH_SETTING_INTEGER, offsetof (settings_t, max_flows), false, "100000", 1,
+    10000000 },
+  { "balancer", "flow_timeout_s", OH_SETTING_INTEGER, offsetof (settings_t, flow_timeout_s), false, "60", 1,
+    86400 },
+  { "balancer", "leave_ms", OH_SETTING_INTEGER, offsetof (settings_t, leave_ms), false, "2500", 0, 3600000 },
+  { "control", "seeds", OH_SETTING_STRING, offsetof (settings_t, seeds), true, NULL, 0, 0 },
+  { "control", "port", OH_SETTING_INTEGER, offsetof (settings_t, port), true, NULL, 1, G_MAXUINT16 },
+  { "keys", "file", OH_SETTING_STRING, offsetof (settings_t, key_file), true, NULL, 0, 0 },
+  { "log", "level", OH_SETTING_STRING, offsetof (settings_t, log_level), false, "info", 0, 0 },
+};
+
+typedef struct
+{
+  oh_segment_balancer_sink_t sink; /* first member */
+  settings_t settings;
+  const char *settings_path;
+  oh_keyring_t keyring; /* of the view client; the core has its own copy */
+  oh_counters_t counters;
+  oh_segment_balancer_t core;
+  oh_view_client_t *view_client;
+  oh_admin_t *admin;
+  oh_readiness_http_t *readiness;
+  oh_settings_watch_t watch;
+  Oh__Address relay_address;
+  int listen;
+  int relay;
+  bool leaving;
+  GMainLoop *loop;
+} balancer_t;
+
+static void
+handle (balancer_t *balancer, oh_segment_balancer_event_t event)
+{
+  event.now_us = oh_clock_now_us (oh_system_clock ());
+  oh_segment_balancer_handle (&balancer->core, &event, &balancer->sink);
+}
+
+/* Actions of the core. */
+
+static void
+send_agent (oh_segment_balancer_sink_t *sink, oh_address_t to, const uint8_t *bytes, size_t length)
+{
+  oh_udp_send (((balancer_t *)sink)->relay, to, bytes, length);
+}
+
+static void
+send_caller (oh_segment_balancer_sink_t *sink, oh_address_t caller, const uint8_t *bytes, size_t length)
+{
+  const balancer_t *balancer = (balancer_t *)sink;
+  /* Callers take segments at the port at which balancers do. */
+  const oh_address_t to = { .ipv4 = caller.ipv4, .port = balancer->settings.listen.port };
+
+  oh_udp_send (balancer->listen, to, bytes, length);
+}
+
+static void
+write_log (oh_segment_balancer_sink_t *sink, oh_log_level_t level, const char *event, const char *pairs)
+{
+  (void)sink;
+  oh_log_event (OH_LOG_MODULE, level, event, "%s", pairs);
+}
+
+/* Sources of events. */
+
+static void
+receive_all (balancer_t *balancer, int fd, oh_segment_balancer_event_kind_t kind)
+{
+  uint8_t buffer[OH_RELAY_MAX_BYTES];
+
+  for (unsigned i = 0; i < BATCH_DATAGRAMS; i++)
+    {
+      const ssize_t length = oh_udp_receive (fd, NULL, buffer, sizeof buffer);
+
+      if (length < 0)
+        return;
+      /* The full length is reported of a datagram that did not fit. */
+      if ((size_t)length <= sizeof buffer)
+        handle (balancer, (oh_segment_balancer_event_t){
+                            .kind = kind, .datagram = { .bytes = buffer, .length = (size_t)length } });
+    }
+}
+
+static gboolean
+on_caller_datagram (gint fd, GIOCondition condition, gpointer data)
+{
+  (void)condition;
+  receive_all (data, fd, OH_SEGMENT_BALANCER_CALLER);
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_relay_datagram (gint fd, GIOCondition condition, gpointer data)
+{
+  (void)condition;
+  receive_all (data, fd, OH_SEGMENT_BALANCER_RELAY);
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_tick (gpointer data)
+{
+  handle (data, (oh_segment_balancer_event_t){ .kind = OH_SEGMENT_BALANCER_TICK });
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+on_view (const oh_view_t *view, void *data)
+{
+  handle (data, (oh_segment_balancer_event_t){ .kind = OH_SEGMENT_BALANCER_VIEW, .view = view });
+}
+
+static void
+fill_poll (Oh__Poll *poll, void *data)
+{
+  balancer_t *balancer = data;
+
+  oh_address_to_wire (balancer->settings.relay, &balancer->relay_address);
+  poll->relay = &balancer->relay_address;
+}
+
+static bool
+is_ready (void *data)
+{
+  const balancer_t *balancer = data;
+
+  return !balancer->leaving && oh_segment_balancer_ready (&balancer->core);
+}
+
+static gboolean
+quit (gpointer data)
+{
+  g_main_loop_quit (((balancer_t *)data)->loop);
+  return G_SOURCE_REMOVE;
+}
+
+/* The fabric learns from the readiness check that the balancer leaves; until it does, segments still come. */
+static gboolean
+on_stop_signal (gpointer data)
+{
+  balancer_t *balancer = data;
+
+  if (balancer->leaving)
+    return G_SOURCE_CONTINUE;
+  balancer->leaving = true;
+  oh_log_info ("leaving", "name=%s forward_ms=%" G_GINT64_FORMAT, balancer->settings.name,
+               balancer->settings.leave_ms);
+  g_timeout_add ((guint)balancer->settings.leave_ms, quit, balancer);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+on_settings_changed (void *data)
+{
+  balancer_t *balancer = data;
+  settings_t changed;
+  oh_error_t error;
+  g_autofree char *endpoints = NULL;
+
+  if (!oh_settings_load (balancer->settings_path, table, G_N_ELEMENTS (table), &changed, &error))
+    {
+      oh_log_error ("settings_rejected", "reason=\"%s\"", error.message);
+      return;
+    }
+  endpoints = oh_daemon_seed_endpoints (balancer->settings_path, changed.seeds, changed.port, &error);
+  if (endpoints == NULL || !oh_view_client_set_replicas (balancer->view_client, endpoints, &error))
+    oh_log_error ("settings_rejected", "reason=\"%s\"", error.message);
+  else
+    oh_log_info ("reloaded", "seeds=%s", changed.seeds);
+  oh_settings_clear (table, G_N_ELEMENTS (table), &changed);
+}
+
+/* Life of the process. */
+
+static bool
+open_sockets (balancer_t *balancer, oh_error_t *error)
+{
+  balancer->listen = oh_udp_open (balancer->settings.listen, error);
+  if (balancer->listen < 0)
+    return false;
+  balancer->relay = oh_udp_open (balancer->settings.relay, error);
+  if (balancer->relay < 0)
+    return false;
+  g_unix_fd_add (balancer->listen, G_IO_IN, on_caller_datagram, balancer);
+  g_unix_fd_add (balancer->relay, G_IO_IN, on_relay_datagram, balancer);
+  return true;
+}
+
+static bool
+start (balancer_t *balancer, oh_error_t *error)
+{
+  static const oh_view_client_callbacks_t callbacks = { .changed = on_view, .fill_poll = fill_poll };
+  const settings_t *settings = &balancer->settings;
+  g_autofree char *endpoints
+    = oh_daemon_seed_endpoints (balancer->settings_path, settings->seeds, settings->port, error);
+
+  if (endpoints == NULL || !open_sockets (balancer, error))
+    return false;
+  if (settings->admin.port != 0)
+    {
+      balancer->admin = oh_admin_start (settings->admin, &balancer->counters, error);
+      if (balancer->admin == NULL)
+        return false;
+    }
+  if (settings->readiness.port != 0)
+    {
+      balancer->readiness = oh_readiness_http_start (settings->readiness, is_ready, balancer, error);
+      if (balancer->readiness == NULL)
+        return false;
+    }
+  balancer->view_client
+    = oh_view_client_start (NULL, settings->name, OH__NODE_ROLE__NODE_BALANCER, settings->zone, endpoints,
+                            &balancer->keyring, &callbacks, balancer, error);
+  return balancer->view_client != NULL;
+}
+
+static void
+stop (balancer_t *balancer)
+{
+  oh_view_client_stop (balancer->view_client);
+  oh_readiness_http_stop (balancer->readiness);
+  oh_admin_stop (balancer->admin);
+  if (balancer->listen >= 0)
+    close (balancer->listen);
+  if (balancer->relay >= 0)
+    close (balancer->relay);
+}
+
+static bool
+run (balancer_t *balancer, oh_error_t *error)
+{
+  static const oh_segment_balancer_sink_ops_t ops = {
+    .send_agent = send_agent,
+    .send_caller = send_caller,
+    .log = write_log,
+  };
+  const settings_t *settings = &balancer->settings;
+  const oh_segment_balancer_config_t config = {
+    .format = oh_platform_segment_format (),
+    .zone = settings->zone,
+    .relay = settings->relay,
+    .flow_timeout_ms = settings->flow_timeout_s * 1000,
+    .max_flows = (unsigned)settings->max_flows,
+  };
+  bool ok;
+
+  balancer->sink.ops = &ops;
+  balancer->listen = -1;
+  balancer->relay = -1;
+  balancer->loop = g_main_loop_new (NULL, FALSE);
+  oh_segment_balancer_init (&balancer->core, &config, &balancer->keyring, oh_system_random ());
+  oh_counters_init (&balancer->counters);
+  oh_segment_balancer_add_counters (&balancer->core, &balancer->counters);
+  ok = start (balancer, error);
+  if (ok)
+    {
+      g_timeout_add (OH_SEGMENT_TICK_MS, on_tick, balancer);
+      g_unix_signal_add (SIGTERM, on_stop_signal, balancer);
+      g_unix_signal_add (SIGINT, on_stop_signal, balancer);
+      oh_settings_watch_init (&balancer->watch, balancer->settings_path, on_settings_changed, balancer);
+      oh_log_info ("started", "name=%s zone=%s", settings->name, settings->zone);
+      g_main_loop_run (balancer->loop);
+      oh_log_info ("stopped", "name=%s", settings->name);
+      oh_settings_watch_finish (&balancer->watch);
+    }
+  stop (balancer);
+  oh_segment_balancer_finish (&balancer->core);
+  oh_counters_finish (&balancer->counters);
+  g_main_loop_unref (balancer->loop);
+  return ok;
+}
+
+int
+main (int argc, char **argv)
+{
+  static balancer_t balancer;
+  const oh_daemon_settings_t common = {
+    .key_file = &balancer.settings.key_file,
+    .log_level = &balancer.settings.log_level,
+  };
+  oh_daemon_arguments_t arguments = { 0 };
+  oh_error_t error = { .domain = OH_ERROR_NONE };
+  oh_log_level_t level;
+  int status = EXIT_SUCCESS;
+
+  oh_daemon_parse_arguments (argc, argv, "Places and forwards flows of callers without the caller library.",
+                             &arguments);
+  balancer.settings_path = arguments.settings_path;
+  if (!oh_daemon_load (arguments.settings_path, table, G_N_ELEMENTS (table), &balancer.settings, &common,
+                       &balancer.keyring, &level, &error))
+    {
+      fprintf (stderr, "oriole-flow-balancer: %s\n", error.message);
+      status = OH_EXIT_SETTINGS;
+    }
+  else if (!arguments.check)
+    {
+      oh_log_start (level);
+      if (!run (&balancer, &error))
+        {
+          oh_log_error ("start_failed", "reason=\"%s\"", error.message);
+          status = EXIT_FAILURE;
+        }
+      oh_log_stop ();
+    }
+  oh_keyring_finish (&balancer.keyring);
+  oh_settings_clear (table, G_N_ELEMENTS (table), &balancer.settings);
+  return status;
+}
--- a/lib/adapters/daemon.c
+++ b/lib/adapters/daemon.c
@@ -49,6 +49,31 @@
   return true;
 }
 
+char *
+oh_daemon_seed_endpoints (const char *path, const char *seeds, int64_t port, oh_error_t *error)
+{
+  g_auto (GStrv) addresses = g_strsplit (seeds, ",", -1);
+  g_autoptr (GString) endpoints = g_string_new (NULL);
+
+  for (char **item = addresses; *item != NULL; item++)
+    {
+      oh_address_t address;
+      char text[OH_ADDRESS_TEXT_BYTES];
+
+      if (!oh_address_parse (g_strstrip (*item), &address))
+        {
+          oh_error_set (error, OH_ERROR_SETTINGS, OH_ERROR_CODE_BAD_VALUE,
+                        "%s: section [control], key seeds, value \"%s\": expected IPV4:PORT,...", path,
+                        seeds);
+          return NULL;
+        }
+      address.port = (uint16_t)port;
+      g_string_append_printf (endpoints, "%stcp://%s", endpoints->len > 0 ? "," : "",
+                              oh_address_format (address, text));
+    }
+  return g_string_free (g_steal_pointer (&endpoints), FALSE);
+}
+
 void
 oh_daemon_parse_arguments (int argc, char **argv, const char *doc, oh_daemon_arguments_t *arguments)
 {
--- a/lib/adapters/daemon.h
+++ b/lib/adapters/daemon.h
@@ -28,6 +28,10 @@
   char **replicas; /* control replicas as "tcp://IPV4:PORT,...", or NULL if they are not checked here */
 } oh_daemon_settings_t;
 
+/* Endpoints "tcp://IPV4:PORT,..." of the VMs in a list of addresses "IPV4:PORT,...", whose ports are those of
+ * another interface. NULL and error on a bad address. Free with g_free. */
+char *oh_daemon_seed_endpoints (const char *path, const char *seeds, int64_t port, oh_error_t *error);
+
 /* Exits with OH_EXIT_SETTINGS on a mistake, and with 0 after --help or --version. */
 void oh_daemon_parse_arguments (int argc, char **argv, const char *doc, oh_daemon_arguments_t *arguments);
 
--- a/lib/adapters/system_clock.c
+++ b/lib/adapters/system_clock.c
@@ -1,12 +1,16 @@
 #include "adapters/system_clock.h"
 
 #include <glib.h>
+#include <time.h>
 
 static int64_t
 now_us (oh_clock_t *clock)
 {
+  struct timespec now;
+
   (void)clock;
-  return g_get_monotonic_time ();
+  clock_gettime (CLOCK_BOOTTIME, &now);
+  return (int64_t)now.tv_sec * G_USEC_PER_SEC + now.tv_nsec / 1000;
 }
 
 oh_clock_t *
@@ -17,3 +21,9 @@
 
   return &clock;
 }
+
+int64_t
+oh_system_clock_ready_time (int64_t due_us)
+{
+  return g_get_monotonic_time () + due_us - oh_clock_now_us (oh_system_clock ());
+}
--- a/lib/adapters/view_client.c
+++ b/lib/adapters/view_client.c
@@ -3,6 +3,9 @@
 
 #include "adapters/view_client.h"
 
+#include <string.h>
+
+#include "adapters/system_clock.h"
 #include "core/codec.h"
 
 enum
@@ -25,10 +28,13 @@
   int64_t heard_us;       /* last message; 0: never */
   int64_t heard_since_us; /* start of the present run of messages */
   bool unsent;            /* the last poll found no connection */
+  bool configured;        /* named by the settings */
+  bool listed;            /* in the replica set of the last confirmed view */
 } replica_t;
 
 struct oh_view_client
 {
+  GMainContext *context;
   char *name;
   Oh__NodeRole role;
   char *zone;
@@ -51,6 +57,8 @@
   g_free (replica);
 }
 
+static void handle_message (oh_link_t *link, GBytes *peer, const uint8_t *bytes, size_t length, void *data);
+
 static void
 send_poll (replica_t *replica, const Oh__Poll *poll)
 {
@@ -116,6 +124,86 @@
   return false;
 }
 
+static replica_t *
+find_replica (const oh_view_client_t *client, const char *endpoint)
+{
+  for (guint i = 0; i < client->replicas->len; i++)
+    {
+      replica_t *replica = g_ptr_array_index (client->replicas, i);
+
+      if (strcmp (replica->endpoint, endpoint) == 0)
+        return replica;
+    }
+  return NULL;
+}
+
+static bool
+index_taken (const oh_view_client_t *client, unsigned index)
+{
+  for (guint i = 0; i < client->replicas->len; i++)
+    if (((replica_t *)g_ptr_array_index (client->replicas, i))->index == index)
+      return true;
+  return false;
+}
+
+/* Connects to a replica that is not known yet. NULL and error if there are too many, or on a bad endpoint. */
+static replica_t *
+add_replica (oh_view_client_t *client, const char *endpoint, oh_error_t *error)
+{
+  replica_t *replica;
+  unsigned index = 0;
+
+  while (index < MAX_REPLICAS && index_taken (client, index))
+    index++;
+  if (index == MAX_REPLICAS)
+    {
+      oh_error_set (error, OH_ERROR_SETTINGS, OH_ERROR_CODE_TOO_LARGE,
+                    "replica \"%s\": expected at most %d replicas", endpoint, MAX_REPLICAS);
+      return NULL;
+    }
+  replica = g_new0 (replica_t, 1);
+  replica->client = client;
+  replica->index = index;
+  replica->endpoint = g_strdup (endpoint);
+  replica->link = oh_link_connect_unqueued (client->context, endpoint, handle_message, replica, error);
+  if (replica->link == NULL)
+    {
+      free_replica (replica);
+      return NULL;
+    }
+  g_ptr_array_add (client->replicas, replica);
+  return replica;
+}
+
+/* The replica set of a confirmed view: new ones are polled too, and former ones no longer once they are
+ * silent. */
+static void
+follow_replica_set (oh_view_client_t *client, const Oh__View *message)
+{
+  if (!message->confirmed || message->n_replicas == 0)
+    return;
+  for (guint i = 0; i < client->replicas->len; i++)
+    ((replica_t *)g_ptr_array_index (client->replicas, i))->listed = false;
+  for (size_t i = 0; i < message->n_replicas; i++)
+    {
+      replica_t *replica = find_replica (client, message->replicas[i]);
+      oh_error_t error;
+
+      if (replica == NULL)
+        {
+          replica = add_replica (client, message->replicas[i], &error);
+          if (replica == NULL)
+            {
+              oh_log_warning ("replica_unusable", "reason=\"%s\"", error.message);
+              continue;
+            }
+          oh_log_info ("replica_learned", "replica=%s", replica->endpoint);
+          replica->unsent = true;
+        }
+      replica->listed = true;
+    }
+}
+
 static void
 merge (replica_t *replica, const Oh__View *message)
 {
@@ -159,11 +247,12 @@
     }
   if (message->body_case == OH__CONTROL__BODY_VIEW)
     {
-      const int64_t now_us = g_get_monotonic_time ();
+      const int64_t now_us = oh_clock_now_us (oh_system_clock ());
 
       if (replica->heard_us == 0 || now_us - replica->heard_us > SILENCE_US)
         replica->heard_since_us = now_us;
       replica->heard_us = now_us;
+      follow_replica_set (client, message->view);
       if (take_cursor (replica, message->view))
         merge (replica, message->view);
     }
@@ -191,7 +280,7 @@
 static void
 forget_silent_replicas (oh_view_client_t *client)
 {
-  const int64_t now_us = g_get_monotonic_time ();
+  const int64_t now_us = oh_clock_now_us (oh_system_clock ());
 
   for (guint i = 0; i < client->replicas->len; i++)
     {
@@ -210,6 +299,27 @@
     }
 }
 
+/* A replica that left the set, or was only ever a guess, is polled no longer once it is silent. */
+static void
+drop_former_replicas (oh_view_client_t *client)
+{
+  const int64_t now_us = oh_clock_now_us (oh_system_clock ());
+
+  for (guint i = client->replicas->len; i > 0; i--)
+    {
+      replica_t *replica = g_ptr_array_index (client->replicas, i - 1);
+      Oh__View nothing = OH__VIEW__INIT;
+
+      if (replica->configured || replica->listed || now_us - replica->heard_us <= SILENCE_US
+          || client->replicas->len == 1)
+        continue;
+      oh_log_info ("replica_dropped", "replica=%s", replica->endpoint);
+      nothing.snapshot = true;
+      merge (replica, &nothing);
+      g_ptr_array_remove_index (client->replicas, i - 1);
+    }
+}
+
 static gboolean
 on_timer (gpointer data)
 {
@@ -217,7 +327,10 @@
 
   client->ticks++;
   if (client->ticks % POLL_TICKS == 0)
-    forget_silent_replicas (client);
+    {
+      forget_silent_replicas (client);
+      drop_former_replicas (client);
+    }
   send_some_polls (client, false, client->ticks % POLL_TICKS != 0);
   return G_SOURCE_CONTINUE;
 }
@@ -237,25 +350,23 @@
   g_free (client);
 }
 
+/* Takes over the settings' list of endpoints. */
 static bool
-connect_replicas (oh_view_client_t *client, GMainContext *context, const char *replicas, oh_error_t *error)
+configure_replicas (oh_view_client_t *client, const char *replicas, oh_error_t *error)
 {
   g_auto (GStrv) endpoints = g_strsplit (replicas, ",", -1);
 
+  for (guint i = 0; i < client->replicas->len; i++)
+    ((replica_t *)g_ptr_array_index (client->replicas, i))->configured = false;
   for (char **endpoint = endpoints; *endpoint != NULL; endpoint++)
     {
-      replica_t *replica = g_new0 (replica_t, 1);
-
-      replica->client = client;
-      replica->index = client->replicas->len;
-      replica->endpoint = g_strdup (g_strstrip (*endpoint));
-      g_ptr_array_add (client->replicas, replica);
-      if (replica->index == MAX_REPLICAS)
-        return oh_error_set (error, OH_ERROR_SETTINGS, OH_ERROR_CODE_TOO_LARGE,
-                             "replicas \"%s\": expected at most %d endpoints", replicas, MAX_REPLICAS);
-      replica->link = oh_link_connect_unqueued (context, replica->endpoint, handle_message, replica, error);
-      if (replica->link == NULL)
+      replica_t *replica = find_replica (client, g_strstrip (*endpoint));
+
+      if (replica == NULL)
+        replica = add_replica (client, *endpoint, error);
+      if (replica == NULL)
         return false;
+      replica->configured = true;
     }
   if (client->replicas->len == 0)
     return oh_error_set (error, OH_ERROR_SETTINGS, OH_ERROR_CODE_BAD_VALUE,
@@ -270,6 +381,7 @@
 {
   oh_view_client_t *client = g_new0 (oh_view_client_t, 1);
 
+  client->context = context;
   client->name = g_strdup (name);
   client->role = role;
   client->zone = g_strdup (zone != NULL ? zone : "");
@@ -278,7 +390,7 @@
   client->data = data;
   client->replicas = g_ptr_array_new_with_free_func (free_replica);
   oh_view_init (&client->view);
-  if (!connect_replicas (client, context, replicas, error))
+  if (!configure_replicas (client, replicas, error))
     {
       free_client (client);
       return NULL;
@@ -290,6 +402,12 @@
   return client;
 }
 
+bool
+oh_view_client_set_replicas (oh_view_client_t *client, const char *replicas, oh_error_t *error)
+{
+  return configure_replicas (client, replicas, error);
+}
+
 void
 oh_view_client_poll_now (oh_view_client_t *client)
 {
--- a/lib/adapters/view_client.h
+++ b/lib/adapters/view_client.h
@@ -5,8 +5,9 @@
 #include "core/view.h"
 
 /*
- * Polls every control replica each second, announces the node, and keeps a merged view. Runs in the given
- * main context; callbacks are called there.
+ * Polls every control replica each second, announces the node, and keeps a merged view. The replicas are
+ * those of the settings and those that confirmed views list. Runs in the given main context; callbacks are
+ * called there.
  */
 
 typedef struct oh_view_client oh_view_client_t;
@@ -28,6 +29,9 @@
                                         const oh_view_client_callbacks_t *callbacks, void *data,
                                         oh_error_t *error);
 
+/* Replaces the endpoints given at the start; replicas that views list are polled besides. */
+bool oh_view_client_set_replicas (oh_view_client_t *client, const char *replicas, oh_error_t *error);
+
 /* Sends a poll now, for instance after a change of load that other nodes should learn. */
 void oh_view_client_poll_now (oh_view_client_t *client);
 
--- a/lib/core/codec.c
+++ b/lib/core/codec.c
@@ -85,6 +85,40 @@
   return relay;
 }
 
+Oh__SegmentRelay *
+oh_segment_relay_decode (oh_arena_t *arena, const oh_keyring_t *keyring, const uint8_t *bytes, size_t length,
+                         oh_error_t *error)
+{
+  const uint8_t *body;
+  size_t body_length;
+  Oh__SegmentRelay *relay;
+
+  if (!oh_unseal (keyring, OH_KEY_RELAY, bytes, length, &body, &body_length, error))
+    return NULL;
+  arena->used = 0;
+  relay = oh__segment_relay__unpack (&arena->allocator, body_length, body);
+  if (relay == NULL || relay->segment.len > OH_SEGMENT_MAX_BYTES)
+    {
+      oh_error_set (error, OH_ERROR_DECODE, OH_ERROR_CODE_MALFORMED, "relay of %zu bytes is malformed",
+                    length);
+      return NULL;
+    }
+  return relay;
+}
+
+size_t
+oh_segment_relay_encode (const Oh__SegmentRelay *relay, const oh_keyring_t *keyring, uint8_t *buffer,
+                         size_t capacity)
+{
+  const size_t size = oh__segment_relay__get_packed_size (relay);
+
+  if (size + OH_SEAL_HEADER_BYTES > capacity)
+    return 0;
+  oh__segment_relay__pack (relay, buffer + OH_SEAL_HEADER_BYTES);
+  oh_seal (keyring, OH_KEY_RELAY, buffer, size);
+  return size + OH_SEAL_HEADER_BYTES;
+}
+
 size_t
 oh_packet_encode (const Oh__Packet *packet, uint8_t *buffer, size_t capacity)
 {
--- a/lib/core/codec.h
+++ b/lib/core/codec.h
@@ -7,6 +7,7 @@
 #include "base/error.h"
 #include "base/settings.h"
 #include "core/keyring.h"
+#include "core/segment.h"
 #include "wire/control.pb-c.h"
 #include "wire/packet.pb-c.h"
 
@@ -41,6 +42,12 @@
 Oh__Relay *oh_relay_decode (oh_arena_t *arena, const oh_keyring_t *keyring, const uint8_t *bytes,
                             size_t length, oh_error_t *error);
 
+/* As oh_relay_decode, for relayed segments. */
+Oh__SegmentRelay *oh_segment_relay_decode (oh_arena_t *arena, const oh_keyring_t *keyring,
+                                           const uint8_t *bytes, size_t length, oh_error_t *error);
+size_t oh_segment_relay_encode (const Oh__SegmentRelay *relay, const oh_keyring_t *keyring, uint8_t *buffer,
+                                size_t capacity);
+
 /* Both return the number of bytes written, 0 if the message does not fit. */
 size_t oh_packet_encode (const Oh__Packet *packet, uint8_t *buffer, size_t capacity);
 size_t oh_relay_encode (const Oh__Relay *relay, const oh_keyring_t *keyring, uint8_t *buffer,
--- a/lib/core/config_text.c
+++ b/lib/core/config_text.c
@@ -9,12 +9,18 @@
   MAX_CLASS = 2,
   MAX_QUEUE_PER_SLOT = 64, /* with 4 slots and 100 ms each, the last of 256 requests waits over 6 s */
   DEFAULT_QUEUE_PER_SLOT = 8,
+  MAX_WEIGHT = 1000000,
+  MAX_TIMEOUT_MS = 24 * 60 * 60 * 1000,
+  DEFAULT_TIMEOUT_MS = 10000,
 };
 
 static const char service_prefix[] = "service ";
+static const char route_prefix[] = "route ";
 static const char global_section[] = "oriolehaven";
 static const char name_form[] = "1 to 63 of a-z, 0-9 and -, starting with a letter";
 static const char address_form[] = "IPV4:PORT, or several separated by commas";
+static const char targets_form[] = "SERVICE:WEIGHT, separated by commas, each service of this text once, at "
+                                   "least one weight above 0";
 
 typedef struct
 {
@@ -52,6 +58,16 @@
   g_free (service);
 }
 
+static void
+free_route (gpointer data)
+{
+  oh_config_route_t *route = data;
+
+  g_free (route->name);
+  g_array_unref (route->targets);
+  g_free (route);
+}
+
 /* GKeyFile merges repeated sections and keeps the last of repeated keys, which hides an operator's mistake.
  */
 static bool
@@ -138,7 +154,7 @@
   g_auto (GStrv) items = g_strsplit (value, ",", -1);
 
   if (!g_key_file_has_key (file, place->section, "address", NULL))
-    return fail (place, OH_ERROR_CODE_MISSING_KEY, "address", "", address_form);
+    return true; /* check_reachable asks for it, once the routes are known */
   for (char **item = items; *item != NULL || item == items; item++)
     {
       oh_address_t address;
@@ -217,6 +233,130 @@
   return true;
 }
 
+static bool
+parse_target (const place_t *place, oh_config_t *config, const char *value, char *item,
+              oh_config_route_t *route)
+{
+  char *colon = strrchr (item, ':');
+  oh_config_target_t target = { 0 };
+  guint64 weight;
+
+  if (colon == NULL || !g_ascii_string_to_unsigned (colon + 1, 10, 0, MAX_WEIGHT, &weight, NULL))
+    return fail (place, OH_ERROR_CODE_BAD_VALUE, "targets", value, targets_form);
+  *colon = '\0';
+  target.service = oh_config_find (config, oh_service_id (item));
+  target.weight = (unsigned)weight;
+  if (target.service == NULL)
+    return fail (place, OH_ERROR_CODE_BAD_VALUE, "targets", value, targets_form);
+  for (guint i = 0; i < route->targets->len; i++)
+    if (g_array_index (route->targets, oh_config_target_t, i).service == target.service)
+      return fail (place, OH_ERROR_CODE_DUPLICATE, "targets", value, targets_form);
+  g_array_append_val (route->targets, target);
+  return true;
+}
+
+static bool
+parse_targets (const place_t *place, GKeyFile *file, oh_config_t *config, oh_config_route_t *route)
+{
+  g_autofree char *value = get_value (place, file, "targets");
+  g_auto (GStrv) items = g_strsplit (value, ",", -1);
+  guint64 total = 0;
+
+  for (char **item = items; *item != NULL; item++)
+    if (!parse_target (place, config, value, g_strstrip (*item), route))
+      return false;
+  for (guint i = 0; i < route->targets->len; i++)
+    total += g_array_index (route->targets, oh_config_target_t, i).weight;
+  return total > 0 || fail (place, OH_ERROR_CODE_BAD_VALUE, "targets", value, targets_form);
+}
+
+static bool
+parse_kind (const place_t *place, GKeyFile *file, oh_route_kind_t *kind)
+{
+  static const char *const names[] = { "once", "repeatable", "transfer" }; /* by oh_route_kind_t */
+  g_autofree char *value = get_value (place, file, "kind");
+
+  for (guint i = 0; i < G_N_ELEMENTS (names); i++)
+    if (strcmp (value, names[i]) == 0)
+      {
+        *kind = (oh_route_kind_t)i;
+        return true;
+      }
+  return fail (place, OH_ERROR_CODE_BAD_VALUE, "kind", value, "once, repeatable or transfer");
+}
+
+static bool
+parse_route (const place_t *place, GKeyFile *file, oh_config_t *config)
+{
+  static const char *const known[] = { "name", "kind", "class", "timeout_ms", "target_ms", "targets", NULL };
+  const char *address = place->section + strlen (route_prefix);
+  oh_config_route_t *route = g_new0 (oh_config_route_t, 1);
+
+  route->targets = g_array_new (FALSE, FALSE, sizeof (oh_config_target_t));
+  route->class = MAX_CLASS;
+  route->timeout_ms = DEFAULT_TIMEOUT_MS;
+  route->name = get_value (place, file, "name");
+  /* Sections are unique, so that two routes of one address are reported as a repeated section. */
+  if (!oh_address_parse (address, &route->address))
+    fail (place, OH_ERROR_CODE_BAD_VALUE, "-", address, "IPV4:PORT");
+  else if (check_keys (place, file, known) && parse_kind (place, file, &route->kind)
+           && parse_number (place, file, "class", 0, MAX_CLASS, &route->class)
+           && parse_number (place, file, "timeout_ms", 1, MAX_TIMEOUT_MS, &route->timeout_ms)
+           && parse_number (place, file, "target_ms", 0, MAX_TIMEOUT_MS, &route->target_ms)
+           && parse_targets (place, file, config, route))
+    {
+      g_ptr_array_add (config->routes, route);
+      return true;
+    }
+  free_route (route);
+  return false;
+}
+
+/* Runs after all services are known. */
+static bool
+parse_routes (place_t *place, GKeyFile *file, oh_config_t *config)
+{
+  g_auto (GStrv) sections = g_key_file_get_groups (file, NULL);
+
+  for (char **section = sections; *section != NULL; section++)
+    {
+      place->section = *section;
+      if (g_str_has_prefix (*section, route_prefix) && !parse_route (place, file, config))
+        return false;
+    }
+  return true;
+}
+
+static bool
+has_route (const oh_config_t *config, const oh_config_service_t *service)
+{
+  for (guint i = 0; i < config->routes->len; i++)
+    {
+      const oh_config_route_t *route = g_ptr_array_index (config->routes, i);
+
+      for (guint j = 0; j < route->targets->len; j++)
+        if (g_array_index (route->targets, oh_config_target_t, j).service == service)
+          return true;
+    }
+  return false;
+}
+
+/* A service without an address and without a route is a mistake: nobody can reach it. */
+static bool
+check_reachable (place_t *place, const oh_config_t *config)
+{
+  for (guint i = 0; i < config->services->len; i++)
+    {
+      const oh_config_service_t *service = g_ptr_array_index (config->services, i);
+      g_autofree char *section = g_strconcat (service_prefix, service->name, NULL);
+
+      place->section = section;
+      if (service->addresses->len == 0 && !has_route (config, service))
+        return fail (place, OH_ERROR_CODE_MISSING_KEY, "address", "", address_form);
+    }
+  return true;
+}
+
 static bool
 parse_sections (oh_config_t *config, GKeyFile *file, place_t *place)
 {
@@ -234,10 +374,11 @@
   for (char **section = sections; *section != NULL; section++)
     {
       place->section = *section;
-      if (strcmp (*section, global_section) == 0)
+      if (strcmp (*section, global_section) == 0 || g_str_has_prefix (*section, route_prefix))
         continue;
       if (!g_str_has_prefix (*section, service_prefix))
-        return fail (place, OH_ERROR_CODE_UNKNOWN_KEY, "-", *section, "[oriolehaven] or [service NAME]");
+        return fail (place, OH_ERROR_CODE_UNKNOWN_KEY, "-", *section,
+                     "[oriolehaven], [service NAME] or [route IPV4:PORT]");
       if (!parse_service (place, file, config))
         return false;
     }
@@ -253,7 +394,7 @@
       if (!parse_depends (place, file, config, service))
         return false;
     }
-  return true;
+  return parse_routes (place, file, config) && check_reachable (place, config);
 }
 
 bool
@@ -266,9 +407,10 @@
 
   *config = (oh_config_t){ 0 };
   parsed.services = g_ptr_array_new_with_free_func (free_service);
+  parsed.routes = g_ptr_array_new_with_free_func (free_route);
   if (strlen (text) > OH_CONFIG_TEXT_MAX_BYTES)
     {
-      fail (&place, OH_ERROR_CODE_TOO_LARGE, "-", "", "a text of at most 65536 bytes");
+      fail (&place, OH_ERROR_CODE_TOO_LARGE, "-", "", "a text of at most 1 MiB");
       goto fail;
     }
   if (!g_utf8_validate (text, -1, NULL))
@@ -297,6 +439,7 @@
 oh_config_finish (oh_config_t *config)
 {
   g_clear_pointer (&config->name, g_free);
+  g_clear_pointer (&config->routes, g_ptr_array_unref);
   g_clear_pointer (&config->services, g_ptr_array_unref);
 }
 
--- a/lib/core/control_core.c
+++ b/lib/core/control_core.c
@@ -160,19 +160,24 @@
 /* Views. */
 
 static void
-send_view (const oh_control_core_t *core, GBytes *route, uint64_t version_in_force, uint64_t epoch,
-           uint64_t sequence)
+send_view (const oh_control_core_t *core, GBytes *route, uint64_t version_in_force, bool without_text,
+           uint64_t epoch, uint64_t sequence)
 {
   Oh__Control message = OH__CONTROL__INIT;
   Oh__View view = OH__VIEW__INIT;
+  char *endpoints[OH_RAFT_REPLICAS_MAX];
 
   oh_membership_fill_view (&core->membership, epoch, sequence, core->now_us, &view);
   view.confirmed = oh_control_core_confirmed (core, core->now_us);
   view.version = core->state.version;
-  view.has_text = version_in_force < core->state.text_version;
+  view.has_text = !without_text && version_in_force < core->state.text_version;
   if (view.has_text)
     view.text = core->state.text;
   view.key_generation = core->state.key_generation;
+  view.replicas = endpoints;
+  for (guint i = 0; i < core->committed_replicas->len; i++)
+    endpoints[view.n_replicas++]
+      = ((oh_raft_replica_t *)g_ptr_array_index (core->committed_replicas, i))->endpoint;
   view.n_drained = core->state.drained->len;
   view.drained = (char **)core->state.drained->pdata;
   message.sender = core->name;
@@ -198,7 +203,8 @@
         {
           const oh_node_t *node = value;
 
-          send_view (core, node->route, node->version_in_force, node->epoch, node->sequence);
+          send_view (core, node->route, node->version_in_force, node->without_text, node->epoch,
+                     node->sequence);
         }
     }
 }
@@ -216,7 +222,7 @@
                poll->role == OH__NODE_ROLE__NODE_AGENT ? "agent" : "balancer", poll->version_in_force,
                core->membership.sequence);
   if (!poll->leaving)
-    send_view (core, route, poll->version_in_force, poll->replica_epoch, poll->sequence);
+    send_view (core, route, poll->version_in_force, poll->without_text, poll->replica_epoch, poll->sequence);
   else if (core->membership.sequence != sequence)
     push_views (core); /* other nodes stop using it now, not with the next tick */
 }
@@ -566,12 +572,22 @@
     }
 }
 
+static void
+take_committed_replicas (oh_control_core_t *core)
+{
+  g_ptr_array_unref (core->committed_replicas);
+  core->committed_replicas = oh_raft_committed_replicas (&core->raft);
+}
+
 static void
 on_apply (oh_raft_sink_t *sink, const oh_entry_t *entry)
 {
   oh_control_core_t *core = core_of (sink);
   oh_change_result_t result = { 0 };
 
+  if (entry->kind == OH_ENTRY_REPLICAS)
+    take_committed_replicas (core);
+
   if (entry->kind == OH_ENTRY_COMMAND)
     {
       const uint32_t generation = core->state.key_generation;
@@ -601,6 +617,7 @@
       fail (core, error.message);
       return;
     }
+  take_committed_replicas (core);
   core->sink->ops->advance_keys (core->sink, core->state.key_generation);
   log_event (core, "snapshot_installed", "index=%" G_GUINT64_FORMAT " version=%" G_GUINT64_FORMAT,
              snapshot->index, core->state.version);
@@ -722,6 +739,8 @@
       .n_initial = event->start.n_initial,
       .endpoint = event->start.endpoint,
       .join = event->start.join,
+      .voters = event->start.voters,
+      .compact_entries = event->start.compact_entries,
     },
   };
 
@@ -780,6 +799,7 @@
     .name = g_strdup (name),
     .pending = g_ptr_array_new_with_free_func (free_pending),
     .proof_us = G_MININT64 / 2, /* no proof yet */
+    .committed_replicas = oh_raft_replicas_new (),
   };
   oh_raft_init (&core->raft, random);
   oh_control_state_init (&core->state);
@@ -791,6 +811,7 @@
 {
   g_clear_pointer (&core->pending, g_ptr_array_unref);
   g_clear_pointer (&core->snapshot, g_bytes_unref);
+  g_clear_pointer (&core->committed_replicas, g_ptr_array_unref);
   oh_raft_finish (&core->raft);
   g_clear_pointer (&core->name, g_free);
   oh_control_state_finish (&core->state);
--- a/lib/core/control_core.h
+++ b/lib/core/control_core.h
@@ -54,6 +54,8 @@
       size_t n_initial;
       const char *endpoint;
       bool join;
+      unsigned voters;          /* that the leader keeps up; 0: operators change the set */
+      unsigned compact_entries; /* 0 for the default */
     } start;
     struct
     {
@@ -103,8 +105,9 @@
   oh_raft_t raft;
   oh_control_state_t state;
   oh_membership_t membership;
-  GPtrArray *pending; /* changes whose outcome is not known yet, owned */
-  GBytes *snapshot;   /* taken, to be handed to Raft */
+  GPtrArray *committed_replicas; /* of oh_raft_replica_t *, owned */
+  GPtrArray *pending;            /* changes whose outcome is not known yet, owned */
+  GBytes *snapshot;              /* taken, to be handed to Raft */
   uint64_t snapshot_index;
   uint64_t next_tag;
   int64_t proof_us; /* when the query was sent that the leader answered last */
--- a/lib/core/control_state.c
+++ b/lib/core/control_state.c
@@ -27,6 +27,8 @@
   uint64_t digest = XXH64 (change->text, strlen (change->text) + 1, (uint64_t)change->kind);
 
   digest = XXH64 (change->target, strlen (change->target) + 1, digest);
+  if (change->kind == OH__CHANGE_KIND__CHANGE_PUBLISH)
+    digest = XXH64 (change->document.data, change->document.len, digest ^ change->number);
   return XXH64 (change->endpoint, strlen (change->endpoint) + 1, digest);
 }
 
@@ -60,6 +62,8 @@
     case OH__CHANGE_KIND__CHANGE_APPLY:
     case OH__CHANGE_KIND__CHANGE_ROTATE_KEYS:
       return true;
+    case OH__CHANGE_KIND__CHANGE_PUBLISH:
+      return change->number > 0 && change->document.len <= OH_DOCUMENT_MAX_BYTES;
     case OH__CHANGE_KIND__CHANGE_DRAIN:
     case OH__CHANGE_KIND__CHANGE_UNDRAIN:
     case OH__CHANGE_KIND__CHANGE_REMOVE_REPLICA:
@@ -124,6 +128,30 @@
     }
 }
 
+static void
+set_text (oh_control_state_t *state, const char *text)
+{
+  g_free (state->text);
+  state->text = g_strdup (text);
+  state->text_version = state->version + 1;
+}
+
+static bool
+publish (oh_control_state_t *state, const Oh__Change *change, oh_change_result_t *result)
+{
+  if (change->number <= state->published_number)
+    {
+      g_snprintf (result->detail, sizeof result->detail, "number %" G_GUINT64_FORMAT " is in effect",
+                  state->published_number);
+      return false;
+    }
+  set_text (state, change->text);
+  state->published_number = change->number;
+  g_clear_pointer (&state->document, g_bytes_unref);
+  state->document = g_bytes_new (change->document.data, change->document.len);
+  return true;
+}
+
 /* Returns true if the change altered the state; otherwise the result says why not. */
 static bool
 alter (oh_control_state_t *state, const Oh__Change *change, oh_change_result_t *result)
@@ -133,10 +161,10 @@
   switch (change->kind)
     {
     case OH__CHANGE_KIND__CHANGE_APPLY:
-      g_free (state->text);
-      state->text = g_strdup (change->text);
-      state->text_version = state->version + 1;
+      set_text (state, change->text);
       return true;
+    case OH__CHANGE_KIND__CHANGE_PUBLISH:
+      return publish (state, change, result);
     case OH__CHANGE_KIND__CHANGE_DRAIN:
       if (find_drained (state, change->target, &position))
         {
@@ -248,6 +276,9 @@
   state->text_version = wire->text_version;
   g_free (state->text);
   state->text = g_strdup (wire->text);
+  state->published_number = wire->published_number;
+  if (wire->published_number != 0)
+    state->document = g_bytes_new (wire->document.data, wire->document.len);
   state->key_generation = wire->key_generation;
   if (wire->last_id.len != 0)
     memcpy (state->last_id, wire->last_id.data, OH_CHANGE_ID_BYTES);
@@ -282,6 +313,7 @@
 oh_control_state_finish (oh_control_state_t *state)
 {
   g_clear_pointer (&state->text, g_free);
+  g_clear_pointer (&state->document, g_bytes_unref);
   g_clear_pointer (&state->drained, g_ptr_array_unref);
   g_clear_pointer (&state->results_by_id, g_hash_table_unref);
   g_queue_clear_full (&state->results, g_free);
@@ -297,7 +329,7 @@
                          "change: target \"%.80s\", endpoint \"%.80s\": expected a name of 1 to 63 letters, "
                          "digits, -, _ or ., an endpoint tcp://IPV4:PORT, an id of 16 bytes",
                          change->target, change->endpoint);
-  if (change->kind != OH__CHANGE_KIND__CHANGE_APPLY)
+  if (change->kind != OH__CHANGE_KIND__CHANGE_APPLY && change->kind != OH__CHANGE_KIND__CHANGE_PUBLISH)
     return true;
   if (!oh_config_parse (&config, "text", change->text, error))
     return false;
@@ -305,6 +337,17 @@
   return true;
 }
 
+void
+oh_change_id_of_publication (uint64_t number, GBytes *document, uint8_t id[OH_CHANGE_ID_BYTES])
+{
+  gsize length;
+  const void *bytes = g_bytes_get_data (document, &length);
+  const XXH128_hash_t digest = XXH3_128bits_withSeed (bytes, length, number);
+
+  G_STATIC_ASSERT (sizeof digest == OH_CHANGE_ID_BYTES);
+  memcpy (id, &digest, sizeof digest);
+}
+
 bool
 oh_control_state_find (const oh_control_state_t *state, const Oh__Change *change, oh_change_result_t *result)
 {
@@ -353,6 +396,9 @@
   wire.version = state->version;
   wire.text_version = state->text_version;
   wire.text = state->text;
+  wire.published_number = state->published_number;
+  if (state->document != NULL)
+    wire.document.data = (uint8_t *)g_bytes_get_data (state->document, &wire.document.len);
   wire.key_generation = state->key_generation;
   wire.drained = (char **)state->drained->pdata;
   wire.n_drained = state->drained->len;
--- a/lib/core/control_state.h
+++ b/lib/core/control_state.h
@@ -14,7 +14,8 @@
  *
  * Every accepted change that alters the state makes the next version. Changes of the text, of the keys and of
  * the replica set must name the current version as their base. Drains commute, so their base version may be
- * 0: whatever is current.
+ * 0: whatever is current. A publication names no base: it takes effect if its number is higher than that of
+ * the last one, and is accepted without effect otherwise.
  */
 
 enum
@@ -24,6 +25,7 @@
   OH_CHANGE_TARGET_MAX_BYTES = 63,
   OH_CHANGE_RESULTS = 1024, /* results kept for repeated changes */
   OH_DRAINED_MAX = 4096,
+  OH_DOCUMENT_MAX_BYTES = 1024 * 1024,
 };
 
 typedef struct
@@ -42,6 +44,8 @@
   uint64_t version;
   uint64_t text_version;
   char *text;
+  uint64_t published_number; /* of the last publication in effect, 0 if there was none */
+  GBytes *document;          /* that the text was made from; NULL if there was no publication */
   uint32_t key_generation;
   GPtrArray *drained; /* of char *, owned, sorted */
   uint8_t last_id[OH_CHANGE_ID_BYTES];
@@ -60,6 +64,9 @@
  */
 bool oh_change_check (const Oh__Change *change, oh_error_t *error);
 
+/* The id of a publication is a digest of what it says. */
+void oh_change_id_of_publication (uint64_t number, GBytes *document, uint8_t id[OH_CHANGE_ID_BYTES]);
+
 /*
  * The result that a change with this id has already. False if the id is not known. A known id of a change
  * with other content gives CHANGE_INVALID.
--- a/lib/core/membership.h
+++ b/lib/core/membership.h
@@ -31,6 +31,7 @@
   GBytes *route;  /* where the owner reaches the node; opaque here */
   uint64_t epoch; /* cursor in the last poll */
   uint64_t sequence;
+  bool without_text;  /* has no use for the operators' text */
   Oh__Member *member; /* agents; owned */
   Oh__Address relay;  /* balancers */
   int64_t expires_us;
--- a/lib/core/raft.c
+++ b/lib/core/raft.c
@@ -199,6 +199,7 @@
                                                                 OH__REPLICA_ROLE__REPLICA_VOTER));
     }
   raft->join = event->start.join;
+  raft->voters = event->start.voters;
   raft->hello_nonce = oh_random_u64 (raft->random);
   raft->compact_entries
     = event->start.compact_entries > 0 ? event->start.compact_entries : OH_RAFT_COMPACT_ENTRIES;
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -21,6 +21,10 @@
  * removes the old id of the same name once the learner has caught up, and then promotes the learner. A name
  * that is not in the replica set waits until an operator adds it (OH_RAFT_ADD_REPLICA).
  *
+ * With a number of voters given at the start, the leader manages the set itself: it takes any replica that
+ * asks as a learner, promotes one that has caught up while voters are missing, and demotes a voter that has
+ * been out of contact for OH_RAFT_REPLACE_US when a learner can take its place.
+ *
  * At most one persist request is outstanding; what changes meanwhile goes into the next one.
  */
 
@@ -29,8 +33,10 @@
   OH_RAFT_ELECTION_MIN_US = 300000,
   OH_RAFT_ELECTION_MAX_US = 600000,
   OH_RAFT_HEARTBEAT_US = 100000,
-  OH_RAFT_CONFIRMED_US = 1000000, /* age of quorum contact up to which a replica is confirmed */
-  OH_RAFT_COMMAND_MAX_BYTES = 256 * 1024,
+  OH_RAFT_CONFIRMED_US = 1000000,          /* age of quorum contact up to which a replica is confirmed */
+  OH_RAFT_COMMAND_MAX_BYTES = 2304 * 1024, /* a document and a text of the greatest size */
+  OH_RAFT_REPLACE_US = 3000000,
+  OH_RAFT_FORGET_US = 60000000,   /* a learner out of contact for this time makes room for others */
   OH_RAFT_COMPACT_ENTRIES = 1024, /* default number of applied entries between snapshots */
 };
 
@@ -71,6 +77,7 @@
       const char *endpoint;     /* of this replica */
       bool join;                /* never form a cluster from an empty data folder */
       unsigned compact_entries; /* applied entries between snapshots; 0 for the default */
+      unsigned voters;          /* that the leader keeps up by itself; 0: operators change the set */
     } start;
     const Oh__RaftMessage *message;
     struct
@@ -191,6 +198,7 @@
   uint64_t heard[OH_RAFT_REPLICAS_MAX]; /* last nonce of each of initial */
   bool join;
   unsigned compact_entries;
+  unsigned voters; /* 0: operators change the set */
 
   oh_raft_role_t role;
   oh_hard_state_t hard;
--- a/lib/core/raft_membership.c
+++ b/lib/core/raft_membership.c
@@ -226,6 +226,37 @@
   return peer != NULL && peer->contact_us != 0 && raft->now_us - peer->contact_us <= OH_RAFT_CONFIRMED_US;
 }
 
+/* How long the replica has been out of contact. */
+static int64_t
+silence_us (oh_raft_t *raft, uint64_t id)
+{
+  const oh_raft_peer_t *peer = oh_raft_peer (raft, id);
+
+  if (id == raft->self->id)
+    return 0;
+  return peer != NULL ? raft->now_us - peer->contact_us : INT64_MAX;
+}
+
+/* Makes room in a full set by removing the learner that has been out of contact longest. */
+static void
+forget_lost_learner (oh_raft_t *raft, GPtrArray *replicas)
+{
+  int64_t longest_us = OH_RAFT_FORGET_US;
+  unsigned position = replicas->len;
+
+  for (unsigned i = 0; i < replicas->len; i++)
+    {
+      const oh_raft_replica_t *replica = replicas->pdata[i];
+
+      if (replica->role != OH__REPLICA_ROLE__REPLICA_LEARNER || silence_us (raft, replica->id) < longest_us)
+        continue;
+      longest_us = silence_us (raft, replica->id);
+      position = i;
+    }
+  if (position < replicas->len)
+    g_ptr_array_remove_index (replicas, position);
+}
+
 /* A replica that is not in the set takes the place of an awaited one, or follows a lost one of its name. */
 static void
 consider_joiner (oh_raft_t *raft, const Oh__RaftMessage *message)
@@ -253,7 +284,9 @@
       if (replica->role != OH__REPLICA_ROLE__REPLICA_VOTER)
         g_ptr_array_remove_index (replicas, i - 1);
     }
-  if (!known || replicas->len == OH_RAFT_REPLICAS_MAX)
+  if (raft->voters > 0 && replicas->len == OH_RAFT_REPLICAS_MAX)
+    forget_lost_learner (raft, replicas);
+  if ((!known && raft->voters == 0) || replicas->len == OH_RAFT_REPLICAS_MAX)
     {
       g_ptr_array_unref (replicas);
       return;
@@ -377,6 +410,53 @@
   return peer != NULL && peer->match >= raft->commit && in_contact (raft, id);
 }
 
+static bool
+is_caught_up_learner (oh_raft_t *raft, const oh_raft_replica_t *replica)
+{
+  return replica->role == OH__REPLICA_ROLE__REPLICA_LEARNER && caught_up (raft, replica->id);
+}
+
+/*
+ * The next step towards the number of voters that the leader keeps up. A voter that is out of contact is
+ * demoted first, so that the quorum of the set in between consists of live replicas.
+ */
+static void
+keep_up_voters (oh_raft_t *raft)
+{
+  const unsigned voters = oh_raft_replicas_count (raft->replicas, OH__REPLICA_ROLE__REPLICA_VOTER);
+  g_autoptr (GPtrArray) replicas = oh_raft_replicas_copy (raft->replicas);
+  oh_raft_replica_t *learner = NULL;
+  oh_raft_replica_t *lost = NULL;
+
+  if (change_allowed (raft) != OH_RAFT_PROPOSED)
+    return;
+  for (unsigned i = 0; i < replicas->len; i++)
+    {
+      oh_raft_replica_t *replica = replicas->pdata[i];
+
+      if (is_caught_up_learner (raft, replica))
+        learner = replica;
+      else if (replica->role == OH__REPLICA_ROLE__REPLICA_VOTER
+               && silence_us (raft, replica->id) > OH_RAFT_REPLACE_US
+               && (lost == NULL || silence_us (raft, replica->id) > silence_us (raft, lost->id)))
+        lost = replica;
+    }
+  if (learner == NULL || (voters >= raft->voters && lost == NULL))
+    return;
+  if (voters >= raft->voters)
+    {
+      oh_raft_log_line (raft, "raft-demote", "name=%s replica=%016" PRIx64 " silent_ms=%" PRId64, lost->name,
+                        lost->id, silence_us (raft, lost->id) / 1000);
+      lost->role = OH__REPLICA_ROLE__REPLICA_LEARNER;
+    }
+  else
+    {
+      oh_raft_log_line (raft, "raft-promote", "name=%s learner=%016" PRIx64, learner->name, learner->id);
+      learner->role = OH__REPLICA_ROLE__REPLICA_VOTER;
+    }
+  append_replicas (raft, g_steal_pointer (&replicas));
+}
+
 void
 oh_raft_check_learners (oh_raft_t *raft)
 {
@@ -389,6 +469,9 @@
       if (learner->role != OH__REPLICA_ROLE__REPLICA_LEARNER || !caught_up (raft, learner->id)
           || change_allowed (raft) != OH_RAFT_PROPOSED)
         continue;
+      former = find_voter_named (raft->replicas, learner->name);
+      if (former == NULL && raft->voters > 0)
+        continue;
       replicas = oh_raft_replicas_copy (raft->replicas);
       former = find_voter_named (replicas, learner->name);
       if (former != NULL)
@@ -405,4 +488,6 @@
       append_replicas (raft, replicas);
       return;
     }
+  if (raft->voters > 0)
+    keep_up_voters (raft);
 }
--- /dev/null
+++ b/lib/core/route_table.c
@@ -0,0 +1,80 @@
+#include "core/route_table.h"
+
+static guint
+hash_address (gconstpointer data)
+{
+  const oh_address_t *address = data;
+
+  return address->ipv4 * 31 + address->port;
+}
+
+static gboolean
+equal_addresses (gconstpointer a, gconstpointer b)
+{
+  return oh_address_equal (*(const oh_address_t *)a, *(const oh_address_t *)b);
+}
+
+static void
+free_route (gpointer data)
+{
+  oh_route_t *route = data;
+
+  g_array_unref (route->targets);
+  g_free (route);
+}
+
+void
+oh_route_table_init (oh_route_table_t *table)
+{
+  table->routes = g_hash_table_new_full (hash_address, equal_addresses, NULL, free_route);
+}
+
+void
+oh_route_table_finish (oh_route_table_t *table)
+{
+  g_clear_pointer (&table->routes, g_hash_table_unref);
+}
+
+void
+oh_route_table_load (oh_route_table_t *table, const oh_config_t *config)
+{
+  g_hash_table_remove_all (table->routes);
+  for (guint i = 0; config->routes != NULL && i < config->routes->len; i++)
+    {
+      const oh_config_route_t *from = g_ptr_array_index (config->routes, i);
+      oh_route_t *route = g_new0 (oh_route_t, 1);
+
+      route->address = from->address;
+      route->kind = from->kind;
+      route->targets = g_array_new (FALSE, FALSE, sizeof (oh_route_target_t));
+      for (guint j = 0; j < from->targets->len; j++)
+        {
+          const oh_config_target_t *target = &g_array_index (from->targets, oh_config_target_t, j);
+          const oh_route_target_t copy = { .service = target->service->id, .weight = target->weight };
+
+          g_array_append_val (route->targets, copy);
+          route->total_weight += target->weight;
+        }
+      g_hash_table_replace (table->routes, &route->address, route);
+    }
+}
+
+const oh_route_t *
+oh_route_table_find (const oh_route_table_t *table, oh_address_t address)
+{
+  return g_hash_table_lookup (table->routes, &address);
+}
+
+uint64_t
+oh_route_choose (const oh_route_t *route, const oh_flow_key_t *key)
+{
+  uint64_t rest = oh_flow_key_digest (key) % route->total_weight;
+  guint i = 0;
+
+  while (rest >= g_array_index (route->targets, oh_route_target_t, i).weight)
+    {
+      rest -= g_array_index (route->targets, oh_route_target_t, i).weight;
+      i++;
+    }
+  return g_array_index (route->targets, oh_route_target_t, i).service;
+}
--- /dev/null
+++ b/lib/core/segment_agent.c
@@ -0,0 +1,730 @@
+#include "core/segment_agent.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+/* Slots that a warming upstream offers, as a part of all. */
+#define WARMING_SHARE 0.6
+
+static void G_GNUC_PRINTF (5, 6)
+  log_flow (const oh_segment_agent_t *agent, oh_log_level_t level, const char *event,
+            const oh_flow_key_t *key, const char *format, ...)
+{
+  char caller[OH_ADDRESS_TEXT_BYTES];
+  char route[OH_ADDRESS_TEXT_BYTES];
+  char pairs[OH_SEGMENT_AGENT_LOG_BYTES];
+  int length;
+  va_list args;
+
+  if (!oh_log_enabled (level))
+    return;
+  length = g_snprintf (pairs, sizeof pairs, "caller=%s route=%s ", oh_address_format (key->caller, caller),
+                       oh_address_format (key->route, route));
+  va_start (args, format);
+  g_vsnprintf (pairs + length, sizeof pairs - (size_t)length, format, args);
+  va_end (args);
+  agent->sink->ops->log (agent->sink, level, event, pairs);
+}
+
+/* Records. */
+
+static void
+end_opening (oh_segment_agent_t *agent, oh_agent_flow_t *flow)
+{
+  if (oh_list_is_empty (&flow->opening))
+    return;
+  oh_list_remove (&flow->opening);
+  agent->n_opening--;
+}
+
+static void
+set_waiting (oh_segment_agent_t *agent, oh_agent_flow_t *flow, bool waiting)
+{
+  if (waiting != flow->waiting)
+    agent->n_waiting += waiting ? 1 : -1;
+  flow->waiting = waiting;
+  flow->waiting_us = agent->now_us;
+}
+
+static void
+set_state (oh_segment_agent_t *agent, oh_agent_flow_t *flow, oh_agent_flow_state_t state)
+{
+  agent->n_open -= flow->state == OH_AGENT_FLOW_OPEN && !flow->closed;
+  flow->state = state;
+  agent->n_open += flow->state == OH_AGENT_FLOW_OPEN && !flow->closed;
+  if (state != OH_AGENT_FLOW_OPENING)
+    end_opening (agent, flow);
+  if (state != OH_AGENT_FLOW_OPEN)
+    set_waiting (agent, flow, false);
+}
+
+static void
+close_flow (oh_segment_agent_t *agent, oh_agent_flow_t *flow)
+{
+  agent->n_open -= flow->state == OH_AGENT_FLOW_OPEN && !flow->closed;
+  flow->closed = true;
+  set_waiting (agent, flow, false);
+}
+
+static void
+remove_flow (oh_segment_agent_t *agent, oh_agent_flow_t *flow)
+{
+  close_flow (agent, flow);
+  end_opening (agent, flow);
+  oh_list_remove (&flow->by_use);
+  g_hash_table_remove (agent->flows, &flow->key);
+}
+
+static void
+use_flow (oh_segment_agent_t *agent, oh_agent_flow_t *flow)
+{
+  flow->used_us = agent->now_us;
+  oh_list_remove (&flow->by_use);
+  oh_list_append (&agent->by_use, &flow->by_use);
+}
+
+/* Holds what a full upstream holds, and as much again for what is absent or over. */
+static unsigned
+max_records (const oh_segment_agent_t *agent)
+{
+  return agent->config.max_flows * 2;
+}
+
+static oh_agent_flow_t *
+add_flow (oh_segment_agent_t *agent, const oh_flow_key_t *key, oh_agent_flow_state_t state)
+{
+  oh_agent_flow_t *flow = g_hash_table_lookup (agent->flows, key);
+
+  if (flow != NULL)
+    remove_flow (agent, flow);
+  if (g_hash_table_size (agent->flows) >= max_records (agent))
+    remove_flow (agent, oh_list_entry (agent->by_use.next, oh_agent_flow_t, by_use));
+  flow = g_new0 (oh_agent_flow_t, 1);
+  flow->key = *key;
+  flow->generation = agent->identity.generation;
+  flow->opened_us = agent->now_us;
+  oh_list_init (&flow->by_use);
+  oh_list_init (&flow->opening);
+  flow->state = OH_AGENT_FLOW_ABSENT;
+  g_hash_table_insert (agent->flows, &flow->key, flow);
+  set_state (agent, flow, state);
+  use_flow (agent, flow);
+  return flow;
+}
+
+static void
+expire_flows (oh_segment_agent_t *agent)
+{
+  while (!oh_list_is_empty (&agent->by_use))
+    {
+      oh_agent_flow_t *oldest = oh_list_entry (agent->by_use.next, oh_agent_flow_t, by_use);
+
+      if (agent->now_us - oldest->used_us < agent->config.flow_timeout_ms * 1000)
+        break;
+      remove_flow (agent, oldest);
+    }
+}
+
+/* Messages. */
+
+static unsigned
+offered_slots (const oh_segment_agent_t *agent)
+{
+  const oh_upstream_identity_t *identity = &agent->identity;
+
+  if (!oh_upstream_identity_accepts (identity, agent->now_us))
+    return 0;
+  if (agent->now_us < identity->warm_us)
+    return MAX (1u, (unsigned)(identity->slots * WARMING_SHARE));
+  return MAX (1u, identity->slots);
+}
+
+static Oh__UpstreamState
+upstream_state (const oh_segment_agent_t *agent)
+{
+  const oh_upstream_identity_t *identity = &agent->identity;
+
+  if (identity->state != OH_ANNOUNCED_READY)
+    return OH__UPSTREAM_STATE__UPSTREAM_DRAINING;
+  if (!oh_upstream_identity_accepts (identity, agent->now_us)
+      || agent->unanswered_firsts >= OH_SEGMENT_SUSPECT_FIRSTS)
+    return OH__UPSTREAM_STATE__UPSTREAM_SUSPECT;
+  if (agent->now_us < identity->warm_us)
+    return OH__UPSTREAM_STATE__UPSTREAM_WARMING;
+  return OH__UPSTREAM_STATE__UPSTREAM_READY;
+}
+
+void
+oh_segment_agent_load (oh_segment_agent_t *agent, int64_t now_us, Oh__Load *load, Oh__Address *relay)
+{
+  agent->now_us = MAX (agent->now_us, now_us);
+  oh__load__init (load);
+  oh_address_to_wire (agent->config.relay, relay);
+  load->upstream = (char *)agent->config.name;
+  load->service = agent->identity.service_id;
+  /* A new start of the upstream is a new incarnation, too. */
+  load->incarnation = agent->config.incarnation + agent->identity.generation;
+  load->sequence = ++agent->report_sequence;
+  load->slots = offered_slots (agent);
+  load->busy = MIN (agent->n_waiting, agent->identity.slots);
+  /* A flow that is opening is about to bring a request. */
+  load->queued = agent->n_waiting - load->busy + agent->n_opening;
+  load->flows = agent->n_open + agent->n_opening;
+  load->max_flows = agent->config.max_flows;
+  load->state = upstream_state (agent);
+  load->agent = relay;
+}
+
+static size_t
+encode (oh_segment_agent_t *agent, Oh__SegmentRelay *relay)
+{
+  Oh__Load load;
+  Oh__Address self;
+
+  oh_segment_agent_load (agent, agent->now_us, &load, &self);
+  relay->load = &load;
+  return oh_segment_relay_encode (relay, &agent->keyring, agent->out, sizeof agent->out);
+}
+
+static void
+report_load (oh_segment_agent_t *agent)
+{
+  Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
+  size_t size;
+
+  if (agent->identity.generation == 0)
+    return;
+  relay.kind = OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD;
+  size = encode (agent, &relay);
+  agent->reported_us = agent->now_us;
+  if (size > 0)
+    agent->sink->ops->report (agent->sink, agent->out, size);
+}
+
+/* Tells a balancer about a flow; the segment comes back to it if bytes are given. */
+static void
+answer (oh_segment_agent_t *agent, oh_address_t balancer, Oh__SegmentRelayKind kind, Oh__Result refused,
+        const oh_flow_key_t *key, const uint8_t *bytes, size_t length)
+{
+  Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
+  Oh__Address caller;
+  Oh__Address route;
+  size_t size;
+
+  oh_address_to_wire (key->caller, &caller);
+  oh_address_to_wire (key->route, &route);
+  relay.kind = kind;
+  relay.refused = refused;
+  relay.caller = &caller;
+  relay.route = &route;
+  relay.segment.data = (uint8_t *)bytes;
+  relay.segment.len = length;
+  size = encode (agent, &relay);
+  if (size > 0 && balancer.port != 0)
+    agent->sink->ops->send_balancer (agent->sink, balancer, agent->out, size);
+}
+
+static void
+deliver (oh_segment_agent_t *agent, const uint8_t *bytes, size_t length)
+{
+  oh_counter_increment (&agent->counters.delivered);
+  agent->sink->ops->send_upstream (agent->sink, bytes, length);
+}
+
+static void
+refuse_first (oh_segment_agent_t *agent, oh_address_t balancer, const oh_flow_key_t *key, Oh__Result result,
+              const uint8_t *bytes, size_t length)
+{
+  oh_counter_increment (&agent->counters.refused);
+  log_flow (agent, OH_LOG_INFO, "first_refused", key, "result=%d state=%d generation=%u open=%u", (int)result,
+            (int)agent->identity.state, agent->identity.generation, agent->n_open);
+  answer (agent, balancer, OH__SEGMENT_RELAY_KIND__SEGMENT_REFUSED, result, key, bytes, length);
+}
+
+/* The incarnation of the upstream that held the flow is gone, so its caller waits in vain. */
+static void
+reset_flow (oh_segment_agent_t *agent, oh_agent_flow_t *flow, const char *reason)
+{
+  uint8_t buffer[OH_SEGMENT_RESET_MAX_BYTES];
+  const size_t length = agent->config.format->ops->make_reset (agent->config.format, &flow->key,
+                                                               flow->caller_acknowledged, buffer);
+
+  oh_counter_increment (&agent->counters.resets);
+  log_flow (agent, OH_LOG_INFO, "flow_reset", &flow->key, "reason=%s generation=%u now=%u", reason,
+            flow->generation, agent->identity.generation);
+  agent->sink->ops->send_caller (agent->sink, flow->key.caller, buffer, length);
+}
+
+/* The upstream announces that it leaves shortly before it exits; until then it may still answer. */
+static bool
+has_left (const oh_segment_agent_t *agent)
+{
+  return agent->identity.generation != 0 && agent->identity.state == OH_ANNOUNCED_LEFT
+         && agent->now_us - agent->identity.heard_us >= (int64_t)OH_SEGMENT_LEAVE_MS * 1000;
+}
+
+/* From balancers. */
+
+static bool
+check_first (const oh_segment_agent_t *agent, uint64_t service, Oh__Result *result)
+{
+  const oh_upstream_identity_t *identity = &agent->identity;
+
+  if (identity->generation == 0)
+    *result = OH__RESULT__RESULT_NO_UPSTREAM;
+  else if (identity->service_id != service)
+    *result = OH__RESULT__RESULT_WRONG_SERVICE;
+  else if (identity->state != OH_ANNOUNCED_READY)
+    *result = OH__RESULT__RESULT_NOT_RUN_DRAINING;
+  else if (!oh_upstream_identity_accepts (identity, agent->now_us))
+    *result = OH__RESULT__RESULT_NO_UPSTREAM;
+  else if (agent->n_open + agent->n_opening >= agent->config.max_flows)
+    *result = OH__RESULT__RESULT_NOT_RUN_OVERLOADED;
+  else
+    return true;
+  return false;
+}
+
+static void
+handle_open (oh_segment_agent_t *agent, const oh_flow_key_t *key, const oh_segment_t *segment,
+             uint64_t service, oh_address_t balancer, const uint8_t *bytes, size_t length)
+{
+  oh_agent_flow_t *flow = g_hash_table_lookup (agent->flows, key);
+  Oh__Result result = OH__RESULT__RESULT_NOT_RUN_OVERLOADED;
+
+  if (flow != NULL && flow->generation == agent->identity.generation
+      && flow->first_sequence == segment->sequence
+      && (flow->state == OH_AGENT_FLOW_OPENING || flow->state == OH_AGENT_FLOW_OPEN))
+    {
+      /* A further copy: the upstream answers it again. */
+      flow->balancer = balancer;
+      if (flow->state == OH_AGENT_FLOW_OPENING)
+        deliver (agent, bytes, length);
+      return;
+    }
+  if (!check_first (agent, service, &result) || length > OH_SEGMENT_FIRST_MAX_BYTES)
+    {
+      refuse_first (agent, balancer, key, result, bytes, length);
+      return;
+    }
+  flow = add_flow (agent, key, OH_AGENT_FLOW_OPENING);
+  flow->balancer = balancer;
+  flow->first_sequence = segment->sequence;
+  flow->first_length = length;
+  memcpy (flow->first, bytes, length);
+  oh_list_append (&agent->opening, &flow->opening);
+  agent->n_opening++;
+  deliver (agent, bytes, length);
+}
+
+static void
+deliver_later (oh_segment_agent_t *agent, oh_agent_flow_t *flow, const oh_segment_t *segment,
+               const uint8_t *bytes, size_t length)
+{
+  use_flow (agent, flow);
+  flow->caller_acknowledged = segment->acknowledged;
+  if (segment->length > 0 && !flow->closed)
+    set_waiting (agent, flow, true);
+  if (segment->fin || segment->rst)
+    close_flow (agent, flow);
+  deliver (agent, bytes, length);
+}
+
+static void
+absent (oh_segment_agent_t *agent, const oh_flow_key_t *key, oh_address_t balancer, bool searched,
+        const uint8_t *bytes, size_t length)
+{
+  oh_counter_increment (&agent->counters.absent);
+  if (!searched)
+    answer (agent, balancer, OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT, OH__RESULT__RESULT_NONE, key, bytes,
+            length);
+}
+
+/* A segment of a flow without a record, or whose record does not tell. */
+static void
+handle_unknown (oh_segment_agent_t *agent, const oh_flow_key_t *key, const oh_segment_t *segment,
+                oh_address_t balancer, bool searched, const uint8_t *bytes, size_t length)
+{
+  oh_agent_flow_t *flow;
+
+  if (agent->complete)
+    {
+      absent (agent, key, balancer, searched, bytes, length);
+      return;
+    }
+  flow = add_flow (agent, key, OH_AGENT_FLOW_PROBED);
+  flow->balancer = balancer;
+  flow->caller_acknowledged = segment->acknowledged;
+  oh_counter_increment (&agent->counters.probes);
+  deliver (agent, bytes, length);
+}
+
+/* The caller opens the flow at the upstream whose answer it acknowledges. */
+static bool
+opens_here (const oh_agent_flow_t *flow, const oh_segment_t *segment)
+{
+  return flow->answered && segment->ack && segment->acknowledged == flow->answer_sequence + 1;
+}
+
+static void
+handle_later (oh_segment_agent_t *agent, const oh_flow_key_t *key, const oh_segment_t *segment,
+              oh_address_t balancer, bool searched, const uint8_t *bytes, size_t length)
+{
+  oh_agent_flow_t *flow = g_hash_table_lookup (agent->flows, key);
+
+  if (flow == NULL)
+    {
+      handle_unknown (agent, key, segment, balancer, searched, bytes, length);
+      return;
+    }
+  if (flow->generation != agent->identity.generation && flow->state != OH_AGENT_FLOW_ABSENT
+      && agent->identity.generation != 0 && flow->generation != 0)
+    {
+      flow->caller_acknowledged = segment->acknowledged;
+      if (flow->state == OH_AGENT_FLOW_OPEN)
+        reset_flow (agent, flow, "upstream-replaced");
+      else
+        absent (agent, key, balancer, searched, bytes, length);
+      return;
+    }
+  switch (flow->state)
+    {
+    case OH_AGENT_FLOW_OPENING:
+      if (!opens_here (flow, segment))
+        {
+          absent (agent, key, balancer, searched, bytes, length);
+          return;
+        }
+      set_state (agent, flow, OH_AGENT_FLOW_OPEN);
+      oh_counter_increment (&agent->counters.opened);
+      break;
+    case OH_AGENT_FLOW_OPEN:
+      break;
+    case OH_AGENT_FLOW_PROBED:
+      use_flow (agent, flow);
+      flow->balancer = balancer;
+      flow->caller_acknowledged = segment->acknowledged;
+      deliver (agent, bytes, length);
+      return;
+    case OH_AGENT_FLOW_ABSENT:
+      use_flow (agent, flow);
+      absent (agent, key, balancer, searched, bytes, length);
+      return;
+    }
+  if (searched || !oh_address_equal (flow->balancer, balancer))
+    answer (agent, balancer, OH__SEGMENT_RELAY_KIND__SEGMENT_OWNED, OH__RESULT__RESULT_NONE, key, NULL, 0);
+  flow->balancer = balancer;
+  if (has_left (agent))
+    {
+      flow->caller_acknowledged = segment->acknowledged;
+      reset_flow (agent, flow, "upstream-left");
+      return;
+    }
+  deliver_later (agent, flow, segment, bytes, length);
+}
+
+static void
+handle_relay (oh_segment_agent_t *agent, const uint8_t *bytes, size_t length)
+{
+  const Oh__SegmentRelay *relay
+    = oh_segment_relay_decode (&agent->arena, &agent->keyring, bytes, length, NULL);
+  oh_segment_t segment;
+  oh_address_t balancer;
+  oh_flow_key_t key;
+  bool searched;
+
+  if (relay == NULL || !oh_address_from_wire (relay->balancer, &balancer))
+    {
+      oh_counter_increment (&agent->counters.dropped_bad_seal);
+      return;
+    }
+  if (!agent->config.format->ops->decode (agent->config.format, relay->segment.data, relay->segment.len,
+                                          &segment))
+    {
+      oh_counter_increment (&agent->counters.dropped_malformed);
+      return;
+    }
+  key = (oh_flow_key_t){ .caller = segment.from, .route = segment.to };
+  searched = relay->kind == OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH;
+  if (searched)
+    oh_counter_increment (&agent->counters.searches);
+  if (relay->kind == OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN && segment.syn && !segment.ack)
+    handle_open (agent, &key, &segment, relay->service, balancer, relay->segment.data, relay->segment.len);
+  else if (!segment.syn && (searched || relay->kind == OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER))
+    handle_later (agent, &key, &segment, balancer, searched, relay->segment.data, relay->segment.len);
+  else
+    oh_counter_increment (&agent->counters.dropped_malformed);
+}
+
+/* From the upstream. */
+
+static void
+handle_returned_first (oh_segment_agent_t *agent, oh_agent_flow_t *flow, const oh_segment_t *segment,
+                       const uint8_t *bytes, size_t length)
+{
+  const oh_address_t balancer = flow != NULL ? flow->balancer : (oh_address_t){ 0 };
+  const oh_flow_key_t key = { .caller = segment->from, .route = segment->to };
+
+  agent->unanswered_firsts = 0;
+  if (flow == NULL || flow->state != OH_AGENT_FLOW_OPENING || flow->answered)
+    return; /* a copy of a first segment that was answered or given up */
+  remove_flow (agent, flow);
+  refuse_first (agent, balancer, &key, OH__RESULT__RESULT_NOT_RUN_OVERLOADED, bytes, length);
+}
+
+static void
+handle_returned (oh_segment_agent_t *agent, const oh_segment_t *segment, uint8_t *bytes, size_t length)
+{
+  const oh_flow_key_t key = { .caller = segment->from, .route = segment->to };
+  oh_agent_flow_t *flow = g_hash_table_lookup (agent->flows, &key);
+
+  oh_counter_increment (&agent->counters.returned);
+  agent->config.format->ops->restore (agent->config.format, bytes, length);
+  if (segment->syn)
+    {
+      handle_returned_first (agent, flow, segment, bytes, length);
+      return;
+    }
+  if (flow == NULL)
+    return;
+  switch (flow->state)
+    {
+    case OH_AGENT_FLOW_PROBED:
+      set_state (agent, flow, OH_AGENT_FLOW_ABSENT);
+      answer (agent, flow->balancer, OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT, OH__RESULT__RESULT_NONE, &key,
+              bytes, length);
+      return;
+    case OH_AGENT_FLOW_OPEN:
+      if (flow->closed)
+        return;
+      flow->caller_acknowledged = segment->acknowledged;
+      reset_flow (agent, flow, "returned");
+      close_flow (agent, flow);
+      return;
+    case OH_AGENT_FLOW_OPENING:
+    case OH_AGENT_FLOW_ABSENT:
+      return;
+    }
+}
+
+static void
+handle_answer (oh_segment_agent_t *agent, const oh_segment_t *segment, oh_agent_flow_t *flow)
+{
+  agent->unanswered_firsts = 0;
+  if (flow->state != OH_AGENT_FLOW_OPENING)
+    return;
+  end_opening (agent, flow);
+  flow->answer_sequence = segment->sequence;
+  if (flow->answered)
+    return;
+  flow->answered = true;
+  answer (agent, flow->balancer, OH__SEGMENT_RELAY_KIND__SEGMENT_ACCEPTED, OH__RESULT__RESULT_NONE,
+          &flow->key, NULL, 0);
+}
+
+static void
+handle_from_upstream (oh_segment_agent_t *agent, uint8_t *bytes, size_t length)
+{
+  oh_segment_t segment;
+  oh_flow_key_t key;
+  oh_agent_flow_t *flow;
+
+  if (!agent->config.format->ops->decode (agent->config.format, bytes, length, &segment))
+    {
+      oh_counter_increment (&agent->counters.dropped_malformed);
+      return;
+    }
+  if (segment.returned)
+    {
+      handle_returned (agent, &segment, bytes, length);
+      return;
+    }
+  key = (oh_flow_key_t){ .caller = segment.to, .route = segment.from };
+  flow = g_hash_table_lookup (agent->flows, &key);
+  if (flow == NULL || flow->generation != agent->identity.generation)
+    flow = add_flow (agent, &key, segment.syn ? OH_AGENT_FLOW_OPENING : OH_AGENT_FLOW_OPEN);
+  use_flow (agent, flow);
+  if (segment.syn)
+    handle_answer (agent, &segment, flow);
+  else if (flow->state == OH_AGENT_FLOW_PROBED || flow->state == OH_AGENT_FLOW_ABSENT)
+    {
+      set_state (agent, flow, OH_AGENT_FLOW_OPEN);
+      answer (agent, flow->balancer, OH__SEGMENT_RELAY_KIND__SEGMENT_OWNED, OH__RESULT__RESULT_NONE, &key,
+              NULL, 0);
+    }
+  if (segment.length > 0)
+    set_waiting (agent, flow, false);
+  if (segment.fin || segment.rst)
+    close_flow (agent, flow);
+  oh_counter_increment (&agent->counters.sent);
+  agent->sink->ops->send_caller (agent->sink, key.caller, bytes, length);
+}
+
+/* Announcements and time. */
+
+static void
+handle_announcement (oh_segment_agent_t *agent, const oh_announcement_t *announcement)
+{
+  const unsigned generation = agent->identity.generation;
+  const oh_identity_change_t change
+    = oh_upstream_identity_update (&agent->identity, announcement, agent->now_us);
+  char pairs[OH_SEGMENT_AGENT_LOG_BYTES];
+
+  oh_counter_increment (&agent->counters.announcements);
+  if (change == OH_IDENTITY_STALE)
+    oh_counter_increment (&agent->counters.announcements_stale);
+  if (change == OH_IDENTITY_REFRESHED)
+    return;
+  g_snprintf (pairs, sizeof pairs,
+              "id=%s service=%s state=%d slots=%u started_ms=%" G_GINT64_FORMAT " sequence=%" G_GUINT64_FORMAT
+              " generation=%u result=%s",
+              announcement->id, announcement->service, (int)announcement->state, announcement->slots,
+              announcement->started_ms, announcement->sequence, agent->identity.generation,
+              change == OH_IDENTITY_STALE ? "stale" : "taken");
+  agent->sink->ops->log (agent->sink, OH_LOG_INFO, "upstream_announced", pairs);
+  if (change == OH_IDENTITY_STALE)
+    return;
+  if (change == OH_IDENTITY_REPLACED)
+    {
+      agent->unanswered_firsts = 0;
+      /* Records of the first generation that this process sees may be missing, unless the upstream has only
+       * just started. */
+      agent->complete = generation > 0 || announcement->sequence <= 1;
+    }
+  report_load (agent);
+  agent->sink->ops->changed (agent->sink);
+}
+
+/* A first segment that the upstream leaves unanswered goes back to its balancer, which tries another agent
+ * long before the caller would send a copy. */
+static void
+give_up_openings (oh_segment_agent_t *agent)
+{
+  const int64_t limit_us = agent->now_us - (int64_t)OH_SEGMENT_UNANSWERED_MS * 1000;
+
+  while (!oh_list_is_empty (&agent->opening))
+    {
+      oh_agent_flow_t *flow = oh_list_entry (agent->opening.next, oh_agent_flow_t, opening);
+
+      if (flow->opened_us > limit_us)
+        break;
+      oh_counter_increment (&agent->counters.unanswered);
+      agent->unanswered_firsts++;
+      /* The record stays: the answer may still come and be the one that the caller takes. */
+      end_opening (agent, flow);
+      refuse_first (agent, flow->balancer, &flow->key, OH__RESULT__RESULT_NOT_RUN_UPSTREAM, flow->first,
+                    flow->first_length);
+    }
+}
+
+static void
+give_up_waiting (oh_segment_agent_t *agent)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, agent->flows);
+  while (agent->n_waiting > 0 && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      oh_agent_flow_t *flow = value;
+
+      if (flow->waiting && agent->now_us - flow->waiting_us > (int64_t)OH_SEGMENT_BUSY_MAX_MS * 1000)
+        set_waiting (agent, flow, false);
+    }
+}
+
+static void
+handle_tick (oh_segment_agent_t *agent)
+{
+  give_up_openings (agent);
+  if (agent->now_us - agent->reported_us < (int64_t)OH_SEGMENT_REPORT_MS * 1000)
+    return;
+  expire_flows (agent);
+  give_up_waiting (agent);
+  oh_counter_set (&agent->counters.flows, agent->n_open);
+  oh_counter_set (&agent->counters.waiting, agent->n_waiting);
+  report_load (agent);
+}
+
+void
+oh_segment_agent_init (oh_segment_agent_t *agent, const oh_segment_agent_config_t *config,
+                       const oh_keyring_t *keyring)
+{
+  *agent = (oh_segment_agent_t){
+    .config = *config,
+    .keyring = *keyring,
+    .flows = g_hash_table_new_full (oh_flow_key_hash, oh_flow_key_equal, NULL, g_free),
+  };
+  oh_list_init (&agent->by_use);
+  oh_list_init (&agent->opening);
+  oh_upstream_identity_init (&agent->identity, config->heartbeat_ms);
+  oh_arena_init (&agent->arena);
+}
+
+void
+oh_segment_agent_finish (oh_segment_agent_t *agent)
+{
+  g_hash_table_unref (agent->flows);
+  oh_keyring_finish (&agent->keyring);
+}
+
+void
+oh_segment_agent_add_counters (oh_segment_agent_t *agent, oh_counters_t *counters)
+{
+  oh_segment_agent_counters_t *own = &agent->counters;
+  const struct
+  {
+    oh_counter_t *counter;
+    const char *name;
+  } table[] = {
+    { &own->delivered, "segments_delivered" },
+    { &own->returned, "segments_returned" },
+    { &own->sent, "segments_sent" },
+    { &own->opened, "flows_opened" },
+    { &own->refused, "firsts_refused" },
+    { &own->unanswered, "firsts_unanswered" },
+    { &own->probes, "probes" },
+    { &own->searches, "searches" },
+    { &own->absent, "segments_absent" },
+    { &own->resets, "resets" },
+    { &own->dropped_malformed, "dropped_malformed" },
+    { &own->dropped_bad_seal, "dropped_bad_seal" },
+    { &own->announcements, "announcements" },
+    { &own->announcements_stale, "announcements_stale" },
+    { &own->flows, "flows" },
+    { &own->waiting, "requests_waiting" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (table); i++)
+    oh_counters_add (counters, table[i].counter, table[i].name);
+}
+
+const char *
+oh_segment_agent_service (const oh_segment_agent_t *agent)
+{
+  return agent->identity.service;
+}
+
+void
+oh_segment_agent_handle (oh_segment_agent_t *agent, const oh_segment_agent_event_t *event,
+                         oh_segment_agent_sink_t *sink)
+{
+  agent->now_us = event->now_us;
+  agent->sink = sink;
+  switch (event->kind)
+    {
+    case OH_SEGMENT_AGENT_RELAY:
+      handle_relay (agent, event->datagram.bytes, event->datagram.length);
+      break;
+    case OH_SEGMENT_AGENT_UPSTREAM:
+      handle_from_upstream (agent, event->datagram.bytes, event->datagram.length);
+      break;
+    case OH_SEGMENT_AGENT_ANNOUNCED:
+      handle_announcement (agent, event->announcement);
+      break;
+    case OH_SEGMENT_AGENT_TICK:
+      handle_tick (agent);
+      break;
+    }
+  agent->sink = NULL;
+}
--- /dev/null
+++ b/lib/core/segment_balancer.c
@@ -0,0 +1,589 @@
+#include "core/segment_balancer.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+static void G_GNUC_PRINTF (5, 6)
+  log_flow (const oh_segment_balancer_t *balancer, oh_log_level_t level, const char *event,
+            const oh_flow_key_t *key, const char *format, ...)
+{
+  char caller[OH_ADDRESS_TEXT_BYTES];
+  char route[OH_ADDRESS_TEXT_BYTES];
+  char pairs[OH_SEGMENT_LOG_BYTES];
+  int length;
+  va_list args;
+
+  if (!oh_log_enabled (level))
+    return;
+  length = g_snprintf (pairs, sizeof pairs, "caller=%s route=%s ", oh_address_format (key->caller, caller),
+                       oh_address_format (key->route, route));
+  va_start (args, format);
+  g_vsnprintf (pairs + length, sizeof pairs - (size_t)length, format, args);
+  va_end (args);
+  balancer->sink->ops->log (balancer->sink, level, event, pairs);
+}
+
+/* Records. */
+
+static void
+free_flow (gpointer data)
+{
+  oh_balancer_flow_t *flow = data;
+
+  oh_list_remove (&flow->by_use);
+  g_free (flow);
+}
+
+static void
+use_flow (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
+{
+  flow->used_us = balancer->now_us;
+  oh_list_remove (&flow->by_use);
+  oh_list_append (&balancer->by_use, &flow->by_use);
+}
+
+static void
+forget_oldest (oh_segment_balancer_t *balancer)
+{
+  oh_balancer_flow_t *oldest = oh_list_entry (balancer->by_use.next, oh_balancer_flow_t, by_use);
+
+  g_hash_table_remove (balancer->flows, &oldest->key);
+}
+
+static oh_balancer_flow_t *
+add_flow (oh_segment_balancer_t *balancer, const oh_flow_key_t *key)
+{
+  oh_balancer_flow_t *flow = g_new0 (oh_balancer_flow_t, 1);
+
+  if (g_hash_table_size (balancer->flows) >= balancer->max_flows)
+    forget_oldest (balancer);
+  flow->key = *key;
+  flow->opened_us = balancer->now_us;
+  oh_list_init (&flow->by_use);
+  g_hash_table_replace (balancer->flows, &flow->key, flow);
+  use_flow (balancer, flow);
+  return flow;
+}
+
+static void
+expire_flows (oh_segment_balancer_t *balancer)
+{
+  while (!oh_list_is_empty (&balancer->by_use))
+    {
+      const oh_balancer_flow_t *oldest = oh_list_entry (balancer->by_use.next, oh_balancer_flow_t, by_use);
+      const int64_t limit_us
+        = oldest->closed ? (int64_t)OH_SEGMENT_CLOSED_MS * 1000 : balancer->flow_timeout_us;
+
+      if (balancer->now_us - oldest->used_us < limit_us)
+        break;
+      forget_oldest (balancer);
+    }
+  oh_counter_set (&balancer->counters.flows, g_hash_table_size (balancer->flows));
+}
+
+/* Messages. */
+
+static void
+send_relay (oh_segment_balancer_t *balancer, oh_address_t agent, Oh__SegmentRelayKind kind, uint64_t service,
+            const uint8_t *bytes, size_t length)
+{
+  Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
+  Oh__Address self;
+  size_t size;
+
+  oh_address_to_wire (balancer->relay, &self);
+  relay.kind = kind;
+  relay.balancer = &self;
+  relay.service = service;
+  relay.segment.data = (uint8_t *)bytes;
+  relay.segment.len = length;
+  size = oh_segment_relay_encode (&relay, &balancer->keyring, balancer->out, sizeof balancer->out);
+  if (size > 0)
+    balancer->sink->ops->send_agent (balancer->sink, agent, balancer->out, size);
+}
+
+static void
+send_reset (oh_segment_balancer_t *balancer, const oh_flow_key_t *key, uint32_t sequence)
+{
+  uint8_t buffer[OH_SEGMENT_RESET_MAX_BYTES];
+  const size_t length = balancer->format->ops->make_reset (balancer->format, key, sequence, buffer);
+
+  balancer->sink->ops->send_caller (balancer->sink, key->caller, buffer, length);
+}
+
+/* What waited while the process was paused may describe a flow that has opened elsewhere since. */
+static bool
+is_fresh (const oh_segment_balancer_t *balancer)
+{
+  return balancer->now_us - balancer->lagged_us >= (int64_t)OH_SEGMENT_OPENING_MS * 1000;
+}
+
+/* Placement. */
+
+static bool
+has_open_offer (const oh_balancer_flow_t *flow)
+{
+  for (unsigned i = 0; i < flow->n_offers; i++)
+    if (flow->offers[i].state != OH_OFFER_REFUSED)
+      return true;
+  return false;
+}
+
+/* Tries the service that the flow's hash selects, then the other targets of the route. */
+static bool
+choose_upstream (oh_segment_balancer_t *balancer, const oh_route_t *route, const oh_balancer_flow_t *flow,
+                 uint64_t *service, oh_placement_decision_t *decision)
+{
+  uint64_t tried[OH_SEGMENT_OFFERS_MAX];
+  const uint64_t first = flow->service != 0 ? flow->service : oh_route_choose (route, &flow->key);
+
+  for (unsigned i = 0; i < flow->n_offers; i++)
+    tried[i] = flow->offers[i].incarnation;
+  *service = first;
+  if (oh_placement_choose (&balancer->placement, first, tried, flow->n_offers, balancer->now_us, decision))
+    return true;
+  for (guint i = 0; i < route->targets->len && flow->n_offers == 0; i++)
+    {
+      const oh_route_target_t *target = &g_array_index (route->targets, oh_route_target_t, i);
+
+      *service = target->service;
+      if (target->weight > 0 && target->service != first
+          && oh_placement_choose (&balancer->placement, target->service, tried, 0, balancer->now_us,
+                                  decision))
+        return true;
+    }
+  *service = first;
+  return false;
+}
+
+static void
+refuse_flow (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const char *reason)
+{
+  /* An earlier copy may have opened the flow through another balancer. */
+  const bool known_unopened = flow->first_copy && !flow->owned && !has_open_offer (flow)
+                              && balancer->now_us - flow->opened_us < (int64_t)OH_SEGMENT_OPENING_MS * 1000
+                              && is_fresh (balancer);
+
+  log_flow (balancer, OH_LOG_INFO, "flow_refused", &flow->key, "reason=%s offers=%u reset=%d", reason,
+            flow->n_offers, known_unopened);
+  if (!known_unopened)
+    return;
+  oh_counter_increment (&balancer->counters.resets_refused);
+  send_reset (balancer, &flow->key, 0);
+}
+
+static void
+place_flow (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes, size_t length)
+{
+  const oh_route_t *route = oh_route_table_find (&balancer->routes, flow->key.route);
+  oh_placement_decision_t decision;
+  uint64_t service;
+  oh_offer_t *offer;
+
+  if (route == NULL)
+    {
+      refuse_flow (balancer, flow, "no-route");
+      return;
+    }
+  if (!choose_upstream (balancer, route, flow, &service, &decision))
+    {
+      if (!has_open_offer (flow))
+        refuse_flow (balancer, flow, oh_placement_reason_name (decision.reason));
+      return;
+    }
+  offer = &flow->offers[flow->n_offers++];
+  *offer = (oh_offer_t){ .agent = decision.upstream->agent, .incarnation = decision.upstream->incarnation };
+  flow->service = service;
+  oh_counter_increment (&balancer->counters.placed);
+  if (flow->n_offers > 1)
+    oh_counter_increment (&balancer->counters.placed_again);
+  oh_placement_sent (&balancer->placement, decision.upstream, oh_flow_key_digest (&flow->key),
+                     balancer->now_us);
+  log_flow (balancer, OH_LOG_INFO, "flow_placed", &flow->key,
+            "service=%s upstream=%s reason=%s candidates=%u load=%.2f offer=%u version=%" G_GUINT64_FORMAT,
+            decision.service_name, decision.upstream->name, oh_placement_reason_name (decision.reason),
+            decision.candidates, decision.load, flow->n_offers, balancer->routes_version);
+  send_relay (balancer, offer->agent, OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN, service, bytes, length);
+}
+
+/* A further copy of a first segment that was placed here. */
+static void
+repeat_first (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes, size_t length)
+{
+  const unsigned offers = flow->n_offers;
+
+  if (flow->owned || balancer->now_us - flow->opened_us > (int64_t)OH_SEGMENT_OPENING_MS * 1000)
+    {
+      oh_counter_increment (&balancer->counters.dropped_late);
+      return;
+    }
+  for (unsigned i = 0; i < flow->n_offers; i++)
+    if (flow->offers[i].state == OH_OFFER_ACCEPTED)
+      {
+        send_relay (balancer, flow->offers[i].agent, OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN, flow->service,
+                    bytes, length);
+        return;
+      }
+  if (flow->n_offers < OH_SEGMENT_OFFERS_MAX)
+    place_flow (balancer, flow, bytes, length);
+  for (unsigned i = 0; i < offers && flow->n_offers == offers; i++)
+    if (flow->offers[i].state == OH_OFFER_SENT)
+      send_relay (balancer, flow->offers[i].agent, OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN, flow->service, bytes,
+                  length);
+}
+
+static void
+handle_first (oh_segment_balancer_t *balancer, const oh_flow_key_t *key, const oh_segment_t *segment,
+              const uint8_t *bytes, size_t length)
+{
+  oh_balancer_flow_t *flow = g_hash_table_lookup (balancer->flows, key);
+
+  if (flow != NULL && flow->service != 0 && flow->first_sequence == segment->sequence)
+    {
+      use_flow (balancer, flow);
+      repeat_first (balancer, flow, bytes, length);
+      return;
+    }
+  if (!oh_segment_balancer_ready (balancer))
+    {
+      oh_counter_increment (&balancer->counters.dropped_no_view);
+      return;
+    }
+  if (oh_route_table_find (&balancer->routes, key->route) == NULL)
+    {
+      oh_counter_increment (&balancer->counters.resets_no_route);
+      log_flow (balancer, OH_LOG_INFO, "flow_refused", key, "reason=no-route version=%" G_GUINT64_FORMAT,
+                balancer->routes_version);
+      if (segment->acknowledged == 0 && is_fresh (balancer))
+        send_reset (balancer, key, 0);
+      return;
+    }
+  flow = add_flow (balancer, key);
+  flow->first_sequence = segment->sequence;
+  flow->first_copy = segment->acknowledged == 0;
+  place_flow (balancer, flow, bytes, length);
+}
+
+/* Segments in the middle of a flow. */
+
+static void
+search (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes, size_t length)
+{
+  const oh_route_t *route = oh_route_table_find (&balancer->routes, flow->key.route);
+  GHashTableIter iter;
+  gpointer value;
+
+  if (route == NULL)
+    {
+      oh_counter_increment (&balancer->counters.dropped_no_route);
+      return;
+    }
+  if (balancer->now_us - flow->search_period_us >= (int64_t)OH_SEGMENT_SEARCH_PERIOD_MS * 1000)
+    {
+      flow->search_period_us = balancer->now_us;
+      flow->searches = 0;
+    }
+  if (flow->searches >= OH_SEGMENT_SEARCHES_MAX)
+    {
+      oh_counter_increment (&balancer->counters.dropped_searches);
+      return;
+    }
+  flow->searches++;
+  oh_counter_increment (&balancer->counters.searched);
+  g_hash_table_iter_init (&iter, balancer->placement.upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const oh_upstream_t *upstream = value;
+
+      for (guint i = 0; i < route->targets->len; i++)
+        if (g_array_index (route->targets, oh_route_target_t, i).service == upstream->service)
+          {
+            oh_counter_increment (&balancer->counters.search_messages);
+            send_relay (balancer, upstream->agent, OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH, upstream->service,
+                        bytes, length);
+          }
+    }
+  log_flow (balancer, OH_LOG_DEBUG, "flow_searched", &flow->key, "searches=%u", flow->searches);
+}
+
+static void
+handle_later (oh_segment_balancer_t *balancer, const oh_flow_key_t *key, const oh_segment_t *segment,
+              const uint8_t *bytes, size_t length)
+{
+  oh_balancer_flow_t *flow = g_hash_table_lookup (balancer->flows, key);
+
+  if (flow == NULL)
+    flow = add_flow (balancer, key);
+  else
+    use_flow (balancer, flow);
+  flow->closed |= segment->fin || segment->rst;
+  if (flow->owned)
+    {
+      oh_counter_increment (&balancer->counters.forwarded);
+      send_relay (balancer, flow->owner, OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER, 0, bytes, length);
+      return;
+    }
+  if (!has_open_offer (flow))
+    {
+      search (balancer, flow, bytes, length);
+      return;
+    }
+  oh_counter_increment (&balancer->counters.forwarded);
+  for (unsigned i = 0; i < flow->n_offers; i++)
+    if (flow->offers[i].state != OH_OFFER_REFUSED)
+      send_relay (balancer, flow->offers[i].agent, OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER, 0, bytes, length);
+}
+
+static void
+handle_caller (oh_segment_balancer_t *balancer, const uint8_t *bytes, size_t length)
+{
+  oh_segment_t segment;
+  oh_flow_key_t key;
+
+  oh_counter_increment (&balancer->counters.segments);
+  if (!balancer->format->ops->decode (balancer->format, bytes, length, &segment) || segment.returned)
+    {
+      oh_counter_increment (&balancer->counters.dropped_malformed);
+      return;
+    }
+  key = (oh_flow_key_t){ .caller = segment.from, .route = segment.to };
+  if (segment.syn && !segment.ack)
+    handle_first (balancer, &key, &segment, bytes, length);
+  else if (segment.syn)
+    oh_counter_increment (&balancer->counters.dropped_malformed); /* only upstreams answer a first segment */
+  else
+    handle_later (balancer, &key, &segment, bytes, length);
+}
+
+/* Answers of agents. */
+
+static oh_offer_t *
+find_offer (oh_balancer_flow_t *flow, oh_address_t agent)
+{
+  for (unsigned i = 0; flow != NULL && i < flow->n_offers; i++)
+    if (oh_address_equal (flow->offers[i].agent, agent))
+      return &flow->offers[i];
+  return NULL;
+}
+
+static void
+on_accepted (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const Oh__Load *load,
+             oh_address_t agent)
+{
+  oh_offer_t *offer = find_offer (flow, agent);
+
+  if (flow == NULL)
+    return;
+  oh_counter_increment (&balancer->counters.accepted);
+  oh_placement_answered (&balancer->placement, load, oh_flow_key_digest (&flow->key), true, balancer->now_us);
+  if (offer != NULL)
+    offer->state = OH_OFFER_ACCEPTED;
+}
+
+static void
+on_refused (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const Oh__SegmentRelay *relay,
+            oh_address_t agent)
+{
+  oh_offer_t *offer = find_offer (flow, agent);
+
+  if (offer == NULL || offer->state == OH_OFFER_REFUSED)
+    return;
+  oh_counter_increment (&balancer->counters.refused_by_agent);
+  oh_placement_answered (&balancer->placement, relay->load, oh_flow_key_digest (&flow->key), false,
+                         balancer->now_us);
+  offer->state = OH_OFFER_REFUSED;
+  log_flow (balancer, OH_LOG_INFO, "offer_refused", &flow->key, "upstream=%s result=%d",
+            relay->load->upstream, (int)relay->refused);
+  if (!has_open_offer (flow) && !flow->owned)
+    place_flow (balancer, flow, relay->segment.data, relay->segment.len);
+}
+
+static void
+on_owned (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, oh_address_t agent)
+{
+  if (flow == NULL || (flow->owned && oh_address_equal (flow->owner, agent)))
+    return;
+  if (!has_open_offer (flow))
+    oh_counter_increment (&balancer->counters.found);
+  flow->owned = true;
+  flow->owner = agent;
+}
+
+static void
+on_absent (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const Oh__SegmentRelay *relay,
+           oh_address_t agent)
+{
+  oh_offer_t *offer = find_offer (flow, agent);
+
+  if (flow == NULL)
+    return;
+  if (offer != NULL)
+    offer->state = OH_OFFER_REFUSED;
+  if (flow->owned && oh_address_equal (flow->owner, agent))
+    flow->owned = false;
+  if (!flow->owned && !has_open_offer (flow))
+    search (balancer, flow, relay->segment.data, relay->segment.len);
+}
+
+static bool
+relay_key (const oh_segment_balancer_t *balancer, const Oh__SegmentRelay *relay, oh_flow_key_t *key)
+{
+  oh_segment_t segment;
+
+  if (relay->caller != NULL && relay->route != NULL)
+    return oh_address_from_wire (relay->caller, &key->caller)
+           && oh_address_from_wire (relay->route, &key->route);
+  if (!balancer->format->ops->decode (balancer->format, relay->segment.data, relay->segment.len, &segment))
+    return false;
+  *key = (oh_flow_key_t){ .caller = segment.from, .route = segment.to };
+  return true;
+}
+
+static void
+handle_relay (oh_segment_balancer_t *balancer, const uint8_t *bytes, size_t length)
+{
+  const Oh__SegmentRelay *relay
+    = oh_segment_relay_decode (&balancer->arena, &balancer->keyring, bytes, length, NULL);
+  oh_address_t agent;
+  oh_flow_key_t key;
+  oh_balancer_flow_t *flow;
+
+  if (relay == NULL || relay->load == NULL || !oh_address_from_wire (relay->load->agent, &agent))
+    {
+      oh_counter_increment (&balancer->counters.dropped_bad_seal);
+      return;
+    }
+  oh_placement_report (&balancer->placement, relay->load, balancer->now_us);
+  if (relay->kind == OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD || !relay_key (balancer, relay, &key))
+    return;
+  flow = g_hash_table_lookup (balancer->flows, &key);
+  switch (relay->kind)
+    {
+    case OH__SEGMENT_RELAY_KIND__SEGMENT_ACCEPTED:
+      on_accepted (balancer, flow, relay->load, agent);
+      return;
+    case OH__SEGMENT_RELAY_KIND__SEGMENT_REFUSED:
+      on_refused (balancer, flow, relay, agent);
+      return;
+    case OH__SEGMENT_RELAY_KIND__SEGMENT_OWNED:
+      on_owned (balancer, flow, agent);
+      return;
+    case OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT:
+      on_absent (balancer, flow, relay, agent);
+      return;
+    case OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD:
+    case OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN:
+    case OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER:
+    case OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH:
+    case _OH__SEGMENT_RELAY_KIND_IS_INT_SIZE:
+      return;
+    }
+}
+
+static void
+handle_view (oh_segment_balancer_t *balancer, const oh_view_t *view)
+{
+  if (view->confirmed && view->version > balancer->routes_version)
+    {
+      balancer->routes_version = view->version;
+      oh_route_table_load (&balancer->routes, &view->config);
+    }
+  oh_keyring_advance (&balancer->keyring, view->key_generation);
+  oh_placement_update (&balancer->placement, oh_placement_view_new (view), balancer->now_us);
+}
+
+void
+oh_segment_balancer_init (oh_segment_balancer_t *balancer, const oh_segment_balancer_config_t *config,
+                          const oh_keyring_t *keyring, oh_random_t *random)
+{
+  *balancer = (oh_segment_balancer_t){
+    .format = config->format,
+    .relay = config->relay,
+    .keyring = *keyring,
+    .flow_timeout_us = config->flow_timeout_ms * 1000,
+    .max_flows = config->max_flows,
+    .flows = g_hash_table_new_full (oh_flow_key_hash, oh_flow_key_equal, NULL, free_flow),
+    .lagged_us = G_MININT64 / 2,
+  };
+  oh_list_init (&balancer->by_use);
+  oh_placement_init (&balancer->placement, config->zone, random);
+  oh_route_table_init (&balancer->routes);
+  oh_arena_init (&balancer->arena);
+}
+
+void
+oh_segment_balancer_finish (oh_segment_balancer_t *balancer)
+{
+  g_hash_table_unref (balancer->flows);
+  oh_route_table_finish (&balancer->routes);
+  oh_placement_finish (&balancer->placement);
+  oh_keyring_finish (&balancer->keyring);
+}
+
+void
+oh_segment_balancer_add_counters (oh_segment_balancer_t *balancer, oh_counters_t *counters)
+{
+  oh_segment_balancer_counters_t *own = &balancer->counters;
+  const struct
+  {
+    oh_counter_t *counter;
+    const char *name;
+  } table[] = {
+    { &own->segments, "segments" },
+    { &own->forwarded, "segments_forwarded" },
+    { &own->searched, "segments_searched" },
+    { &own->search_messages, "search_messages" },
+    { &own->found, "flows_found" },
+    { &own->placed, "flows_placed" },
+    { &own->placed_again, "flows_placed_again" },
+    { &own->accepted, "offers_accepted" },
+    { &own->refused_by_agent, "offers_refused" },
+    { &own->resets_no_route, "resets_no_route" },
+    { &own->resets_refused, "resets_refused" },
+    { &own->dropped_malformed, "dropped_malformed" },
+    { &own->dropped_bad_seal, "dropped_bad_seal" },
+    { &own->dropped_no_view, "dropped_no_view" },
+    { &own->dropped_no_route, "dropped_no_route" },
+    { &own->dropped_searches, "dropped_searches" },
+    { &own->dropped_late, "dropped_late" },
+    { &own->flows, "flows" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (table); i++)
+    oh_counters_add (counters, table[i].counter, table[i].name);
+}
+
+bool
+oh_segment_balancer_ready (const oh_segment_balancer_t *balancer)
+{
+  return balancer->routes_version > 0;
+}
+
+void
+oh_segment_balancer_handle (oh_segment_balancer_t *balancer, const oh_segment_balancer_event_t *event,
+                            oh_segment_balancer_sink_t *sink)
+{
+  balancer->now_us = event->now_us;
+  balancer->sink = sink;
+  /* Ticks come more often than this, so that a longer silence is a pause of the process. */
+  if (balancer->handled_us != 0 && event->now_us - balancer->handled_us >= (int64_t)OH_SEGMENT_LAG_MS * 1000)
+    balancer->lagged_us = event->now_us;
+  balancer->handled_us = event->now_us;
+  switch (event->kind)
+    {
+    case OH_SEGMENT_BALANCER_CALLER:
+      handle_caller (balancer, event->datagram.bytes, event->datagram.length);
+      break;
+    case OH_SEGMENT_BALANCER_RELAY:
+      handle_relay (balancer, event->datagram.bytes, event->datagram.length);
+      break;
+    case OH_SEGMENT_BALANCER_VIEW:
+      handle_view (balancer, event->view);
+      break;
+    case OH_SEGMENT_BALANCER_TICK:
+      oh_placement_expire (&balancer->placement, event->now_us);
+      expire_flows (balancer);
+      break;
+    }
+  balancer->sink = NULL;
+}
--- /dev/null
+++ b/lib/core/segment_balancer.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/counters.h"
+#include "base/list.h"
+#include "base/log.h"
+#include "core/codec.h"
+#include "core/placement.h"
+#include "core/route_table.h"
+#include "core/segment.h"
+
+/*
+ * The balancer's decisions about flows whose ends do not speak the caller protocol: places the first segment
+ * of a flow, remembers to which agents it was offered, and forwards later segments there. A flow that it has
+ * no record of is searched: the segment goes to every agent that could own it, and the owner answers.
+ *
+ * A state machine without I/O. What an action points to is valid during the call.
+ */
+
+enum
+{
+  OH_SEGMENT_OFFERS_MAX = OH_PLACEMENT_TRIED_MAX, /* agents that one flow is offered to */
+  OH_SEGMENT_TICK_MS = 100,
+  OH_SEGMENT_SEARCHES_MAX = 4, /* segments of one flow that are searched within a period */
+  OH_SEGMENT_SEARCH_PERIOD_MS = 100,
+  OH_SEGMENT_OPENING_MS = 1400, /* a caller gives up a flow that has not opened by then */
+  OH_SEGMENT_CLOSED_MS = 5000,  /* a record outlives the end of its flow by this time */
+  OH_SEGMENT_LAG_MS = 300,      /* after a longer pause nothing is reset: what was waiting is old */
+  OH_SEGMENT_LOG_BYTES = 400,
+};
+
+typedef enum
+{
+  OH_SEGMENT_BALANCER_CALLER, /* a datagram from the fabric */
+  OH_SEGMENT_BALANCER_RELAY,  /* a datagram from an agent */
+  OH_SEGMENT_BALANCER_VIEW,
+  OH_SEGMENT_BALANCER_TICK, /* every OH_SEGMENT_TICK_MS */
+} oh_segment_balancer_event_kind_t;
+
+typedef struct
+{
+  oh_segment_balancer_event_kind_t kind;
+  int64_t now_us;
+  union
+  {
+    struct
+    {
+      uint8_t *bytes;
+      size_t length;
+    } datagram;
+    const oh_view_t *view; /* borrowed for the call */
+  };
+} oh_segment_balancer_event_t;
+
+typedef struct oh_segment_balancer_sink oh_segment_balancer_sink_t;
+
+typedef struct
+{
+  void (*send_agent) (oh_segment_balancer_sink_t *sink, oh_address_t to, const uint8_t *bytes, size_t length);
+  /* The adapter knows the port at which callers take segments. */
+  void (*send_caller) (oh_segment_balancer_sink_t *sink, oh_address_t caller, const uint8_t *bytes,
+                       size_t length);
+  void (*log) (oh_segment_balancer_sink_t *sink, oh_log_level_t level, const char *event, const char *pairs);
+} oh_segment_balancer_sink_ops_t;
+
+struct oh_segment_balancer_sink
+{
+  const oh_segment_balancer_sink_ops_t *ops;
+};
+
+typedef enum
+{
+  OH_OFFER_SENT,
+  OH_OFFER_ACCEPTED, /* the upstream answered the first segment */
+  OH_OFFER_REFUSED,  /* the agent does not hold the flow */
+} oh_offer_state_t;
+
+typedef struct
+{
+  oh_address_t agent;
+  uint64_t incarnation;
+  oh_offer_state_t state;
+} oh_offer_t;
+
+typedef struct
+{
+  oh_flow_key_t key;
+  uint64_t service;        /* 0: not placed here */
+  uint32_t first_sequence; /* of the first segment; meaningless if the flow was not placed here */
+  bool first_copy;         /* the first copy of the first segment came to this balancer */
+  bool owned;              /* owner is known */
+  bool closed;             /* an end has finished the flow */
+  oh_address_t owner;
+  unsigned n_offers;
+  oh_offer_t offers[OH_SEGMENT_OFFERS_MAX];
+  unsigned searches; /* in the present period */
+  int64_t search_period_us;
+  int64_t opened_us;
+  int64_t used_us;
+  oh_list_t by_use;
+} oh_balancer_flow_t;
+
+typedef struct
+{
+  oh_counter_t segments;        /* from callers */
+  oh_counter_t forwarded;       /* to an agent that was offered the flow or owns it */
+  oh_counter_t searched;        /* segments whose owner was not known */
+  oh_counter_t search_messages; /* sent for them */
+  oh_counter_t found;           /* flows whose owner answered a search */
+  oh_counter_t placed;          /* offers to agents */
+  oh_counter_t placed_again;    /* of them after a refusal or a repetition */
+  oh_counter_t accepted;        /* first segments that an upstream answered */
+  oh_counter_t refused_by_agent;
+  oh_counter_t resets_no_route;
+  oh_counter_t resets_refused;
+  oh_counter_t dropped_malformed;
+  oh_counter_t dropped_bad_seal;
+  oh_counter_t dropped_no_view;  /* nothing is placed before the first confirmed view */
+  oh_counter_t dropped_no_route; /* in the middle of a flow */
+  oh_counter_t dropped_searches; /* beyond the bound of searches */
+  oh_counter_t dropped_late;     /* first segments of flows that are open or given up */
+  oh_counter_t flows;            /* gauge */
+} oh_segment_balancer_counters_t;
+
+typedef struct
+{
+  const oh_segment_format_t *format;
+  oh_address_t relay; /* where agents send to */
+  oh_keyring_t keyring;
+  int64_t flow_timeout_us;
+  unsigned max_flows;
+  oh_placement_t placement;
+  oh_route_table_t routes;
+  uint64_t routes_version;
+  GHashTable *flows; /* of oh_balancer_flow_t, owned */
+  oh_list_t by_use;  /* least recently used first */
+  oh_segment_balancer_counters_t counters;
+  int64_t handled_us; /* last event */
+  int64_t lagged_us;  /* when the process last came back from a pause */
+  int64_t now_us;
+  oh_segment_balancer_sink_t *sink; /* valid while an event is handled */
+  oh_arena_t arena;
+  uint8_t out[OH_RELAY_MAX_BYTES];
+} oh_segment_balancer_t;
+
+typedef struct
+{
+  const oh_segment_format_t *format;
+  const char *zone;
+  oh_address_t relay;
+  int64_t flow_timeout_ms;
+  unsigned max_flows;
+} oh_segment_balancer_config_t;
+
+/* Copies the keyring. */
+void oh_segment_balancer_init (oh_segment_balancer_t *balancer, const oh_segment_balancer_config_t *config,
+                               const oh_keyring_t *keyring, oh_random_t *random);
+void oh_segment_balancer_finish (oh_segment_balancer_t *balancer);
+void oh_segment_balancer_add_counters (oh_segment_balancer_t *balancer, oh_counters_t *counters);
+void oh_segment_balancer_handle (oh_segment_balancer_t *balancer, const oh_segment_balancer_event_t *event,
+                                 oh_segment_balancer_sink_t *sink);
+
+/* True once new flows can be placed: a confirmed view has arrived. */
+bool oh_segment_balancer_ready (const oh_segment_balancer_t *balancer);
--- a/lib/wire/control.pb-c.c
+++ b/lib/wire/control.pb-c.c
@@ -791,7 +791,7 @@
   (ProtobufCMessageInit) oh__balancer_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__poll__field_descriptors[9] =
+static const ProtobufCFieldDescriptor oh__poll__field_descriptors[10] =
 {
   {
     "name",
@@ -901,6 +901,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "without_text",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Oh__Poll, without_text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__poll__field_indices_by_name[] = {
   8,   /* field[8] = leaving */
@@ -911,12 +923,13 @@
   1,   /* field[1] = role */
   5,   /* field[5] = sequence */
   3,   /* field[3] = version_in_force */
+  9,   /* field[9] = without_text */
   2,   /* field[2] = zone */
 };
 static const ProtobufCIntRange oh__poll__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor oh__poll__descriptor =
 {
@@ -926,14 +939,14 @@
   "Oh__Poll",
   "oh",
   sizeof(Oh__Poll),
-  9,
+  10,
   oh__poll__field_descriptors,
   oh__poll__field_indices_by_name,
   1,  oh__poll__number_ranges,
   (ProtobufCMessageInit) oh__poll__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__view__field_descriptors[13] =
+static const ProtobufCFieldDescriptor oh__view__field_descriptors[14] =
 {
   {
     "replica_epoch",
@@ -1091,6 +1104,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "replicas",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Oh__View, n_replicas),
+    offsetof(Oh__View, replicas),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__view__field_indices_by_name[] = {
   11,   /* field[11] = balancers */
@@ -1102,6 +1127,7 @@
   12,   /* field[12] = removed_balancers */
   10,   /* field[10] = removed_members */
   0,   /* field[0] = replica_epoch */
+  13,   /* field[13] = replicas */
   1,   /* field[1] = sequence */
   2,   /* field[2] = snapshot */
   6,   /* field[6] = text */
@@ -1110,7 +1136,7 @@
 static const ProtobufCIntRange oh__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor oh__view__descriptor =
 {
@@ -1120,14 +1146,14 @@
   "Oh__View",
   "oh",
   sizeof(Oh__View),
-  13,
+  14,
   oh__view__field_descriptors,
   oh__view__field_indices_by_name,
   1,  oh__view__number_ranges,
   (ProtobufCMessageInit) oh__view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__change__field_descriptors[7] =
+static const ProtobufCFieldDescriptor oh__change__field_descriptors[9] =
 {
   {
     "id",
@@ -1213,20 +1239,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "number",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Oh__Change, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "document",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Oh__Change, document),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__change__field_indices_by_name[] = {
   6,   /* field[6] = author */
   2,   /* field[2] = base_version */
+  8,   /* field[8] = document */
   5,   /* field[5] = endpoint */
   0,   /* field[0] = id */
   1,   /* field[1] = kind */
+  7,   /* field[7] = number */
   4,   /* field[4] = target */
   3,   /* field[3] = text */
 };
 static const ProtobufCIntRange oh__change__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor oh__change__descriptor =
 {
@@ -1236,7 +1288,7 @@
   "Oh__Change",
   "oh",
   sizeof(Oh__Change),
-  7,
+  9,
   oh__change__field_descriptors,
   oh__change__field_indices_by_name,
   1,  oh__change__number_ranges,
@@ -2290,7 +2342,7 @@
   oh__node_role__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue oh__change_kind__enum_values_by_number[6] =
+static const ProtobufCEnumValue oh__change_kind__enum_values_by_number[7] =
 {
   { "CHANGE_APPLY", "OH__CHANGE_KIND__CHANGE_APPLY", 0 },
   { "CHANGE_DRAIN", "OH__CHANGE_KIND__CHANGE_DRAIN", 1 },
@@ -2298,15 +2350,17 @@
   { "CHANGE_ROTATE_KEYS", "OH__CHANGE_KIND__CHANGE_ROTATE_KEYS", 3 },
   { "CHANGE_ADD_REPLICA", "OH__CHANGE_KIND__CHANGE_ADD_REPLICA", 4 },
   { "CHANGE_REMOVE_REPLICA", "OH__CHANGE_KIND__CHANGE_REMOVE_REPLICA", 5 },
+  { "CHANGE_PUBLISH", "OH__CHANGE_KIND__CHANGE_PUBLISH", 6 },
 };
 static const ProtobufCIntRange oh__change_kind__value_ranges[] = {
-{0, 0},{0, 6}
+{0, 0},{0, 7}
 };
-static const ProtobufCEnumValueIndex oh__change_kind__enum_values_by_name[6] =
+static const ProtobufCEnumValueIndex oh__change_kind__enum_values_by_name[7] =
 {
   { "CHANGE_ADD_REPLICA", 4 },
   { "CHANGE_APPLY", 0 },
   { "CHANGE_DRAIN", 1 },
+  { "CHANGE_PUBLISH", 6 },
   { "CHANGE_REMOVE_REPLICA", 5 },
   { "CHANGE_ROTATE_KEYS", 3 },
   { "CHANGE_UNDRAIN", 2 },
@@ -2318,9 +2372,9 @@
   "ChangeKind",
   "Oh__ChangeKind",
   "oh",
-  6,
+  7,
   oh__change_kind__enum_values_by_number,
-  6,
+  7,
   oh__change_kind__enum_values_by_name,
   1,
   oh__change_kind__value_ranges,
--- a/lib/wire/control.pb-c.h
+++ b/lib/wire/control.pb-c.h
@@ -46,7 +46,11 @@
   OH__CHANGE_KIND__CHANGE_UNDRAIN = 2,
   OH__CHANGE_KIND__CHANGE_ROTATE_KEYS = 3,
   OH__CHANGE_KIND__CHANGE_ADD_REPLICA = 4,
-  OH__CHANGE_KIND__CHANGE_REMOVE_REPLICA = 5
+  OH__CHANGE_KIND__CHANGE_REMOVE_REPLICA = 5,
+  /*
+   * text with a version number given by its author; the highest number wins
+   */
+  OH__CHANGE_KIND__CHANGE_PUBLISH = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(OH__CHANGE_KIND)
 } Oh__ChangeKind;
 typedef enum _Oh__ChangeStatus {
@@ -131,10 +135,14 @@
    * planned stop: end the lease now
    */
   protobuf_c_boolean leaving;
+  /*
+   * the node has no use for the operators' text
+   */
+  protobuf_c_boolean without_text;
 };
 #define OH__POLL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__poll__descriptor) \
-    , (char *)protobuf_c_empty_string, OH__NODE_ROLE__NODE_BALANCER, (char *)protobuf_c_empty_string, 0, 0, 0, NULL, NULL, 0 }
+    , (char *)protobuf_c_empty_string, OH__NODE_ROLE__NODE_BALANCER, (char *)protobuf_c_empty_string, 0, 0, 0, NULL, NULL, 0, 0 }
 
 
 struct  Oh__View
@@ -167,10 +175,15 @@
   Oh__BalancerEntry **balancers;
   size_t n_removed_balancers;
   char **removed_balancers;
+  /*
+   * endpoints of the committed replica set
+   */
+  size_t n_replicas;
+  char **replicas;
 };
 #define OH__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__view__descriptor) \
-    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Oh__Change
@@ -192,10 +205,18 @@
    */
   char *endpoint;
   char *author;
+  /*
+   * PUBLISH
+   */
+  uint64_t number;
+  /*
+   * PUBLISH: what the text was made from, returned to readers
+   */
+  ProtobufCBinaryData document;
 };
 #define OH__CHANGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__change__descriptor) \
-    , {0,NULL}, OH__CHANGE_KIND__CHANGE_APPLY, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , {0,NULL}, OH__CHANGE_KIND__CHANGE_APPLY, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL} }
 
 
 struct  Oh__ChangeReply
--- a/lib/wire/packet.pb-c.c
+++ b/lib/wire/packet.pb-c.c
@@ -772,6 +772,51 @@
   assert(message->base.descriptor == &oh__load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   oh__segment_relay__init
+                     (Oh__SegmentRelay         *message)
+{
+  static const Oh__SegmentRelay init_value = OH__SEGMENT_RELAY__INIT;
+  *message = init_value;
+}
+size_t oh__segment_relay__get_packed_size
+                     (const Oh__SegmentRelay *message)
+{
+  assert(message->base.descriptor == &oh__segment_relay__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t oh__segment_relay__pack
+                     (const Oh__SegmentRelay *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &oh__segment_relay__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t oh__segment_relay__pack_to_buffer
+                     (const Oh__SegmentRelay *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &oh__segment_relay__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Oh__SegmentRelay *
+       oh__segment_relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Oh__SegmentRelay *)
+     protobuf_c_message_unpack (&oh__segment_relay__descriptor,
+                                allocator, len, data);
+}
+void   oh__segment_relay__free_unpacked
+                     (Oh__SegmentRelay *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &oh__segment_relay__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   oh__relay__init
                      (Oh__Relay         *message)
 {
@@ -2178,6 +2223,148 @@
   (ProtobufCMessageInit) oh__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor oh__segment_relay__field_descriptors[9] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Oh__SegmentRelay, kind),
+    &oh__segment_relay_kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "balancer",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Oh__SegmentRelay, balancer),
+    &oh__address__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Oh__SegmentRelay, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "segment",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Oh__SegmentRelay, segment),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Oh__SegmentRelay, refused),
+    &oh__result__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Oh__SegmentRelay, load),
+    &oh__load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caller",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Oh__SegmentRelay, caller),
+    &oh__address__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Oh__SegmentRelay, route),
+    &oh__address__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "copy",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Oh__SegmentRelay, copy),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned oh__segment_relay__field_indices_by_name[] = {
+  1,   /* field[1] = balancer */
+  6,   /* field[6] = caller */
+  8,   /* field[8] = copy */
+  0,   /* field[0] = kind */
+  5,   /* field[5] = load */
+  4,   /* field[4] = refused */
+  7,   /* field[7] = route */
+  3,   /* field[3] = segment */
+  2,   /* field[2] = service */
+};
+static const ProtobufCIntRange oh__segment_relay__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor oh__segment_relay__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "oh.SegmentRelay",
+  "SegmentRelay",
+  "Oh__SegmentRelay",
+  "oh",
+  sizeof(Oh__SegmentRelay),
+  9,
+  oh__segment_relay__field_descriptors,
+  oh__segment_relay__field_indices_by_name,
+  1,  oh__segment_relay__number_ranges,
+  (ProtobufCMessageInit) oh__segment_relay__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor oh__relay__field_descriptors[6] =
 {
   {
@@ -2395,3 +2582,43 @@
   oh__upstream_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue oh__segment_relay_kind__enum_values_by_number[8] =
+{
+  { "SEGMENT_LOAD", "OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD", 0 },
+  { "SEGMENT_OPEN", "OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN", 1 },
+  { "SEGMENT_DELIVER", "OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER", 2 },
+  { "SEGMENT_SEARCH", "OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH", 3 },
+  { "SEGMENT_ACCEPTED", "OH__SEGMENT_RELAY_KIND__SEGMENT_ACCEPTED", 4 },
+  { "SEGMENT_REFUSED", "OH__SEGMENT_RELAY_KIND__SEGMENT_REFUSED", 5 },
+  { "SEGMENT_OWNED", "OH__SEGMENT_RELAY_KIND__SEGMENT_OWNED", 6 },
+  { "SEGMENT_ABSENT", "OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT", 7 },
+};
+static const ProtobufCIntRange oh__segment_relay_kind__value_ranges[] = {
+{0, 0},{0, 8}
+};
+static const ProtobufCEnumValueIndex oh__segment_relay_kind__enum_values_by_name[8] =
+{
+  { "SEGMENT_ABSENT", 7 },
+  { "SEGMENT_ACCEPTED", 4 },
+  { "SEGMENT_DELIVER", 2 },
+  { "SEGMENT_LOAD", 0 },
+  { "SEGMENT_OPEN", 1 },
+  { "SEGMENT_OWNED", 6 },
+  { "SEGMENT_REFUSED", 5 },
+  { "SEGMENT_SEARCH", 3 },
+};
+const ProtobufCEnumDescriptor oh__segment_relay_kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "oh.SegmentRelayKind",
+  "SegmentRelayKind",
+  "Oh__SegmentRelayKind",
+  "oh",
+  8,
+  oh__segment_relay_kind__enum_values_by_number,
+  8,
+  oh__segment_relay_kind__enum_values_by_name,
+  1,
+  oh__segment_relay_kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/lib/wire/packet.pb-c.h
+++ b/lib/wire/packet.pb-c.h
@@ -32,6 +32,7 @@
 typedef struct Oh__CloseReply Oh__CloseReply;
 typedef struct Oh__Packet Oh__Packet;
 typedef struct Oh__Load Oh__Load;
+typedef struct Oh__SegmentRelay Oh__SegmentRelay;
 typedef struct Oh__Relay Oh__Relay;
 
 
@@ -91,6 +92,44 @@
   OH__UPSTREAM_STATE__UPSTREAM_DRAINING = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(OH__UPSTREAM_STATE)
 } Oh__UpstreamState;
+/*
+ * What a SegmentRelay asks for or reports. See core/segment_balancer.h.
+ */
+typedef enum _Oh__SegmentRelayKind {
+  /*
+   * agent to balancer: load only
+   */
+  OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD = 0,
+  /*
+   * balancer to agent: first segment of a flow, for this service
+   */
+  OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN = 1,
+  /*
+   * balancer to agent: the agent was offered the flow
+   */
+  OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER = 2,
+  /*
+   * balancer to agent: the owner of the flow is not known
+   */
+  OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH = 3,
+  /*
+   * agent to balancer: the upstream answered the first segment
+   */
+  OH__SEGMENT_RELAY_KIND__SEGMENT_ACCEPTED = 4,
+  /*
+   * agent to balancer: the first segment comes back, it opened nothing
+   */
+  OH__SEGMENT_RELAY_KIND__SEGMENT_REFUSED = 5,
+  /*
+   * agent to balancer: this agent holds the flow
+   */
+  OH__SEGMENT_RELAY_KIND__SEGMENT_OWNED = 6,
+  /*
+   * agent to balancer: this agent does not hold the flow; the segment comes back
+   */
+  OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT = 7
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(OH__SEGMENT_RELAY_KIND)
+} Oh__SegmentRelayKind;
 
 /* --- messages --- */
 
@@ -404,6 +443,48 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, OH__UPSTREAM_STATE__UPSTREAM_READY, NULL }
 
 
+/*
+ * Segments of flows whose ends do not speak the caller protocol, between balancers and agents.
+ */
+struct  Oh__SegmentRelay
+{
+  ProtobufCMessage base;
+  Oh__SegmentRelayKind kind;
+  /*
+   * where the agent sends replies
+   */
+  Oh__Address *balancer;
+  /*
+   * OPEN: the only service that may take the flow
+   */
+  uint64_t service;
+  /*
+   * header and data as the caller sent them
+   */
+  ProtobufCBinaryData segment;
+  /*
+   * REFUSED
+   */
+  Oh__Result refused;
+  /*
+   * agent to balancer
+   */
+  Oh__Load *load;
+  /*
+   * with route, the flow, where no segment is carried
+   */
+  Oh__Address *caller;
+  Oh__Address *route;
+  /*
+   * OPEN: earlier copies of the first segment
+   */
+  uint32_t copy;
+};
+#define OH__SEGMENT_RELAY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&oh__segment_relay__descriptor) \
+    , OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD, NULL, 0, {0,NULL}, OH__RESULT__RESULT_NONE, NULL, NULL, NULL, 0 }
+
+
 struct  Oh__Relay
 {
   ProtobufCMessage base;
@@ -758,6 +839,25 @@
 void   oh__load__free_unpacked
                      (Oh__Load *message,
                       ProtobufCAllocator *allocator);
+/* Oh__SegmentRelay methods */
+void   oh__segment_relay__init
+                     (Oh__SegmentRelay         *message);
+size_t oh__segment_relay__get_packed_size
+                     (const Oh__SegmentRelay   *message);
+size_t oh__segment_relay__pack
+                     (const Oh__SegmentRelay   *message,
+                      uint8_t             *out);
+size_t oh__segment_relay__pack_to_buffer
+                     (const Oh__SegmentRelay   *message,
+                      ProtobufCBuffer     *buffer);
+Oh__SegmentRelay *
+       oh__segment_relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   oh__segment_relay__free_unpacked
+                     (Oh__SegmentRelay *message,
+                      ProtobufCAllocator *allocator);
 /* Oh__Relay methods */
 void   oh__relay__init
                      (Oh__Relay         *message);
@@ -830,6 +930,9 @@
 typedef void (*Oh__Load_Closure)
                  (const Oh__Load *message,
                   void *closure_data);
+typedef void (*Oh__SegmentRelay_Closure)
+                 (const Oh__SegmentRelay *message,
+                  void *closure_data);
 typedef void (*Oh__Relay_Closure)
                  (const Oh__Relay *message,
                   void *closure_data);
@@ -842,6 +945,7 @@
 extern const ProtobufCEnumDescriptor    oh__request_kind__descriptor;
 extern const ProtobufCEnumDescriptor    oh__result__descriptor;
 extern const ProtobufCEnumDescriptor    oh__upstream_state__descriptor;
+extern const ProtobufCEnumDescriptor    oh__segment_relay_kind__descriptor;
 extern const ProtobufCMessageDescriptor oh__address__descriptor;
 extern const ProtobufCMessageDescriptor oh__token__descriptor;
 extern const ProtobufCMessageDescriptor oh__open__descriptor;
@@ -859,6 +963,7 @@
 extern const ProtobufCMessageDescriptor oh__close_reply__descriptor;
 extern const ProtobufCMessageDescriptor oh__packet__descriptor;
 extern const ProtobufCMessageDescriptor oh__load__descriptor;
+extern const ProtobufCMessageDescriptor oh__segment_relay__descriptor;
 extern const ProtobufCMessageDescriptor oh__relay__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/lib/wire/replica.pb-c.c
+++ b/lib/wire/replica.pb-c.c
@@ -213,7 +213,7 @@
   (ProtobufCMessageInit) oh__change_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__control_state__field_descriptors[8] =
+static const ProtobufCFieldDescriptor oh__control_state__field_descriptors[10] =
 {
   {
     "version",
@@ -311,12 +311,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "published_number",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Oh__ControlState, published_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "document",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Oh__ControlState, document),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__control_state__field_indices_by_name[] = {
+  9,   /* field[9] = document */
   4,   /* field[4] = drained */
   3,   /* field[3] = key_generation */
   6,   /* field[6] = last_author */
   5,   /* field[5] = last_id */
+  8,   /* field[8] = published_number */
   7,   /* field[7] = results */
   2,   /* field[2] = text */
   1,   /* field[1] = text_version */
@@ -325,7 +351,7 @@
 static const ProtobufCIntRange oh__control_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor oh__control_state__descriptor =
 {
@@ -335,7 +361,7 @@
   "Oh__ControlState",
   "oh",
   sizeof(Oh__ControlState),
-  8,
+  10,
   oh__control_state__field_descriptors,
   oh__control_state__field_indices_by_name,
   1,  oh__control_state__number_ranges,
--- a/lib/wire/replica.pb-c.h
+++ b/lib/wire/replica.pb-c.h
@@ -66,10 +66,15 @@
    */
   size_t n_results;
   Oh__ChangeResult **results;
+  /*
+   * 0: nothing published
+   */
+  uint64_t published_number;
+  ProtobufCBinaryData document;
 };
 #define OH__CONTROL_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__control_state__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, 0,NULL, 0, {0,NULL} }
 
 
 /* Oh__ChangeResult methods */
