segments: admission at the agent, resets of flows that no upstream holds, quicker first elections

Cause: after all VMs lost power, the cluster had no leader for 0.65 s after its quorum was up, clients with flows of dead upstreams waited for their deadlines, and 657 requests were shed by upstreams that got all flows at once. Ruled out: placement (spread evenly).

--- a/daemons/oriole_flow_agent.c
+++ b/daemons/oriole_flow_agent.c
@@ -341,7 +341,11 @@
 stop (agent_t *agent)
 {
   oh_heartbeat_http_stop (agent->heartbeats);
-  oh_view_client_stop (agent->view_client);
+  /* With a live upstream the agent stays listed: its flows are there, and nobody else can say so. */
+  if (agent->core.identity.state == OH_ANNOUNCED_LEFT)
+    oh_view_client_stop (agent->view_client);
+  else
+    oh_view_client_abandon (agent->view_client);
   oh_readiness_http_stop (agent->readiness);
   oh_admin_stop (agent->admin);
   if (agent->relay >= 0)
--- a/lib/adapters/link.c
+++ b/lib/adapters/link.c
@@ -9,7 +9,7 @@
   HEARTBEAT_TIMEOUT_MS
   = 2000, /* below the 3 s lease, so that a dead connection is replaced before the lease ends */
   RECONNECT_MS = 100,
-  RECONNECT_MAX_MS = 1000,
+  RECONNECT_MAX_MS = 200,
   QUEUE_MESSAGES = 4096,
   MESSAGE_MAX_BYTES = 8 << 20,
 };
--- a/lib/adapters/view_client.c
+++ b/lib/adapters/view_client.c
@@ -423,3 +423,10 @@
   g_usleep (LEAVE_MS * 1000);
   free_client (client);
 }
+
+void
+oh_view_client_abandon (oh_view_client_t *client)
+{
+  if (client != NULL)
+    free_client (client);
+}
--- a/lib/adapters/view_client.h
+++ b/lib/adapters/view_client.h
@@ -37,3 +37,6 @@
 
 /* Tells the replicas that the node leaves, then stops. */
 void oh_view_client_stop (oh_view_client_t *client);
+
+/* Stops without a word, so that the lease lasts until the node's next start or its end. */
+void oh_view_client_abandon (oh_view_client_t *client);
--- a/lib/core/raft.c
+++ b/lib/core/raft.c
@@ -139,6 +139,7 @@
 
   if (old != (leader != NULL ? leader->id : 0))
     raft->report_changed = true;
+  raft->settled |= leader != NULL;
   oh_raft_replica_free (raft->leader);
   raft->leader = leader;
 }
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -32,6 +32,10 @@
 {
   OH_RAFT_ELECTION_MIN_US = 300000,
   OH_RAFT_ELECTION_MAX_US = 600000,
+  /* Until a replica knows a leader after its start: all may have stopped at once, and the pre-vote protects a
+   * leader that lives. */
+  OH_RAFT_FIRST_ELECTION_MIN_US = 80000,
+  OH_RAFT_FIRST_ELECTION_MAX_US = 200000,
   OH_RAFT_HEARTBEAT_US = 100000,
   OH_RAFT_CONFIRMED_US = 1000000,          /* age of quorum contact up to which a replica is confirmed */
   OH_RAFT_COMMAND_MAX_BYTES = 2304 * 1024, /* a document and a text of the greatest size */
@@ -210,6 +214,7 @@
   bool snapshot_requested;
 
   oh_raft_replica_t *leader; /* NULL if not known */
+  bool settled; /* since the start a leader was known, or a vote was begun */
   int64_t leader_contact_us;
   int64_t confirmed_us; /* follower: when the leader last had a quorum, 0 for never */
   uint64_t confirmed_commit;
--- a/lib/core/raft_election.c
+++ b/lib/core/raft_election.c
@@ -56,6 +56,7 @@
 start_vote (oh_raft_t *raft)
 {
   raft->pre_vote = false;
+  raft->settled = true;
   set_term (raft, raft->hard.term + 1, raft->self->id);
   raft->self_vote_id = raft->persist_id + 1;
   clear_votes (raft);
@@ -100,10 +101,11 @@
 void
 oh_raft_reset_election (oh_raft_t *raft)
 {
-  const uint64_t spread_us = OH_RAFT_ELECTION_MAX_US - OH_RAFT_ELECTION_MIN_US;
+  const int64_t min_us = raft->settled ? OH_RAFT_ELECTION_MIN_US : OH_RAFT_FIRST_ELECTION_MIN_US;
+  const int64_t max_us = raft->settled ? OH_RAFT_ELECTION_MAX_US : OH_RAFT_FIRST_ELECTION_MAX_US;
 
   raft->election_due_us
-    = raft->now_us + OH_RAFT_ELECTION_MIN_US + (int64_t)oh_random_below (raft->random, spread_us + 1);
+    = raft->now_us + min_us + (int64_t)oh_random_below (raft->random, (uint64_t)(max_us - min_us) + 1);
 }
 
 void
--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -37,6 +37,15 @@
   agent->n_opening--;
 }
 
+static void
+end_fresh (oh_segment_agent_t *agent, oh_agent_flow_t *flow)
+{
+  if (oh_list_is_empty (&flow->fresh))
+    return;
+  oh_list_remove (&flow->fresh);
+  agent->n_fresh--;
+}
+
 static void
 set_waiting (oh_segment_agent_t *agent, oh_agent_flow_t *flow, bool waiting)
 {
@@ -56,6 +65,8 @@
     end_opening (agent, flow);
   if (state != OH_AGENT_FLOW_OPEN)
     set_waiting (agent, flow, false);
+  if (state != OH_AGENT_FLOW_OPEN && state != OH_AGENT_FLOW_OPENING)
+    end_fresh (agent, flow);
 }
 
 static void
@@ -64,6 +75,7 @@
   agent->n_open -= flow->state == OH_AGENT_FLOW_OPEN && !flow->closed;
   flow->closed = true;
   set_waiting (agent, flow, false);
+  end_fresh (agent, flow);
 }
 
 static void
@@ -105,6 +117,7 @@
   flow->opened_us = agent->now_us;
   oh_list_init (&flow->by_use);
   oh_list_init (&flow->opening);
+  oh_list_init (&flow->fresh);
   flow->state = OH_AGENT_FLOW_ABSENT;
   g_hash_table_insert (agent->flows, &flow->key, flow);
   set_state (agent, flow, state);
@@ -167,8 +180,8 @@
   load->sequence = ++agent->report_sequence;
   load->slots = offered_slots (agent);
   load->busy = MIN (agent->n_waiting, agent->identity.slots);
-  /* A flow that is opening is about to bring a request. */
-  load->queued = agent->n_waiting - load->busy + agent->n_opening;
+  /* A flow that has just opened is about to bring a request. */
+  load->queued = agent->n_waiting - load->busy + agent->n_fresh;
   load->flows = agent->n_open + agent->n_opening;
   load->max_flows = agent->config.max_flows;
   load->state = upstream_state (agent);
@@ -201,10 +214,12 @@
     agent->sink->ops->report (agent->sink, agent->out, size);
 }
 
-/* Tells a balancer about a flow; the segment comes back to it if bytes are given. */
+/* Tells a balancer about a flow; the segment comes back to it if bytes are given. search is the question that
+ * this answers, 0 for none. */
 static void
-answer (oh_segment_agent_t *agent, oh_address_t balancer, Oh__SegmentRelayKind kind, Oh__Result refused,
-        const oh_flow_key_t *key, const uint8_t *bytes, size_t length)
+answer_search (oh_segment_agent_t *agent, oh_address_t balancer, Oh__SegmentRelayKind kind,
+               Oh__Result refused, uint32_t search, const oh_flow_key_t *key, const uint8_t *bytes,
+               size_t length)
 {
   Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
   Oh__Address caller;
@@ -215,6 +230,7 @@
   oh_address_to_wire (key->route, &route);
   relay.kind = kind;
   relay.refused = refused;
+  relay.search = search;
   relay.caller = &caller;
   relay.route = &route;
   relay.segment.data = (uint8_t *)bytes;
@@ -224,6 +240,13 @@
     agent->sink->ops->send_balancer (agent->sink, balancer, agent->out, size);
 }
 
+static void
+answer (oh_segment_agent_t *agent, oh_address_t balancer, Oh__SegmentRelayKind kind, Oh__Result refused,
+        const oh_flow_key_t *key, const uint8_t *bytes, size_t length)
+{
+  answer_search (agent, balancer, kind, refused, 0, key, bytes, length);
+}
+
 static void
 deliver (oh_segment_agent_t *agent, const uint8_t *bytes, size_t length)
 {
@@ -265,6 +288,16 @@
 
 /* From balancers. */
 
+/* Beyond this a request would wait longer at the upstream than it may take in all. */
+static bool
+is_overloaded (const oh_segment_agent_t *agent)
+{
+  const bool warming = agent->now_us < agent->identity.warm_us;
+  const unsigned per_slot = warming ? OH_SEGMENT_ADMIT_WARMING : OH_SEGMENT_ADMIT_PER_SLOT;
+
+  return agent->n_waiting + agent->n_fresh >= agent->identity.slots * per_slot;
+}
+
 static bool
 check_first (const oh_segment_agent_t *agent, uint64_t service, Oh__Result *result)
 {
@@ -278,7 +311,7 @@
     *result = OH__RESULT__RESULT_NOT_RUN_DRAINING;
   else if (!oh_upstream_identity_accepts (identity, agent->now_us))
     *result = OH__RESULT__RESULT_NO_UPSTREAM;
-  else if (agent->n_open + agent->n_opening >= agent->config.max_flows)
+  else if (agent->n_open + agent->n_opening >= agent->config.max_flows || is_overloaded (agent))
     *result = OH__RESULT__RESULT_NOT_RUN_OVERLOADED;
   else
     return true;
@@ -314,6 +347,8 @@
   memcpy (flow->first, bytes, length);
   oh_list_append (&agent->opening, &flow->opening);
   agent->n_opening++;
+  oh_list_append (&agent->fresh, &flow->fresh);
+  agent->n_fresh++;
   deliver (agent, bytes, length);
 }
 
@@ -324,36 +359,40 @@
   use_flow (agent, flow);
   flow->caller_acknowledged = segment->acknowledged;
   if (segment->length > 0 && !flow->closed)
-    set_waiting (agent, flow, true);
+    {
+      set_waiting (agent, flow, true);
+      end_fresh (agent, flow);
+    }
   if (segment->fin || segment->rst)
     close_flow (agent, flow);
   deliver (agent, bytes, length);
 }
 
+/* A searched segment need not come back: its balancer has sent it to every other agent, too. */
 static void
-absent (oh_segment_agent_t *agent, const oh_flow_key_t *key, oh_address_t balancer, bool searched,
+absent (oh_segment_agent_t *agent, const oh_flow_key_t *key, oh_address_t balancer, uint32_t search,
         const uint8_t *bytes, size_t length)
 {
   oh_counter_increment (&agent->counters.absent);
-  if (!searched)
-    answer (agent, balancer, OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT, OH__RESULT__RESULT_NONE, key, bytes,
-            length);
+  answer_search (agent, balancer, OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT, OH__RESULT__RESULT_NONE, search,
+                 key, search == 0 ? bytes : NULL, search == 0 ? length : 0);
 }
 
 /* A segment of a flow without a record, or whose record does not tell. */
 static void
 handle_unknown (oh_segment_agent_t *agent, const oh_flow_key_t *key, const oh_segment_t *segment,
-                oh_address_t balancer, bool searched, const uint8_t *bytes, size_t length)
+                oh_address_t balancer, uint32_t search, const uint8_t *bytes, size_t length)
 {
   oh_agent_flow_t *flow;
 
   if (agent->complete)
     {
-      absent (agent, key, balancer, searched, bytes, length);
+      absent (agent, key, balancer, search, bytes, length);
       return;
     }
   flow = add_flow (agent, key, OH_AGENT_FLOW_PROBED);
   flow->balancer = balancer;
+  flow->search = search;
   flow->caller_acknowledged = segment->acknowledged;
   oh_counter_increment (&agent->counters.probes);
   deliver (agent, bytes, length);
@@ -368,13 +407,13 @@
 
 static void
 handle_later (oh_segment_agent_t *agent, const oh_flow_key_t *key, const oh_segment_t *segment,
-              oh_address_t balancer, bool searched, const uint8_t *bytes, size_t length)
+              oh_address_t balancer, uint32_t search, const uint8_t *bytes, size_t length)
 {
   oh_agent_flow_t *flow = g_hash_table_lookup (agent->flows, key);
 
   if (flow == NULL)
     {
-      handle_unknown (agent, key, segment, balancer, searched, bytes, length);
+      handle_unknown (agent, key, segment, balancer, search, bytes, length);
       return;
     }
   if (flow->generation != agent->identity.generation && flow->state != OH_AGENT_FLOW_ABSENT
@@ -384,7 +423,7 @@
       if (flow->state == OH_AGENT_FLOW_OPEN)
         reset_flow (agent, flow, "upstream-replaced");
       else
-        absent (agent, key, balancer, searched, bytes, length);
+        absent (agent, key, balancer, search, bytes, length);
       return;
     }
   switch (flow->state)
@@ -392,7 +431,7 @@
     case OH_AGENT_FLOW_OPENING:
       if (!opens_here (flow, segment))
         {
-          absent (agent, key, balancer, searched, bytes, length);
+          absent (agent, key, balancer, search, bytes, length);
           return;
         }
       set_state (agent, flow, OH_AGENT_FLOW_OPEN);
@@ -403,15 +442,16 @@
     case OH_AGENT_FLOW_PROBED:
       use_flow (agent, flow);
       flow->balancer = balancer;
+      flow->search = search;
       flow->caller_acknowledged = segment->acknowledged;
       deliver (agent, bytes, length);
       return;
     case OH_AGENT_FLOW_ABSENT:
       use_flow (agent, flow);
-      absent (agent, key, balancer, searched, bytes, length);
+      absent (agent, key, balancer, search, bytes, length);
       return;
     }
-  if (searched || !oh_address_equal (flow->balancer, balancer))
+  if (search != 0 || !oh_address_equal (flow->balancer, balancer))
     answer (agent, balancer, OH__SEGMENT_RELAY_KIND__SEGMENT_OWNED, OH__RESULT__RESULT_NONE, key, NULL, 0);
   flow->balancer = balancer;
   if (has_left (agent))
@@ -445,13 +485,14 @@
       return;
     }
   key = (oh_flow_key_t){ .caller = segment.from, .route = segment.to };
-  searched = relay->kind == OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH;
+  searched = relay->kind == OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH && relay->search != 0;
   if (searched)
     oh_counter_increment (&agent->counters.searches);
   if (relay->kind == OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN && segment.syn && !segment.ack)
     handle_open (agent, &key, &segment, relay->service, balancer, relay->segment.data, relay->segment.len);
   else if (!segment.syn && (searched || relay->kind == OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER))
-    handle_later (agent, &key, &segment, balancer, searched, relay->segment.data, relay->segment.len);
+    handle_later (agent, &key, &segment, balancer, searched ? relay->search : 0, relay->segment.data,
+                  relay->segment.len);
   else
     oh_counter_increment (&agent->counters.dropped_malformed);
 }
@@ -491,8 +532,7 @@
     {
     case OH_AGENT_FLOW_PROBED:
       set_state (agent, flow, OH_AGENT_FLOW_ABSENT);
-      answer (agent, flow->balancer, OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT, OH__RESULT__RESULT_NONE, &key,
-              bytes, length);
+      absent (agent, &key, flow->balancer, flow->search, bytes, length);
       return;
     case OH_AGENT_FLOW_OPEN:
       if (flow->closed)
@@ -617,6 +657,21 @@
     }
 }
 
+static void
+give_up_fresh (oh_segment_agent_t *agent)
+{
+  const int64_t limit_us = agent->now_us - (int64_t)OH_SEGMENT_FRESH_MS * 1000;
+
+  while (!oh_list_is_empty (&agent->fresh))
+    {
+      oh_agent_flow_t *flow = oh_list_entry (agent->fresh.next, oh_agent_flow_t, fresh);
+
+      if (flow->opened_us > limit_us)
+        break;
+      end_fresh (agent, flow);
+    }
+}
+
 static void
 give_up_waiting (oh_segment_agent_t *agent)
 {
@@ -637,6 +692,7 @@
 handle_tick (oh_segment_agent_t *agent)
 {
   give_up_openings (agent);
+  give_up_fresh (agent);
   if (agent->now_us - agent->reported_us < (int64_t)OH_SEGMENT_REPORT_MS * 1000)
     return;
   expire_flows (agent);
@@ -657,6 +713,7 @@
   };
   oh_list_init (&agent->by_use);
   oh_list_init (&agent->opening);
+  oh_list_init (&agent->fresh);
   oh_upstream_identity_init (&agent->identity, config->heartbeat_ms);
   oh_arena_init (&agent->arena);
 }
--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -28,6 +28,9 @@
   OH_SEGMENT_FIRST_MAX_BYTES = 128, /* a first segment carries no data */
   OH_SEGMENT_BUSY_MAX_MS = 10000,   /* a request without an answer for this time counts as given up */
   OH_SEGMENT_LEAVE_MS = 500,        /* from the announcement that an upstream leaves to its exit, at most */
+  OH_SEGMENT_ADMIT_PER_SLOT = 3,    /* requests at the upstream or about to come, for each slot */
+  OH_SEGMENT_ADMIT_WARMING = 2,     /* the same while the upstream is slow after its start */
+  OH_SEGMENT_FRESH_MS = 300,        /* a flow that opens brings a request within this time, or is idle */
   OH_SEGMENT_SUSPECT_FIRSTS = 2,    /* first segments in a row without an answer that make a suspect */
   OH_SEGMENT_AGENT_LOG_BYTES = 400,
 };
@@ -94,6 +97,7 @@
   bool answered;                /* the upstream answered the first segment */
   uint32_t answer_sequence;     /* of that answer */
   uint32_t caller_acknowledged; /* in the caller's last segment */
+  uint32_t search;              /* question that a probe answers */
   bool waiting;                 /* a request was delivered and nothing has come back yet */
   bool closed;
   int64_t waiting_us;
@@ -103,6 +107,7 @@
   uint8_t first[OH_SEGMENT_FIRST_MAX_BYTES]; /* while the upstream has not answered it */
   oh_list_t by_use;
   oh_list_t opening; /* in the list of unanswered first segments */
+  oh_list_t fresh;   /* in the list of flows that have brought no request yet */
 } oh_agent_flow_t;
 
 typedef struct
@@ -147,6 +152,8 @@
   oh_list_t by_use;  /* least recently used first */
   oh_list_t opening; /* flows whose first segment is not answered, oldest first */
   unsigned n_opening;
+  oh_list_t fresh; /* flows that have brought no request yet, oldest first */
+  unsigned n_fresh;
   unsigned n_open;
   unsigned n_waiting;
   unsigned unanswered_firsts; /* in a row */
--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -83,9 +83,10 @@
 
 /* Messages. */
 
+/* search is the number of the question in a SEARCH, otherwise 0. */
 static void
-send_relay (oh_segment_balancer_t *balancer, oh_address_t agent, Oh__SegmentRelayKind kind, uint64_t service,
-            const uint8_t *bytes, size_t length)
+send_question (oh_segment_balancer_t *balancer, oh_address_t agent, Oh__SegmentRelayKind kind,
+               uint64_t service, uint32_t search, const uint8_t *bytes, size_t length)
 {
   Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
   Oh__Address self;
@@ -95,6 +96,7 @@
   relay.kind = kind;
   relay.balancer = &self;
   relay.service = service;
+  relay.search = search;
   relay.segment.data = (uint8_t *)bytes;
   relay.segment.len = length;
   size = oh_segment_relay_encode (&relay, &balancer->keyring, balancer->out, sizeof balancer->out);
@@ -102,6 +104,13 @@
     balancer->sink->ops->send_agent (balancer->sink, agent, balancer->out, size);
 }
 
+static void
+send_relay (oh_segment_balancer_t *balancer, oh_address_t agent, Oh__SegmentRelayKind kind, uint64_t service,
+            const uint8_t *bytes, size_t length)
+{
+  send_question (balancer, agent, kind, service, 0, bytes, length);
+}
+
 static void
 send_reset (oh_segment_balancer_t *balancer, const oh_flow_key_t *key, uint32_t sequence)
 {
@@ -156,16 +165,42 @@
   return false;
 }
 
+/* True if the flow may find room by the time that the caller sends the next copy of its first segment. */
+static bool
+may_find_room (const oh_segment_balancer_t *balancer, const oh_balancer_flow_t *flow,
+               oh_placement_reason_t reason)
+{
+  const bool starting = balancer->now_us - balancer->confirmed_us < (int64_t)OH_SEGMENT_LISTING_MS * 1000;
+
+  if (flow->copies >= OH_SEGMENT_COPIES)
+    return false;
+  return flow->overloaded || (starting && reason == OH_PLACEMENT_NO_UPSTREAM);
+}
+
+/* The callers of flows that nobody took are told at once, unless room is likely to be found for the next
+ * copy.
+ */
 static void
-refuse_flow (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const char *reason)
+refuse_flow (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, oh_placement_reason_t reason)
 {
   /* An earlier copy may have opened the flow through another balancer. */
   const bool known_unopened = flow->first_copy && !flow->owned && !has_open_offer (flow)
                               && balancer->now_us - flow->opened_us < (int64_t)OH_SEGMENT_OPENING_MS * 1000
                               && is_fresh (balancer);
-
-  log_flow (balancer, OH_LOG_INFO, "flow_refused", &flow->key, "reason=%s offers=%u reset=%d", reason,
-            flow->n_offers, known_unopened);
+  const bool hold = may_find_room (balancer, flow, reason);
+
+  log_flow (balancer, OH_LOG_INFO, "flow_refused", &flow->key,
+            "reason=%s offers=%u copies=%u overloaded=%d result=%s", oh_placement_reason_name (reason),
+            flow->n_offers, flow->copies, flow->overloaded,
+            hold             ? "held"
+            : known_unopened ? "reset"
+                             : "dropped");
+  if (hold)
+    {
+      oh_counter_increment (&balancer->counters.held);
+      flow->n_offers = 0;
+      return;
+    }
   if (!known_unopened)
     return;
   oh_counter_increment (&balancer->counters.resets_refused);
@@ -182,13 +217,13 @@
 
   if (route == NULL)
     {
-      refuse_flow (balancer, flow, "no-route");
+      refuse_flow (balancer, flow, OH_PLACEMENT_UNKNOWN_SERVICE);
       return;
     }
   if (!choose_upstream (balancer, route, flow, &service, &decision))
     {
       if (!has_open_offer (flow))
-        refuse_flow (balancer, flow, oh_placement_reason_name (decision.reason));
+        refuse_flow (balancer, flow, decision.reason);
       return;
     }
   offer = &flow->offers[flow->n_offers++];
@@ -212,6 +247,7 @@
 {
   const unsigned offers = flow->n_offers;
 
+  flow->copies++;
   if (flow->owned || balancer->now_us - flow->opened_us > (int64_t)OH_SEGMENT_OPENING_MS * 1000)
     {
       oh_counter_increment (&balancer->counters.dropped_late);
@@ -261,11 +297,45 @@
   flow = add_flow (balancer, key);
   flow->first_sequence = segment->sequence;
   flow->first_copy = segment->acknowledged == 0;
+  flow->copies = segment->acknowledged;
   place_flow (balancer, flow, bytes, length);
 }
 
 /* Segments in the middle of a flow. */
 
+static void
+ask (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const oh_upstream_t *upstream,
+     const uint8_t *bytes, size_t length)
+{
+  const uint32_t search = (uint32_t)flow->question << 16 | (flow->n_asked & 0xffff);
+
+  flow->n_asked++;
+  oh_counter_increment (&balancer->counters.search_messages);
+  send_question (balancer, upstream->agent, OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH, upstream->service, search,
+                 bytes, length);
+}
+
+static bool
+leads_to (const oh_route_t *route, uint64_t service)
+{
+  for (guint i = 0; i < route->targets->len; i++)
+    if (g_array_index (route->targets, oh_route_target_t, i).service == service)
+      return true;
+  return false;
+}
+
+static bool
+may_search (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
+{
+  if (balancer->now_us - flow->search_period_us >= (int64_t)OH_SEGMENT_SEARCH_PERIOD_MS * 1000)
+    {
+      flow->search_period_us = balancer->now_us;
+      flow->searches = 0;
+    }
+  return flow->searches++ < OH_SEGMENT_SEARCHES_MAX;
+}
+
+/* Sends the segment to every agent that could own the flow. */
 static void
 search (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes, size_t length)
 {
@@ -278,32 +348,52 @@
       oh_counter_increment (&balancer->counters.dropped_no_route);
       return;
     }
-  if (balancer->now_us - flow->search_period_us >= (int64_t)OH_SEGMENT_SEARCH_PERIOD_MS * 1000)
-    {
-      flow->search_period_us = balancer->now_us;
-      flow->searches = 0;
-    }
-  if (flow->searches >= OH_SEGMENT_SEARCHES_MAX)
+  if (!may_search (balancer, flow))
     {
       oh_counter_increment (&balancer->counters.dropped_searches);
       return;
     }
-  flow->searches++;
   oh_counter_increment (&balancer->counters.searched);
+  flow->question++;
+  flow->question += flow->question == 0; /* 0 names no question */
+  flow->n_asked = 0;
+  flow->n_absent = 0;
+  memset (flow->absent, 0, sizeof flow->absent);
   g_hash_table_iter_init (&iter, balancer->placement.upstreams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const oh_upstream_t *upstream = value;
-
-      for (guint i = 0; i < route->targets->len; i++)
-        if (g_array_index (route->targets, oh_route_target_t, i).service == upstream->service)
-          {
-            oh_counter_increment (&balancer->counters.search_messages);
-            send_relay (balancer, upstream->agent, OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH, upstream->service,
-                        bytes, length);
-          }
-    }
-  log_flow (balancer, OH_LOG_DEBUG, "flow_searched", &flow->key, "searches=%u", flow->searches);
+    if (leads_to (route, ((const oh_upstream_t *)value)->service))
+      ask (balancer, flow, value, bytes, length);
+  log_flow (balancer, OH_LOG_DEBUG, "flow_searched", &flow->key, "question=%u asked=%u", flow->question,
+            flow->n_asked);
+}
+
+/* Every agent that could own the flow has said that it does not. */
+static void
+end_absent_flow (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
+{
+  const bool certain = balancer->listed && flow->n_asked <= OH_SEGMENT_ASKED_MAX && is_fresh (balancer);
+
+  log_flow (balancer, OH_LOG_INFO, "flow_absent", &flow->key, "asked=%u listed=%d result=%s", flow->n_asked,
+            balancer->listed, certain ? "reset" : "dropped");
+  if (!certain)
+    return;
+  oh_counter_increment (&balancer->counters.resets_absent);
+  send_reset (balancer, &flow->key, flow->last_acknowledged);
+}
+
+static void
+on_search_answer (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, uint32_t answered)
+{
+  const unsigned index = answered & 0xffff;
+  const uint64_t bit = (uint64_t)1 << (index % 64);
+
+  if (flow == NULL || flow->owned || has_open_offer (flow) || answered >> 16 != flow->question
+      || index >= flow->n_asked || index >= OH_SEGMENT_ASKED_MAX || (flow->absent[index / 64] & bit) != 0)
+    return;
+  flow->absent[index / 64] |= bit;
+  flow->n_absent++;
+  if (flow->n_absent == flow->n_asked)
+    end_absent_flow (balancer, flow);
 }
 
 static void
@@ -317,6 +407,7 @@
   else
     use_flow (balancer, flow);
   flow->closed |= segment->fin || segment->rst;
+  flow->last_acknowledged = segment->acknowledged;
   if (flow->owned)
     {
       oh_counter_increment (&balancer->counters.forwarded);
@@ -392,6 +483,7 @@
   oh_placement_answered (&balancer->placement, relay->load, oh_flow_key_digest (&flow->key), false,
                          balancer->now_us);
   offer->state = OH_OFFER_REFUSED;
+  flow->overloaded = relay->refused == OH__RESULT__RESULT_NOT_RUN_OVERLOADED;
   log_flow (balancer, OH_LOG_INFO, "offer_refused", &flow->key, "upstream=%s result=%d",
             relay->load->upstream, (int)relay->refused);
   if (!has_open_offer (flow) && !flow->owned)
@@ -417,6 +509,11 @@
 
   if (flow == NULL)
     return;
+  if (relay->search != 0)
+    {
+      on_search_answer (balancer, flow, relay->search);
+      return;
+    }
   if (offer != NULL)
     offer->state = OH_OFFER_REFUSED;
   if (flow->owned && oh_address_equal (flow->owner, agent))
@@ -485,9 +582,12 @@
 {
   if (view->confirmed && view->version > balancer->routes_version)
     {
+      if (balancer->routes_version == 0)
+        balancer->confirmed_us = balancer->now_us;
       balancer->routes_version = view->version;
       oh_route_table_load (&balancer->routes, &view->config);
     }
+  balancer->listed = view->complete;
   oh_keyring_advance (&balancer->keyring, view->key_generation);
   oh_placement_update (&balancer->placement, oh_placement_view_new (view), balancer->now_us);
 }
@@ -538,6 +638,8 @@
     { &own->placed_again, "flows_placed_again" },
     { &own->accepted, "offers_accepted" },
     { &own->refused_by_agent, "offers_refused" },
+    { &own->resets_absent, "resets_absent" },
+    { &own->held, "flows_held" },
     { &own->resets_no_route, "resets_no_route" },
     { &own->resets_refused, "resets_refused" },
     { &own->dropped_malformed, "dropped_malformed" },
--- a/lib/core/segment_balancer.h
+++ b/lib/core/segment_balancer.h
@@ -28,6 +28,9 @@
   OH_SEGMENT_SEARCH_PERIOD_MS = 100,
   OH_SEGMENT_OPENING_MS = 1400, /* a caller gives up a flow that has not opened by then */
   OH_SEGMENT_CLOSED_MS = 5000,  /* a record outlives the end of its flow by this time */
+  OH_SEGMENT_COPIES = 2,        /* of a first segment that a caller sends after the first */
+  OH_SEGMENT_LISTING_MS = 3000, /* after the start, upstreams may not have announced themselves yet */
+  OH_SEGMENT_ASKED_MAX = 128,   /* agents of a search up to which a flow can be found to be nowhere */
   OH_SEGMENT_LAG_MS = 300,      /* after a longer pause nothing is reset: what was waiting is old */
   OH_SEGMENT_LOG_BYTES = 400,
 };
@@ -96,7 +99,14 @@
   oh_address_t owner;
   unsigned n_offers;
   oh_offer_t offers[OH_SEGMENT_OFFERS_MAX];
+  unsigned copies;   /* of the first segment, after the first */
+  bool overloaded;   /* an agent refused the flow only because it has too much to do */
   unsigned searches; /* in the present period */
+  uint16_t question; /* number of the last search */
+  unsigned n_asked;
+  unsigned n_absent;
+  uint64_t absent[OH_SEGMENT_ASKED_MAX / 64]; /* bit per agent asked: it does not hold the flow */
+  uint32_t last_acknowledged;                 /* by the caller, in its last segment */
   int64_t search_period_us;
   int64_t opened_us;
   int64_t used_us;
@@ -114,6 +124,8 @@
   oh_counter_t placed_again;    /* of them after a refusal or a repetition */
   oh_counter_t accepted;        /* first segments that an upstream answered */
   oh_counter_t refused_by_agent;
+  oh_counter_t resets_absent; /* flows that no upstream holds */
+  oh_counter_t held;          /* first segments that wait for the caller's next copy, for want of room */
   oh_counter_t resets_no_route;
   oh_counter_t resets_refused;
   oh_counter_t dropped_malformed;
@@ -135,8 +147,10 @@
   oh_placement_t placement;
   oh_route_table_t routes;
   uint64_t routes_version;
-  GHashTable *flows; /* of oh_balancer_flow_t, owned */
-  oh_list_t by_use;  /* least recently used first */
+  int64_t confirmed_us; /* first confirmed view */
+  bool listed;          /* the view lists every upstream that has a lease */
+  GHashTable *flows;    /* of oh_balancer_flow_t, owned */
+  oh_list_t by_use;     /* least recently used first */
   oh_segment_balancer_counters_t counters;
   int64_t handled_us; /* last event */
   int64_t lagged_us;  /* when the process last came back from a pause */
--- a/lib/wire/packet.pb-c.c
+++ b/lib/wire/packet.pb-c.c
@@ -2322,12 +2322,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "copy",
+    "search",
     9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Oh__SegmentRelay, copy),
+    offsetof(Oh__SegmentRelay, search),
     NULL,
     NULL,
     0,             /* flags */
@@ -2337,11 +2337,11 @@
 static const unsigned oh__segment_relay__field_indices_by_name[] = {
   1,   /* field[1] = balancer */
   6,   /* field[6] = caller */
-  8,   /* field[8] = copy */
   0,   /* field[0] = kind */
   5,   /* field[5] = load */
   4,   /* field[4] = refused */
   7,   /* field[7] = route */
+  8,   /* field[8] = search */
   3,   /* field[3] = segment */
   2,   /* field[2] = service */
 };
--- a/lib/wire/packet.pb-c.h
+++ b/lib/wire/packet.pb-c.h
@@ -476,9 +476,9 @@
   Oh__Address *caller;
   Oh__Address *route;
   /*
-   * OPEN: earlier copies of the first segment
+   * SEARCH, and ABSENT as its answer: names the question, 0 for none
    */
-  uint32_t copy;
+  uint32_t search;
 };
 #define OH__SEGMENT_RELAY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__segment_relay__descriptor) \
