--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -31,6 +31,7 @@
   oh_balancer_flow_t *flow = data;
 
   oh_list_remove (&flow->by_use);
+  g_clear_pointer (&flow->searched, g_bytes_unref);
   g_free (flow);
 }
 
@@ -335,14 +336,30 @@
   return flow->searches++ < OH_SEGMENT_SEARCHES_MAX;
 }
 
-/* Sends the segment to every agent that could own the flow. */
+/* Asks the agents of the route's services, or those of all other services. */
 static void
-search (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes, size_t length)
+ask_agents (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const oh_route_t *route, bool others,
+            const uint8_t *bytes, size_t length)
 {
-  const oh_route_t *route = oh_route_table_find (&balancer->routes, flow->key.route);
   GHashTableIter iter;
   gpointer value;
 
+  g_hash_table_iter_init (&iter, balancer->placement.upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (leads_to (route, ((const oh_upstream_t *)value)->service) != others)
+      ask (balancer, flow, value, bytes, length);
+  flow->asked_others |= others;
+}
+
+/*
+ * Sends the segment to every agent of the route's services. An earlier configuration may have led the flow to
+ * another service; the agents of those are asked when these have answered.
+ */
+static void
+search (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes, size_t length)
+{
+  const oh_route_t *route = oh_route_table_find (&balancer->routes, flow->key.route);
+
   if (route == NULL)
     {
       oh_counter_increment (&balancer->counters.dropped_no_route);
@@ -358,20 +375,37 @@
   flow->question += flow->question == 0; /* 0 names no question */
   flow->n_asked = 0;
   flow->n_absent = 0;
+  flow->asked_others = false;
   memset (flow->absent, 0, sizeof flow->absent);
-  g_hash_table_iter_init (&iter, balancer->placement.upstreams);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (leads_to (route, ((const oh_upstream_t *)value)->service))
-      ask (balancer, flow, value, bytes, length);
+  g_clear_pointer (&flow->searched, g_bytes_unref);
+  flow->searched = g_bytes_new (bytes, length);
+  ask_agents (balancer, flow, route, false, bytes, length);
   log_flow (balancer, OH_LOG_DEBUG, "flow_searched", &flow->key, "question=%u asked=%u", flow->question,
             flow->n_asked);
 }
 
+/* Returns true if there were other agents to ask. */
+static bool
+search_others (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
+{
+  const oh_route_t *route = oh_route_table_find (&balancer->routes, flow->key.route);
+  const unsigned asked = flow->n_asked;
+  gsize length;
+  const uint8_t *bytes;
+
+  if (flow->asked_others || route == NULL || flow->searched == NULL)
+    return false;
+  bytes = g_bytes_get_data (flow->searched, &length);
+  ask_agents (balancer, flow, route, true, bytes, length);
+  return flow->n_asked > asked;
+}
+
 /* Every agent that could own the flow has said that it does not. */
 static void
 end_absent_flow (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
 {
-  const bool certain = balancer->listed && flow->n_asked <= OH_SEGMENT_ASKED_MAX && is_fresh (balancer);
+  const bool certain
+    = balancer->listed && flow->asked_others && flow->n_asked <= OH_SEGMENT_ASKED_MAX && is_fresh (balancer);
 
   log_flow (balancer, OH_LOG_INFO, "flow_absent", &flow->key, "asked=%u listed=%d result=%s", flow->n_asked,
             balancer->listed, certain ? "reset" : "dropped");
@@ -392,7 +426,7 @@
     return;
   flow->absent[index / 64] |= bit;
   flow->n_absent++;
-  if (flow->n_absent == flow->n_asked)
+  if (flow->n_absent == flow->n_asked && !search_others (balancer, flow))
     end_absent_flow (balancer, flow);
 }
 
@@ -499,6 +533,7 @@
     oh_counter_increment (&balancer->counters.found);
   flow->owned = true;
   flow->owner = agent;
+  g_clear_pointer (&flow->searched, g_bytes_unref);
 }
 
 static void
--- a/lib/core/segment_balancer.h
+++ b/lib/core/segment_balancer.h
@@ -103,6 +103,8 @@
   bool overloaded;   /* an agent refused the flow only because it has too much to do */
   unsigned searches; /* in the present period */
   uint16_t question; /* number of the last search */
+  GBytes *searched;  /* the segment whose owner is searched; NULL if none is */
+  bool asked_others; /* agents of services that the route does not lead to now */
   unsigned n_asked;
   unsigned n_absent;
   uint64_t absent[OH_SEGMENT_ASKED_MAX / 64]; /* bit per agent asked: it does not hold the flow */
