tests: segments, the platform's formats, voters kept up, publications

Found on the way: copies of a first segment that found no upstream made a new record each, so the caller was never told (first_seen).

--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -275,7 +275,7 @@
 {
   oh_balancer_flow_t *flow = g_hash_table_lookup (balancer->flows, key);
 
-  if (flow != NULL && flow->service != 0 && flow->first_sequence == segment->sequence)
+  if (flow != NULL && flow->first_seen && flow->first_sequence == segment->sequence)
     {
       use_flow (balancer, flow);
       repeat_first (balancer, flow, bytes, length);
@@ -296,6 +296,7 @@
       return;
     }
   flow = add_flow (balancer, key);
+  flow->first_seen = true;
   flow->first_sequence = segment->sequence;
   flow->first_copy = segment->acknowledged == 0;
   flow->copies = segment->acknowledged;
--- a/lib/core/segment_balancer.h
+++ b/lib/core/segment_balancer.h
@@ -92,7 +92,8 @@
 {
   oh_flow_key_t key;
   uint64_t service;        /* 0: not placed here */
-  uint32_t first_sequence; /* of the first segment; meaningless if the flow was not placed here */
+  uint32_t first_sequence; /* of the first segment, if first_seen */
+  bool first_seen;         /* a copy of the first segment came to this balancer */
   bool first_copy;         /* the first copy of the first segment came to this balancer */
   bool owned;              /* owner is known */
   bool closed;             /* an end has finished the flow */
--- a/tests/raft_sim.c
+++ b/tests/raft_sim.c
@@ -318,6 +318,7 @@
                                      .endpoint = node->endpoint,
                                      .join = node->join,
                                      .compact_entries = sim->compact_entries,
+                                     .voters = sim->voters,
                                    } });
 }
 
@@ -348,9 +349,16 @@
 
 void
 sim_init (sim_t *sim, uint32_t seed, unsigned n_initial)
+{
+  sim_init_voters (sim, seed, n_initial, 0);
+}
+
+void
+sim_init_voters (sim_t *sim, uint32_t seed, unsigned n_initial, unsigned voters)
 {
   *sim = (sim_t){
     .seed = seed,
+    .voters = voters,
     .now_us = SIM_S,
     .n_initial = n_initial,
     .delay_us = 2 * SIM_MS,
--- a/tests/raft_sim.h
+++ b/tests/raft_sim.h
@@ -53,6 +53,7 @@
   int64_t now_us;
   unsigned n_initial;
   unsigned compact_entries;
+  unsigned voters; /* that the leader keeps up; 0: as operators say */
   unsigned loss_percent;
   unsigned duplicate_percent;
   size_t snapshot_bytes; /* added to the state, so that a transfer takes several chunks */
@@ -66,6 +67,7 @@
 };
 
 void sim_init (sim_t *sim, uint32_t seed, unsigned n_initial);
+void sim_init_voters (sim_t *sim, uint32_t seed, unsigned n_initial, unsigned voters);
 void sim_finish (sim_t *sim);
 void sim_run (sim_t *sim, int64_t duration_us);
 void sim_start (sim_t *sim, unsigned slot);
--- a/tests/test_control_state.c
+++ b/tests/test_control_state.c
@@ -226,6 +226,54 @@
   oh_control_state_finish (&state);
 }
 
+static Oh__Change
+make_publication (uint8_t id[OH_CHANGE_ID_BYTES], uint64_t number, GBytes *document)
+{
+  Oh__Change change;
+
+  oh_change_id_of_publication (number, document, id);
+  change = make_change (id, OH__CHANGE_KIND__CHANGE_PUBLISH, 0, TEXT, "");
+  change.number = number;
+  change.document.data = (uint8_t *)g_bytes_get_data (document, &change.document.len);
+  return change;
+}
+
+/* Guards against a lower or equal number that takes effect, other content under a number that is held, a
+ * valid publication that is refused, and a document that is not kept byte by byte. */
+static void
+test_publications (void)
+{
+  static const struct
+  {
+    uint64_t number;
+    const char *document;
+    uint64_t number_in_effect;
+    const char *document_in_effect;
+  } cases[] = {
+    { 7, "seven", 7, "seven" },     { 7, "seven", 7, "seven" },     { 7, "other", 7, "seven" },
+    { 3, "three", 7, "seven" },     { 20, "twenty", 20, "twenty" }, { 7, "seven", 20, "twenty" },
+    { 20, "twenty", 20, "twenty" },
+  };
+  oh_control_state_t state;
+
+  oh_control_state_init (&state);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (GBytes) document = g_bytes_new_static (cases[i].document, strlen (cases[i].document));
+      uint8_t id[OH_CHANGE_ID_BYTES];
+      const Oh__Change change = make_publication (id, cases[i].number, document);
+
+      g_assert_true (oh_change_check (&change, NULL));
+      g_assert_cmpint (apply (&state, &change).status, ==, OH__CHANGE_STATUS__CHANGE_ACCEPTED);
+      g_assert_cmpuint (state.published_number, ==, cases[i].number_in_effect);
+      g_assert_cmpmem (g_bytes_get_data (state.document, NULL), g_bytes_get_size (state.document),
+                       cases[i].document_in_effect, strlen (cases[i].document_in_effect));
+      restart (&state);
+    }
+  g_assert_cmpuint (state.version, ==, 2);
+  oh_control_state_finish (&state);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -233,6 +281,7 @@
   g_test_add_func ("/control-state/changes", test_changes);
   g_test_add_func ("/control-state/result-bound", test_result_bound);
   g_test_add_func ("/control-state/check", test_check);
+  g_test_add_func ("/control-state/publications", test_publications);
   g_test_add_func ("/control-state/damage", test_damage);
   return g_test_run ();
 }
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,241 @@
+#include <glib.h>
+#include <string.h>
+
+#include "core/config_text.h"
+#include "core/keyring.h"
+#include "core/route_table.h"
+#include "platform/config_document.h"
+#include "platform/heartbeat_http.h"
+#include "platform/segment_codec.h"
+#include "platform/service_name.h"
+
+#define SERVICES "\"Services\":[{\"Name\":\"a\"},{\"Name\":\"b\"}]"
+#define ROUTE(rest)                                                                                          \
+  "{\"Name\":\"r\",\"Host\":\"198.18.0.1\",\"PathPrefix\":\"/8443/\",\"Type\":\"safe\"," rest "}"
+#define GOOD ROUTE ("\"TimeoutMs\":1000,\"Service\":\"a\"")
+#define DOCUMENT(routes) "{\"Version\":7,\"Routes\":[" routes "]," SERVICES "}"
+
+/* Guards against documents that are accepted although they are invalid, or the reverse. */
+static void
+test_documents (void)
+{
+  static const struct
+  {
+    const char *name;
+    const char *document;
+    bool valid;
+  } cases[] = {
+    { "good", DOCUMENT (GOOD), true },
+    { "unknown fields", "{\"New\":{},\"Version\":7,\"Routes\":[" GOOD "]," SERVICES "}", true },
+    { "split",
+      DOCUMENT (ROUTE ("\"TimeoutMs\":1,\"TrafficSplit\":[{\"Service\":\"a\",\"Weight\":90},"
+                       "{\"Service\":\"b\",\"Weight\":10}]")),
+      true },
+    { "a weight of 0",
+      DOCUMENT (ROUTE ("\"TimeoutMs\":1,\"TrafficSplit\":[{\"Service\":\"a\",\"Weight\":90},"
+                       "{\"Service\":\"b\",\"Weight\":0}]")),
+      true },
+    { "empty", "", false },
+    { "cut short", "{\"Version\":7,\"Routes\":[{\"Name\":\"r\"", false },
+    { "no object", "[]", false },
+    { "no version", "{\"Routes\":[" GOOD "]," SERVICES "}", false },
+    { "version of another type", "{\"Version\":\"7\",\"Routes\":[" GOOD "]," SERVICES "}", false },
+    { "version 0", "{\"Version\":0,\"Routes\":[" GOOD "]," SERVICES "}", false },
+    { "no services", "{\"Version\":7,\"Routes\":[" GOOD "]}", false },
+    { "no routes", "{\"Version\":7," SERVICES "}", false },
+    { "routes of another type", "{\"Version\":7,\"Routes\":{}," SERVICES "}", false },
+    { "a route of another type", DOCUMENT ("7"), false },
+    { "unknown service", DOCUMENT (ROUTE ("\"TimeoutMs\":1000,\"Service\":\"c\"")), false },
+    { "unknown service in a split",
+      DOCUMENT (ROUTE ("\"TimeoutMs\":1,\"TrafficSplit\":[{\"Service\":\"c\",\"Weight\":1}]")), false },
+    { "no service", DOCUMENT (ROUTE ("\"TimeoutMs\":1000")), false },
+    { "timeout 0", DOCUMENT (ROUTE ("\"TimeoutMs\":0,\"Service\":\"a\"")), false },
+    { "no timeout", DOCUMENT (ROUTE ("\"Service\":\"a\"")), false },
+    { "two routes of one place", DOCUMENT (GOOD "," GOOD), false },
+    { "no weight at all",
+      DOCUMENT (ROUTE ("\"TimeoutMs\":1,\"TrafficSplit\":[{\"Service\":\"a\",\"Weight\":0}]")), false },
+    { "a negative weight",
+      DOCUMENT (ROUTE ("\"TimeoutMs\":1,\"TrafficSplit\":[{\"Service\":\"a\",\"Weight\":-1}]")), false },
+    { "a host that is no address",
+      DOCUMENT ("{\"Host\":\"x\",\"PathPrefix\":\"/1/\",\"TimeoutMs\":1,\"Service\":\"a\"}"), false },
+    { "a prefix that is no port",
+      DOCUMENT ("{\"Host\":\"1.2.3.4\",\"PathPrefix\":\"/\",\"TimeoutMs\":1,\"Service\":\"a\"}"), false },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (GBytes) document = g_bytes_new_static (cases[i].document, strlen (cases[i].document));
+      oh_publication_t publication;
+      oh_error_t error = { 0 };
+      const bool valid = oh_publication_parse (&publication, document, &error);
+
+      if (valid != cases[i].valid)
+        g_error ("case %s: valid %d, %s", cases[i].name, valid, error.message);
+      if (valid)
+        g_assert_true (g_bytes_equal (publication.document, document));
+      else
+        g_assert_cmpint (error.code, !=, 0);
+      oh_publication_clear (&publication);
+    }
+}
+
+/* Guards against a document that is refused for its size although operators send such ones. */
+static void
+test_large_document (void)
+{
+  g_autoptr (GString) text = g_string_new ("{\"Version\":7," SERVICES ",\"Routes\":[" GOOD);
+  g_autoptr (GBytes) document = NULL;
+  oh_publication_t publication;
+  oh_error_t error = { 0 };
+  oh_config_t config;
+
+  for (unsigned i = 0; text->len < 250 * 1024; i++)
+    g_string_append_printf (
+      text,
+      ",{\"Name\":\"r-%u\",\"Host\":\"198.19.%u.%u\",\"PathPrefix\":\"/8443/\",\"Type\":"
+      "\"safe\",\"TimeoutMs\":1000,\"TargetLatencyMs\":150,\"Priority\":2,\"Service\":\"b\"}",
+      i, i / 250, i % 250);
+  g_string_append (text, "]}");
+  document = g_bytes_new (text->str, text->len);
+  if (!oh_publication_parse (&publication, document, &error))
+    g_error ("%s", error.message);
+  g_assert_true (oh_config_parse (&config, "test", publication.text, &error));
+  g_assert_cmpuint (config.routes->len, >, 1000);
+  oh_config_finish (&config);
+  oh_publication_clear (&publication);
+}
+
+/* Guards against flows that follow the weights only roughly, or differently at each balancer. */
+static void
+test_weights (void)
+{
+  static const char document_text[] = DOCUMENT (ROUTE ("\"TimeoutMs\":1,\"TrafficSplit\":[{\"Service\":\"a\","
+                                                       "\"Weight\":90},{\"Service\":\"b\",\"Weight\":10}]"));
+  g_autoptr (GBytes) document = g_bytes_new_static (document_text, strlen (document_text));
+  oh_publication_t publication;
+  oh_config_t config;
+  oh_route_table_t table;
+  const oh_route_t *route;
+  oh_address_t address;
+  unsigned to_b = 0;
+
+  g_assert_true (oh_publication_parse (&publication, document, NULL));
+  g_assert_true (oh_config_parse (&config, "test", publication.text, NULL));
+  oh_route_table_init (&table);
+  oh_route_table_load (&table, &config);
+  g_assert_true (oh_address_parse ("198.18.0.1:8443", &address));
+  route = oh_route_table_find (&table, address);
+  g_assert_nonnull (route);
+  for (uint32_t i = 0; i < 10000; i++)
+    {
+      const oh_flow_key_t key = { .caller = { .ipv4 = i, .port = 1000 }, .route = address };
+
+      to_b += oh_route_choose (route, &key) == oh_service_id ("b");
+    }
+  g_assert_cmpuint (to_b, >, 900);
+  g_assert_cmpuint (to_b, <, 1100);
+  oh_route_table_finish (&table);
+  oh_config_finish (&config);
+  oh_publication_clear (&publication);
+}
+
+#define HEARTBEAT(rest) "{\"born\":5,\"Service\":\"a\",\"State\":\"ready\"" rest "}"
+
+/* Guards against heartbeats of other writers that are taken for an upstream, or the reverse. */
+static void
+test_heartbeats (void)
+{
+  static const struct
+  {
+    const char *name;
+    const char *body;
+    bool valid;
+  } cases[] = {
+    { "good", HEARTBEAT (",\"MaxConcurrency\":4,\"Sequence\":4,\"WarmupLeftMs\":0"), true },
+    { "unknown fields", HEARTBEAT (",\"New\":[]"), true },
+    { "draining", "{\"born\":5,\"Service\":\"a\",\"State\":\"draining\"}", true },
+    { "empty", "", false },
+    { "not JSON", "\xff\xfe", false },
+    { "no object", "7", false },
+    { "no start", "{\"Service\":\"a\",\"State\":\"ready\"}", false },
+    { "start of another type", "{\"born\":\"5\",\"Service\":\"a\",\"State\":\"ready\"}", false },
+    { "start that is no whole number", "{\"born\":5.5,\"Service\":\"a\",\"State\":\"ready\"}", false },
+    { "unnamed state", "{\"born\":5,\"Service\":\"a\",\"State\":\"asleep\"}", false },
+    { "state of another type", "{\"born\":5,\"Service\":\"a\",\"State\":1}", false },
+    { "no service", "{\"born\":5,\"State\":\"ready\"}", false },
+    { "service of another type", "{\"born\":5,\"Service\":[],\"State\":\"ready\"}", false },
+    { "slots of another type", HEARTBEAT (",\"MaxConcurrency\":\"4\""), false },
+    { "no slots", HEARTBEAT (",\"MaxConcurrency\":0"), false },
+    { "sequence of another type", HEARTBEAT (",\"Sequence\":{}"), false },
+    { "negative sequence", HEARTBEAT (",\"Sequence\":-1"), false },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      oh_announcement_t announcement;
+      oh_error_t error = { 0 };
+      const bool valid
+        = oh_heartbeat_decode ("i-1", cases[i].body, strlen (cases[i].body), &announcement, &error);
+
+      if (valid != cases[i].valid)
+        g_error ("case %s: valid %d, %s", cases[i].name, valid, error.message);
+      if (!valid)
+        g_assert_cmpint (error.code, !=, 0);
+      oh_heartbeat_clear (&announcement);
+    }
+}
+
+/* Guards against another layout than the published one. */
+static void
+test_segments (void)
+{
+  static const uint8_t first[]
+    = { 0xa1, 0xb2, 0xc3, 0xd5, 0xc6, 0x12, 0x00, 0x01, 0x9c, 0x41, 0x64, 0x40, 0x00, 0x07, 0x01, 0xbb,
+        0x11, 0x22, 0x33, 0x44, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x04, 0x00, 0x00, 0x00, 0x00, 0x00 };
+  static const uint8_t reset[]
+    = { 0x00, 0x00, 0x00, 0x00, 0x64, 0x40, 0x00, 0x07, 0x01, 0xbb, 0xc6, 0x12, 0x00, 0x01, 0x9c, 0x41,
+        0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x01, 0x00, 0x00, 0x00, 0x00, 0x00 };
+  const oh_segment_format_t *format = oh_platform_segment_format ();
+  uint8_t buffer[OH_SEGMENT_RESET_MAX_BYTES];
+  char text[OH_ADDRESS_TEXT_BYTES];
+  oh_segment_t segment;
+  oh_flow_key_t key;
+
+  g_assert_true (format->ops->decode (format, first, sizeof first, &segment));
+  g_assert_cmpstr (oh_address_format (segment.from, text), ==, "100.64.0.7:40001");
+  g_assert_cmpstr (oh_address_format (segment.to, text), ==, "198.18.0.1:443");
+  g_assert_true (segment.syn && !segment.ack && !segment.fin && !segment.rst && !segment.returned);
+  g_assert_cmpuint (segment.sequence, ==, 0x11223344);
+  key = (oh_flow_key_t){ .caller = segment.from, .route = segment.to };
+  g_assert_cmpmem (buffer, format->ops->make_reset (format, &key, 0, buffer), reset, sizeof reset);
+}
+
+/* Guards against two services of the platform that become one, and names that the text cannot hold. */
+static void
+test_service_names (void)
+{
+  static const char *const names[] = { "kiln-log", "Kiln-Log", "kiln_log", "kiln log", "x-6b", "1a", "" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    for (size_t j = 0; j < i; j++)
+      {
+        g_autofree char *a = oh_platform_service_name (names[i]);
+        g_autofree char *b = oh_platform_service_name (names[j]);
+
+        g_assert_cmpstr (a, !=, b);
+        g_assert_cmpuint (strspn (a, "abcdefghijklmnopqrstuvwxyz0123456789-"), ==, strlen (a));
+      }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/platform/documents", test_documents);
+  g_test_add_func ("/platform/large-document", test_large_document);
+  g_test_add_func ("/platform/weights", test_weights);
+  g_test_add_func ("/platform/heartbeats", test_heartbeats);
+  g_test_add_func ("/platform/segments", test_segments);
+  g_test_add_func ("/platform/service-names", test_service_names);
+  return g_test_run ();
+}
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -273,6 +273,99 @@
     }
 }
 
+static unsigned
+count_voters (sim_t *sim)
+{
+  return oh_raft_replicas_count (oh_raft_replicas (&sim_wait_leader (sim, 3 * SIM_S)->raft),
+                                 OH__REPLICA_ROLE__REPLICA_VOTER);
+}
+
+/* Guards against a lost voter whose place nobody takes, a learner that is promoted beyond the number of
+ * voters that is asked for, and committed entries that are lost on the way. */
+static void
+test_voters_kept_up (void)
+{
+  for (uint32_t seed = 0; seed < 20; seed++)
+    {
+      const unsigned lost = seed % 3;
+      sim_t sim;
+      uint64_t index;
+
+      sim_init_voters (&sim, seed, 3, 3);
+      sim_wait_leader (&sim, 2 * SIM_S);
+      sim_start (&sim, 3);
+      index = sim_commit (&sim, SIM_S);
+      sim_wait_role (&sim, 3, OH__REPLICA_ROLE__REPLICA_LEARNER, 3 * SIM_S);
+      sim_wait_applied (&sim, 3, index, SIM_S);
+      sim_run (&sim, 5 * SIM_S);
+      sim_wait_role (&sim, 3, OH__REPLICA_ROLE__REPLICA_LEARNER, SIM_S);
+
+      sim_crash (&sim, lost);
+      sim_wait_role (&sim, 3, OH__REPLICA_ROLE__REPLICA_VOTER, OH_RAFT_REPLACE_US + 3 * SIM_S);
+      g_assert_cmpuint (count_voters (&sim), ==, 3);
+      index = sim_commit (&sim, SIM_S);
+
+      /* A second one is lost with its disk; the first one has returned meanwhile and takes its place. */
+      sim_start (&sim, lost);
+      sim_wait_applied (&sim, lost, index, 3 * SIM_S);
+      sim_lose_disk (&sim, (lost + 1) % 3);
+      sim_wait_role (&sim, lost, OH__REPLICA_ROLE__REPLICA_VOTER, OH_RAFT_REPLACE_US + 3 * SIM_S);
+      index = sim_commit (&sim, 2 * SIM_S);
+      sim_start (&sim, (lost + 1) % 3);
+      sim_wait_applied (&sim, (lost + 1) % 3, index, 3 * SIM_S);
+      sim_run (&sim, 2 * SIM_S);
+      g_assert_cmpuint (count_voters (&sim), ==, 3);
+      sim_check_logs (&sim);
+      sim_finish (&sim);
+    }
+}
+
+/* Guards against a replica of an unknown name that cannot replace one that is gone for good. */
+static void
+test_successor (void)
+{
+  for (uint32_t seed = 0; seed < 20; seed++)
+    {
+      sim_t sim;
+      uint64_t index;
+
+      sim_init_voters (&sim, seed, 3, 3);
+      sim_wait_leader (&sim, 2 * SIM_S);
+      index = sim_commit (&sim, SIM_S);
+      sim_crash (&sim, seed % 3);
+      sim_run (&sim, SIM_S);
+      sim_start (&sim, 4);
+      sim_wait_role (&sim, 4, OH__REPLICA_ROLE__REPLICA_VOTER, OH_RAFT_REPLACE_US + 3 * SIM_S);
+      sim_wait_applied (&sim, 4, index, SIM_S);
+      sim_crash (&sim, (seed + 1) % 3);
+      sim_commit (&sim, 3 * SIM_S);
+      sim_finish (&sim);
+    }
+}
+
+/* Guards against VMs that all lost power and wait for a whole election timeout before they serve again. */
+static void
+test_quick_first_election (void)
+{
+  for (uint32_t seed = 0; seed < 20; seed++)
+    {
+      sim_t sim;
+      int64_t started_us;
+
+      sim_init (&sim, seed, 3);
+      sim_wait_leader (&sim, 2 * SIM_S);
+      sim_commit (&sim, SIM_S);
+      for (unsigned i = 0; i < 3; i++)
+        sim_crash (&sim, i);
+      started_us = sim.now_us;
+      for (unsigned i = 0; i < 3; i++)
+        sim_start (&sim, i);
+      sim_wait_leader (&sim, 2 * SIM_S);
+      g_assert_cmpint (sim.now_us - started_us, <=, OH_RAFT_FIRST_ELECTION_MAX_US + 100 * SIM_MS);
+      sim_finish (&sim);
+    }
+}
+
 /* Guards against a replica with a full disk that leads, acknowledges or loses what it has, and against one
  * that does not return to work when there is room again. */
 static void
@@ -501,6 +594,9 @@
   g_test_add_func ("/raft/lost-disks", test_lost_disks);
   g_test_add_func ("/raft/no-second-cluster", test_no_second_cluster);
   g_test_add_func ("/raft/membership", test_membership);
+  g_test_add_func ("/raft/voters-kept-up", test_voters_kept_up);
+  g_test_add_func ("/raft/successor", test_successor);
+  g_test_add_func ("/raft/quick-first-election", test_quick_first_election);
   g_test_add_func ("/raft/full-disk", test_full_disk);
   g_test_add_func ("/raft/failed-disk", test_failed_disk);
   g_test_add_func ("/raft/slow-disk", test_slow_disk);
--- /dev/null
+++ b/tests/test_segment_balancer.c
@@ -0,0 +1,536 @@
+#define OH_LOG_MODULE "test"
+
+#include "core/segment_balancer.h"
+
+#include <string.h>
+
+#include "base/seeded_random.h"
+#include "segment_fixture.h"
+
+/* Each case is a list of steps that are played on a balancer with the agents of two services. */
+
+enum
+{
+  KILN_AGENTS = 3,
+  SCAN_AGENTS = 2,
+  AGENTS = KILN_AGENTS + SCAN_AGENTS,
+  STEPS_MAX = 24,
+  ANY = -1,
+};
+
+#define SERVICES "[oriolehaven]\nname=test\n[service kiln-log]\n[service scan-serve]\n"
+#define ROUTE "[route 198.18.0.1:8443]\nname=feed\nkind=repeatable\n"
+#define OTHER "[route 198.18.0.2:8443]\nname=transfer\nkind=transfer\ntargets=scan-serve:1\n"
+
+static const char split_text[] = SERVICES ROUTE "targets=kiln-log:1,scan-serve:0\n" OTHER;
+static const char kiln_text[] = SERVICES ROUTE "targets=kiln-log:1\n" OTHER;
+static const char no_route_text[]
+  = SERVICES OTHER "[route 198.18.0.3:8443]\nname=x\nkind=once\ntargets=kiln-log:1\n";
+
+typedef enum
+{
+  STEP_END,
+  STEP_VIEW,        /* text, a: confirmed, b: complete, c: number of agents listed */
+  STEP_CALLER,      /* a: flags, b: acknowledged (of a first segment: copies), c: length of data */
+  STEP_ANSWER,      /* a: agent, b: kind, c: result; answers the last question that the agent got */
+  STEP_ANSWER_LAST, /* as ANSWER, by the agent that got the last message */
+  STEP_WAIT,        /* a: ms, with ticks on the way */
+  STEP_PAUSE,       /* a: ms without any event, as for a process that was stopped */
+  EXPECT_SENT,      /* a: kind, b: number since the last expectation of this sort */
+  EXPECT_RESETS,    /* a: number since the last expectation of this sort */
+  EXPECT_LAST,      /* a: agent that got the last message */
+} step_kind_t;
+
+typedef struct
+{
+  step_kind_t kind;
+  int a;
+  int b;
+  int c;
+  const char *text;
+} step_t;
+
+typedef struct
+{
+  oh_segment_balancer_sink_t sink; /* first member */
+  oh_keyring_t keyring;
+  oh_seeded_random_t random;
+  oh_segment_balancer_t core;
+  int64_t now_us;
+  fixture_message_t sent[FIXTURE_SENT_MAX];
+  unsigned n_sent;
+  unsigned seen_sent; /* up to the last expectation */
+  unsigned resets;
+  unsigned seen_resets;
+  uint32_t reset_sequence;
+  uint64_t view_version;
+  uint64_t sequence; /* of load reports */
+} fixture_t;
+
+static oh_address_t
+agent_address (int agent)
+{
+  return (oh_address_t){ .ipv4 = 0x0a000001, .port = (uint16_t)(9000 + agent) };
+}
+
+static const char *
+agent_service (int agent)
+{
+  return agent < KILN_AGENTS ? "kiln-log" : "scan-serve";
+}
+
+static void
+on_send_agent (oh_segment_balancer_sink_t *sink, oh_address_t to, const uint8_t *bytes, size_t length)
+{
+  fixture_t *fixture = (fixture_t *)sink;
+
+  g_assert_cmpuint (fixture->n_sent, <, FIXTURE_SENT_MAX);
+  fixture->sent[fixture->n_sent++] = fixture_decode (&fixture->keyring, to, bytes, length);
+}
+
+static void
+on_send_caller (oh_segment_balancer_sink_t *sink, oh_address_t caller, const uint8_t *bytes, size_t length)
+{
+  fixture_t *fixture = (fixture_t *)sink;
+  oh_segment_t segment;
+
+  (void)caller;
+  g_assert_true (
+    oh_platform_segment_format ()->ops->decode (oh_platform_segment_format (), bytes, length, &segment));
+  g_assert_true (segment.rst);
+  fixture->resets++;
+  fixture->reset_sequence = segment.sequence;
+}
+
+static void
+on_log (oh_segment_balancer_sink_t *sink, oh_log_level_t level, const char *event, const char *pairs)
+{
+}
+
+static void
+handle (fixture_t *fixture, oh_segment_balancer_event_t event)
+{
+  event.now_us = fixture->now_us;
+  oh_segment_balancer_handle (&fixture->core, &event, &fixture->sink);
+}
+
+static void
+setup (fixture_t *fixture)
+{
+  static const oh_segment_balancer_sink_ops_t ops = {
+    .send_agent = on_send_agent,
+    .send_caller = on_send_caller,
+    .log = on_log,
+  };
+  const oh_segment_balancer_config_t config = {
+    .format = oh_platform_segment_format (),
+    .zone = "a",
+    .relay = { .ipv4 = 0x0a000002, .port = 7735 },
+    .flow_timeout_ms = 60000,
+    .max_flows = 100,
+  };
+
+  *fixture = (fixture_t){ .sink = { .ops = &ops }, .now_us = 10 * G_USEC_PER_SEC };
+  fixture_keyring (&fixture->keyring);
+  oh_seeded_random_init (&fixture->random, 1);
+  oh_segment_balancer_init (&fixture->core, &config, &fixture->keyring, &fixture->random.base);
+}
+
+static void
+teardown (fixture_t *fixture)
+{
+  oh_segment_balancer_finish (&fixture->core);
+  oh_seeded_random_finish (&fixture->random);
+  oh_keyring_finish (&fixture->keyring);
+}
+
+static void
+fill_load (fixture_t *fixture, int agent, const char *name, Oh__Load *load, Oh__Address *address)
+{
+  oh__load__init (load);
+  oh_address_to_wire (agent_address (agent), address);
+  load->upstream = (char *)name;
+  load->service = oh_service_id (agent_service (agent));
+  load->incarnation = 1000 + (uint64_t)agent;
+  load->sequence = ++fixture->sequence;
+  load->slots = 4;
+  load->queued = 1;
+  load->max_flows = 100;
+  load->agent = address;
+}
+
+static void
+play_view (fixture_t *fixture, const step_t *step)
+{
+  oh_view_t view;
+  Oh__View message = OH__VIEW__INIT;
+  Oh__Member members[AGENTS];
+  Oh__Member *pointers[AGENTS];
+  Oh__Load loads[AGENTS];
+  Oh__Address addresses[AGENTS];
+  char names[AGENTS][16];
+
+  for (int i = 0; i < step->c; i++)
+    {
+      g_snprintf (names[i], sizeof names[i], "agent-%d", i);
+      oh__member__init (&members[i]);
+      fill_load (fixture, i, names[i], &loads[i], &addresses[i]);
+      members[i].load = &loads[i];
+      members[i].service_name = (char *)agent_service (i);
+      members[i].zone = (char *)"a";
+      pointers[i] = &members[i];
+    }
+  oh_view_init (&view);
+  message.replica_epoch = step->b ? 1 : 0;
+  message.snapshot = true;
+  message.confirmed = step->a;
+  message.version = ++fixture->view_version;
+  message.has_text = true;
+  message.text = (char *)step->text;
+  message.key_generation = 1;
+  message.members = pointers;
+  message.n_members = (size_t)step->c;
+  oh_view_merge (&view, 0, &message);
+  handle (fixture, (oh_segment_balancer_event_t){ .kind = OH_SEGMENT_BALANCER_VIEW, .view = &view });
+  oh_view_finish (&view);
+}
+
+static void
+play_caller (fixture_t *fixture, const step_t *step)
+{
+  fixture_segment_t segment = fixture_segment (
+    fixture_address ("100.64.0.7:40001"), fixture_address ("198.18.0.1:8443"), (unsigned)step->a,
+    (step->a & FIXTURE_SYN) != 0 ? 7000 : 7001, (uint32_t)step->b, (unsigned)step->c);
+
+  handle (fixture,
+          (oh_segment_balancer_event_t){ .kind = OH_SEGMENT_BALANCER_CALLER,
+                                         .datagram = { .bytes = segment.bytes, .length = segment.length } });
+}
+
+static void
+play_answer (fixture_t *fixture, const step_t *step, int agent)
+{
+  const oh_address_t from = agent_address (agent);
+  Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
+  Oh__Load load;
+  Oh__Address addresses[3];
+  char name[16];
+  uint8_t buffer[OH_RELAY_MAX_BYTES];
+  fixture_segment_t segment = fixture_segment (
+    fixture_address ("100.64.0.7:40001"), fixture_address ("198.18.0.1:8443"),
+    step->b == OH__SEGMENT_RELAY_KIND__SEGMENT_REFUSED ? FIXTURE_SYN : FIXTURE_ACK, 7000, 0, 0);
+  size_t length;
+
+  g_snprintf (name, sizeof name, "agent-%d", agent);
+  fill_load (fixture, agent, name, &load, &addresses[0]);
+  oh_address_to_wire (fixture_address ("100.64.0.7:40001"), &addresses[1]);
+  oh_address_to_wire (fixture_address ("198.18.0.1:8443"), &addresses[2]);
+  relay.kind = (Oh__SegmentRelayKind)step->b;
+  relay.refused = (Oh__Result)step->c;
+  relay.load = &load;
+  relay.caller = &addresses[1];
+  relay.route = &addresses[2];
+  for (unsigned i = 0; i < fixture->n_sent; i++)
+    if (oh_address_equal (fixture->sent[i].to, from))
+      relay.search = fixture->sent[i].search;
+  if (relay.search == 0)
+    relay.segment = (ProtobufCBinaryData){ .len = segment.length, .data = segment.bytes };
+  length = oh_segment_relay_encode (&relay, &fixture->keyring, buffer, sizeof buffer);
+  handle (fixture, (oh_segment_balancer_event_t){ .kind = OH_SEGMENT_BALANCER_RELAY,
+                                                  .datagram = { .bytes = buffer, .length = length } });
+}
+
+static int
+last_agent (const fixture_t *fixture)
+{
+  g_assert_cmpuint (fixture->n_sent, >, 0);
+  return fixture->sent[fixture->n_sent - 1].to.port - 9000;
+}
+
+static unsigned
+count_sent (fixture_t *fixture, int kind)
+{
+  unsigned count = 0;
+
+  for (unsigned i = fixture->seen_sent; i < fixture->n_sent; i++)
+    count += (int)fixture->sent[i].kind == kind;
+  fixture->seen_sent = fixture->n_sent;
+  return count;
+}
+
+static void
+play (fixture_t *fixture, const step_t *step, const char *name, unsigned index)
+{
+  unsigned got = 0;
+
+  switch (step->kind)
+    {
+    case STEP_END:
+      return;
+    case STEP_VIEW:
+      play_view (fixture, step);
+      return;
+    case STEP_CALLER:
+      play_caller (fixture, step);
+      return;
+    case STEP_ANSWER:
+      play_answer (fixture, step, step->a);
+      return;
+    case STEP_ANSWER_LAST:
+      play_answer (fixture, step, last_agent (fixture));
+      return;
+    case STEP_WAIT:
+      for (int ms = 0; ms < step->a; ms += OH_SEGMENT_TICK_MS)
+        {
+          fixture->now_us += (int64_t)MIN (OH_SEGMENT_TICK_MS, step->a - ms) * 1000;
+          handle (fixture, (oh_segment_balancer_event_t){ .kind = OH_SEGMENT_BALANCER_TICK });
+        }
+      return;
+    case STEP_PAUSE:
+      fixture->now_us += (int64_t)step->a * 1000;
+      return;
+    case EXPECT_SENT:
+      got = count_sent (fixture, step->a);
+      if (got != (unsigned)step->b)
+        g_error ("case %s, step %u: %u messages of kind %d, expected %d", name, index, got, step->a, step->b);
+      return;
+    case EXPECT_RESETS:
+      got = fixture->resets - fixture->seen_resets;
+      fixture->seen_resets = fixture->resets;
+      if (got != (unsigned)step->a)
+        g_error ("case %s, step %u: %u resets, expected %d", name, index, got, step->a);
+      return;
+    case EXPECT_LAST:
+      if (last_agent (fixture) != step->a)
+        g_error ("case %s, step %u: last message to agent %d, expected %d", name, index, last_agent (fixture),
+                 step->a);
+      return;
+    }
+}
+
+#define OPEN OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN
+#define DELIVER OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER
+#define SEARCH OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH
+#define ACCEPTED OH__SEGMENT_RELAY_KIND__SEGMENT_ACCEPTED
+#define REFUSED OH__SEGMENT_RELAY_KIND__SEGMENT_REFUSED
+#define OWNED OH__SEGMENT_RELAY_KIND__SEGMENT_OWNED
+#define ABSENT OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT
+#define OVERLOADED OH__RESULT__RESULT_NOT_RUN_OVERLOADED
+#define LEAVING OH__RESULT__RESULT_NOT_RUN_DRAINING
+
+#define CONFIRMED_VIEW(text)                                                                                 \
+  {                                                                                                          \
+    STEP_VIEW, 1, 1, AGENTS, text                                                                            \
+  }
+#define FIRST                                                                                                \
+  {                                                                                                          \
+    STEP_CALLER, FIXTURE_SYN, 0, 0, NULL                                                                     \
+  }
+#define COPY(n)                                                                                              \
+  {                                                                                                          \
+    STEP_CALLER, FIXTURE_SYN, n, 0, NULL                                                                     \
+  }
+#define REQUEST                                                                                              \
+  {                                                                                                          \
+    STEP_CALLER, FIXTURE_ACK, 5, 20, NULL                                                                    \
+  }
+#define BY(agent, kind)                                                                                      \
+  {                                                                                                          \
+    STEP_ANSWER, agent, kind, 0, NULL                                                                        \
+  }
+#define BY_LAST(kind, result)                                                                                \
+  {                                                                                                          \
+    STEP_ANSWER_LAST, 0, kind, result, NULL                                                                  \
+  }
+#define WAIT(ms)                                                                                             \
+  {                                                                                                          \
+    STEP_WAIT, ms, 0, 0, NULL                                                                                \
+  }
+#define SENT(kind, n)                                                                                        \
+  {                                                                                                          \
+    EXPECT_SENT, kind, n, 0, NULL                                                                            \
+  }
+#define RESETS(n)                                                                                            \
+  {                                                                                                          \
+    EXPECT_RESETS, n, 0, 0, NULL                                                                             \
+  }
+
+static const struct
+{
+  const char *name; /* the failure that it guards against */
+  step_t steps[STEPS_MAX];
+} cases[] = {
+  { "placed before a confirmed view",
+    { { STEP_VIEW, 0, 1, AGENTS, kiln_text }, FIRST, SENT (OPEN, 0), RESETS (0) } },
+  { "segments of an open flow go astray",
+    { CONFIRMED_VIEW (kiln_text), FIRST, SENT (OPEN, 1), BY_LAST (ACCEPTED, 0), REQUEST,
+      SENT (DELIVER, 1) } },
+  { "no answer for a route that does not exist",
+    { CONFIRMED_VIEW (no_route_text), FIRST, SENT (OPEN, 0), RESETS (1) } },
+  { "a copy without a record is reset although the flow may be open",
+    { CONFIRMED_VIEW (no_route_text), COPY (1), RESETS (0) } },
+  { "refused flows are not offered to other agents",
+    { CONFIRMED_VIEW (kiln_text), FIRST, BY_LAST (REFUSED, LEAVING), BY_LAST (REFUSED, LEAVING),
+      SENT (OPEN, 3), RESETS (0), BY_LAST (REFUSED, LEAVING), RESETS (1) } },
+  { "a flow is reset while an agent may still open it",
+    { CONFIRMED_VIEW (kiln_text), FIRST, WAIT (200), COPY (1), SENT (OPEN, 2), BY_LAST (REFUSED, LEAVING),
+      SENT (OPEN, 0), RESETS (0) } },
+  { "a first segment that nobody answered is not offered again",
+    { CONFIRMED_VIEW (kiln_text), FIRST, SENT (OPEN, 1), WAIT (200), COPY (1), SENT (OPEN, 1) } },
+  { "an accepted flow is offered to a second agent",
+    { CONFIRMED_VIEW (kiln_text), FIRST, BY_LAST (ACCEPTED, 0), WAIT (200), SENT (OPEN, 1), COPY (1),
+      SENT (OPEN, 1), REQUEST, SENT (DELIVER, 1) } },
+  { "both agents that may hold a flow do not get its next segment",
+    { CONFIRMED_VIEW (kiln_text), FIRST, WAIT (200), COPY (1), SENT (OPEN, 2), REQUEST, SENT (DELIVER, 2),
+      BY_LAST (OWNED, 0), REQUEST, SENT (DELIVER, 1) } },
+  { "an overloaded service burns the caller's retries",
+    { CONFIRMED_VIEW (kiln_text), FIRST, BY_LAST (REFUSED, OVERLOADED), BY_LAST (REFUSED, OVERLOADED),
+      BY_LAST (REFUSED, OVERLOADED), SENT (OPEN, 3), RESETS (0), WAIT (200), COPY (1), SENT (OPEN, 1) } },
+  { "a service without room keeps callers waiting after their last copy",
+    { CONFIRMED_VIEW (kiln_text), FIRST, BY_LAST (REFUSED, OVERLOADED), BY_LAST (REFUSED, OVERLOADED),
+      BY_LAST (REFUSED, OVERLOADED), WAIT (200), COPY (1), BY_LAST (REFUSED, OVERLOADED),
+      BY_LAST (REFUSED, OVERLOADED), BY_LAST (REFUSED, OVERLOADED), WAIT (400), RESETS (0), COPY (2),
+      BY_LAST (REFUSED, OVERLOADED), BY_LAST (REFUSED, OVERLOADED), BY_LAST (REFUSED, OVERLOADED),
+      RESETS (1) } },
+  { "a flow without a record is not searched",
+    { CONFIRMED_VIEW (kiln_text),
+      REQUEST,
+      SENT (SEARCH, KILN_AGENTS),
+      BY (1, OWNED),
+      REQUEST,
+      SENT (DELIVER, 1),
+      { EXPECT_LAST, 1, 0, 0, NULL } } },
+  { "a flow that an earlier configuration led elsewhere is reset (azf-bake quiet-1: FLOW)",
+    { CONFIRMED_VIEW (kiln_text),
+      REQUEST,
+      SENT (SEARCH, KILN_AGENTS),
+      BY (0, ABSENT),
+      BY (1, ABSENT),
+      BY (2, ABSENT),
+      RESETS (0),
+      SENT (SEARCH, SCAN_AGENTS),
+      BY (3, ABSENT),
+      BY (4, OWNED),
+      RESETS (0),
+      REQUEST,
+      SENT (DELIVER, 1),
+      { EXPECT_LAST, 4, 0, 0, NULL } } },
+  { "the caller of a flow that is nowhere waits for its deadline",
+    { CONFIRMED_VIEW (split_text), WAIT (2000), REQUEST, SENT (SEARCH, AGENTS), BY (0, ABSENT),
+      BY (1, ABSENT), BY (2, ABSENT), BY (3, ABSENT), RESETS (0), BY (4, ABSENT), RESETS (1) } },
+  { "repeated answers of one agent count as those of all",
+    { CONFIRMED_VIEW (split_text), WAIT (2000), REQUEST, BY (0, ABSENT), BY (0, ABSENT), BY (0, ABSENT),
+      BY (0, ABSENT), BY (0, ABSENT), RESETS (0) } },
+  { "a flow is reset although upstreams may not be listed yet",
+    { { STEP_VIEW, 1, 0, AGENTS, split_text },
+      REQUEST,
+      BY (0, ABSENT),
+      BY (1, ABSENT),
+      BY (2, ABSENT),
+      BY (3, ABSENT),
+      BY (4, ABSENT),
+      RESETS (0) } },
+  { "what waited while the process was paused is reset",
+    { CONFIRMED_VIEW (no_route_text), WAIT (2000), { STEP_PAUSE, 4000, 0, 0, NULL }, FIRST, RESETS (0) } },
+  { "searches flood the agents",
+    { CONFIRMED_VIEW (kiln_text), REQUEST, REQUEST, REQUEST, REQUEST, REQUEST, REQUEST,
+      SENT (SEARCH, KILN_AGENTS *OH_SEGMENT_SEARCHES_MAX) } },
+  { "a restarted agent that lost the flow keeps getting its segments",
+    { CONFIRMED_VIEW (kiln_text), FIRST, BY_LAST (ACCEPTED, 0), BY_LAST (OWNED, 0), REQUEST,
+      SENT (DELIVER, 1), BY_LAST (ABSENT, 0), SENT (SEARCH, KILN_AGENTS) } },
+  { "upstreams that have not announced themselves yet count as missing",
+    { { STEP_VIEW, 1, 0, 0, kiln_text },
+      FIRST,
+      RESETS (0),
+      WAIT (200),
+      COPY (1),
+      RESETS (0),
+      WAIT (400),
+      COPY (2),
+      RESETS (1) } },
+  { "a service that has no upstream keeps its callers waiting",
+    { { STEP_VIEW, 1, 1, 0, kiln_text }, WAIT (4000), FIRST, RESETS (1) } },
+};
+
+static void
+test_cases (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      static fixture_t fixture;
+
+      setup (&fixture);
+      for (unsigned j = 0; j < STEPS_MAX && cases[i].steps[j].kind != STEP_END; j++)
+        play (&fixture, &cases[i].steps[j], cases[i].name, j);
+      teardown (&fixture);
+    }
+}
+
+/* Guards against decoders of the balancer that crash on bad input or act on it. */
+static void
+test_malformed (void)
+{
+  static const struct
+  {
+    const char *name;
+    size_t length;
+    unsigned lying; /* length of the data that the header names */
+  } shapes[] = {
+    { "empty", 0, 0 },
+    { "cut short", 31, 0 },
+    { "length too great", 40, 20 },
+    { "length too small", 60, 8 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (shapes); i++)
+    for (int relay = 0; relay < 2; relay++)
+      {
+        const step_t view = CONFIRMED_VIEW (kiln_text);
+        fixture_segment_t segment = fixture_segment (
+          fixture_address ("100.64.0.7:40001"), fixture_address ("198.18.0.1:8443"), FIXTURE_ACK, 1, 1, 0);
+        static fixture_t fixture;
+
+        setup (&fixture);
+        play_view (&fixture, &view);
+        fixture_put (segment.bytes + 24, shapes[i].lying, 2);
+        handle (&fixture, (oh_segment_balancer_event_t){
+                            .kind = relay ? OH_SEGMENT_BALANCER_RELAY : OH_SEGMENT_BALANCER_CALLER,
+                            .datagram = { .bytes = segment.bytes, .length = shapes[i].length } });
+        g_assert_cmpuint (fixture.n_sent, ==, 0);
+        g_assert_cmpuint (fixture.resets, ==, 0);
+        teardown (&fixture);
+      }
+}
+
+/* Guards against a table of flows that grows without bound. */
+static void
+test_bound (void)
+{
+  const step_t view = CONFIRMED_VIEW (kiln_text);
+  static fixture_t fixture;
+
+  setup (&fixture);
+  play_view (&fixture, &view);
+  for (unsigned i = 0; i < 250; i++)
+    {
+      const oh_address_t caller = { .ipv4 = 0x64400001 + i, .port = 1000 };
+      fixture_segment_t segment
+        = fixture_segment (caller, fixture_address ("198.18.0.1:8443"), FIXTURE_SYN, 1, 0, 0);
+
+      handle (&fixture, (oh_segment_balancer_event_t){
+                          .kind = OH_SEGMENT_BALANCER_CALLER,
+                          .datagram = { .bytes = segment.bytes, .length = segment.length } });
+    }
+  g_assert_cmpuint (g_hash_table_size (fixture.core.flows), ==, 100);
+  teardown (&fixture);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/segment-balancer/cases", test_cases);
+  g_test_add_func ("/segment-balancer/malformed", test_malformed);
+  g_test_add_func ("/segment-balancer/bound", test_bound);
+  return g_test_run ();
+}
