--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -214,7 +214,7 @@
   bool snapshot_requested;
 
   oh_raft_replica_t *leader; /* NULL if not known */
-  bool settled; /* since the start a leader was known, or a vote was begun */
+  bool settled;              /* since the start a leader was known, or a vote was begun */
   int64_t leader_contact_us;
   int64_t confirmed_us; /* follower: when the leader last had a quorum, 0 for never */
   uint64_t confirmed_commit;
--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -193,10 +193,13 @@
 {
   Oh__Load load;
   Oh__Address self;
+  size_t size;
 
   oh_segment_agent_load (agent, agent->now_us, &load, &self);
   relay->load = &load;
-  return oh_segment_relay_encode (relay, &agent->keyring, agent->out, sizeof agent->out);
+  size = oh_segment_relay_encode (relay, &agent->keyring, agent->out, sizeof agent->out);
+  relay->load = NULL;
+  return size;
 }
 
 static void
