segment_balancer: a search remembers which agents it asked

Cause: the second part of a search asked the agents of services that the route does not lead to. Change: the second part asks every agent that was not asked yet. Test: the case failed before.

--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -25,13 +25,20 @@
 
 /* Records. */
 
+static void
+end_search (oh_balancer_flow_t *flow)
+{
+  g_clear_pointer (&flow->searched, g_bytes_unref);
+  g_clear_pointer (&flow->asked, g_array_unref);
+}
+
 static void
 free_flow (gpointer data)
 {
   oh_balancer_flow_t *flow = data;
 
   oh_list_remove (&flow->by_use);
-  g_clear_pointer (&flow->searched, g_bytes_unref);
+  end_search (flow);
   g_free (flow);
 }
 
@@ -309,9 +316,9 @@
 ask (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const oh_upstream_t *upstream,
      const uint8_t *bytes, size_t length)
 {
-  const uint32_t search = (uint32_t)flow->question << 16 | (flow->n_asked & 0xffff);
+  const uint32_t search = (uint32_t)flow->question << 16 | (flow->asked->len & 0xffff);
 
-  flow->n_asked++;
+  g_array_append_val (flow->asked, upstream->agent);
   oh_counter_increment (&balancer->counters.search_messages);
   send_question (balancer, upstream->agent, OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH, upstream->service, search,
                  bytes, length);
@@ -337,19 +344,30 @@
   return flow->searches++ < OH_SEGMENT_SEARCHES_MAX;
 }
 
-/* Asks the agents of the route's services, or those of all other services. */
-static void
-ask_agents (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const oh_route_t *route, bool others,
-            const uint8_t *bytes, size_t length)
+static bool
+was_asked (const oh_balancer_flow_t *flow, oh_address_t agent)
 {
+  for (guint i = 0; i < flow->asked->len; i++)
+    if (oh_address_equal (g_array_index (flow->asked, oh_address_t, i), agent))
+      return true;
+  return false;
+}
+
+/* Returns true if there were agents that have not been asked yet. */
+static bool
+search_others (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
+{
+  const guint asked = flow->asked->len;
   GHashTableIter iter;
   gpointer value;
+  gsize length;
+  const uint8_t *bytes = g_bytes_get_data (flow->searched, &length);
 
   g_hash_table_iter_init (&iter, balancer->placement.upstreams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (leads_to (route, ((const oh_upstream_t *)value)->service) != others)
+    if (!was_asked (flow, ((const oh_upstream_t *)value)->agent))
       ask (balancer, flow, value, bytes, length);
-  flow->asked_others |= others;
+  return flow->asked->len > asked;
 }
 
 /*
@@ -360,6 +378,8 @@
 search (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes, size_t length)
 {
   const oh_route_t *route = oh_route_table_find (&balancer->routes, flow->key.route);
+  GHashTableIter iter;
+  gpointer value;
 
   if (route == NULL)
     {
@@ -372,44 +392,31 @@
       return;
     }
   oh_counter_increment (&balancer->counters.searched);
+  end_search (flow);
   flow->question++;
   flow->question += flow->question == 0; /* 0 names no question */
-  flow->n_asked = 0;
   flow->n_absent = 0;
-  flow->asked_others = false;
   memset (flow->absent, 0, sizeof flow->absent);
-  g_clear_pointer (&flow->searched, g_bytes_unref);
+  flow->asked = g_array_new (FALSE, FALSE, sizeof (oh_address_t));
   flow->searched = g_bytes_new (bytes, length);
-  ask_agents (balancer, flow, route, false, bytes, length);
+  g_hash_table_iter_init (&iter, balancer->placement.upstreams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (leads_to (route, ((const oh_upstream_t *)value)->service))
+      ask (balancer, flow, value, bytes, length);
+  if (flow->asked->len == 0)
+    search_others (balancer, flow);
   log_flow (balancer, OH_LOG_DEBUG, "flow_searched", &flow->key, "question=%u asked=%u", flow->question,
-            flow->n_asked);
-}
-
-/* Returns true if there were other agents to ask. */
-static bool
-search_others (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
-{
-  const oh_route_t *route = oh_route_table_find (&balancer->routes, flow->key.route);
-  const unsigned asked = flow->n_asked;
-  gsize length;
-  const uint8_t *bytes;
-
-  if (flow->asked_others || route == NULL || flow->searched == NULL)
-    return false;
-  bytes = g_bytes_get_data (flow->searched, &length);
-  ask_agents (balancer, flow, route, true, bytes, length);
-  return flow->n_asked > asked;
+            flow->asked->len);
 }
 
 /* Every agent that could own the flow has said that it does not. */
 static void
 end_absent_flow (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
 {
-  const bool certain
-    = balancer->listed && flow->asked_others && flow->n_asked <= OH_SEGMENT_ASKED_MAX && is_fresh (balancer);
+  const bool certain = balancer->listed && flow->asked->len <= OH_SEGMENT_ASKED_MAX && is_fresh (balancer);
 
-  log_flow (balancer, OH_LOG_INFO, "flow_absent", &flow->key, "asked=%u listed=%d result=%s", flow->n_asked,
-            balancer->listed, certain ? "reset" : "dropped");
+  log_flow (balancer, OH_LOG_INFO, "flow_absent", &flow->key, "asked=%u listed=%d result=%s",
+            flow->asked->len, balancer->listed, certain ? "reset" : "dropped");
   if (!certain)
     return;
   oh_counter_increment (&balancer->counters.resets_absent);
@@ -422,12 +429,13 @@
   const unsigned index = answered & 0xffff;
   const uint64_t bit = (uint64_t)1 << (index % 64);
 
-  if (flow == NULL || flow->owned || has_open_offer (flow) || answered >> 16 != flow->question
-      || index >= flow->n_asked || index >= OH_SEGMENT_ASKED_MAX || (flow->absent[index / 64] & bit) != 0)
+  if (flow == NULL || flow->asked == NULL || flow->owned || has_open_offer (flow)
+      || answered >> 16 != flow->question || index >= flow->asked->len || index >= OH_SEGMENT_ASKED_MAX
+      || (flow->absent[index / 64] & bit) != 0)
     return;
   flow->absent[index / 64] |= bit;
   flow->n_absent++;
-  if (flow->n_absent == flow->n_asked && !search_others (balancer, flow))
+  if (flow->n_absent == flow->asked->len && !search_others (balancer, flow))
     end_absent_flow (balancer, flow);
 }
 
@@ -534,7 +542,7 @@
     oh_counter_increment (&balancer->counters.found);
   flow->owned = true;
   flow->owner = agent;
-  g_clear_pointer (&flow->searched, g_bytes_unref);
+  end_search (flow);
 }
 
 static void
--- a/lib/core/segment_balancer.h
+++ b/lib/core/segment_balancer.h
@@ -105,8 +105,7 @@
   unsigned searches; /* in the present period */
   uint16_t question; /* number of the last search */
   GBytes *searched;  /* the segment whose owner is searched; NULL if none is */
-  bool asked_others; /* agents of services that the route does not lead to now */
-  unsigned n_asked;
+  GArray *asked;     /* of oh_address_t, agents that were asked; NULL without a search */
   unsigned n_absent;
   uint64_t absent[OH_SEGMENT_ASKED_MAX / 64]; /* bit per agent asked: it does not hold the flow */
   uint32_t last_acknowledged;                 /* by the caller, in its last segment */
--- a/tests/test_segment_balancer.c
+++ b/tests/test_segment_balancer.c
@@ -22,8 +22,11 @@
 #define ROUTE "[route 198.18.0.1:8443]\nname=feed\nkind=repeatable\n"
 #define OTHER "[route 198.18.0.2:8443]\nname=transfer\nkind=transfer\ntargets=scan-serve:1\n"
 
+#define KILN "[route 198.18.0.3:8443]\nname=x\nkind=once\ntargets=kiln-log:1\n"
+
 static const char split_text[] = SERVICES ROUTE "targets=kiln-log:1,scan-serve:0\n" OTHER;
 static const char kiln_text[] = SERVICES ROUTE "targets=kiln-log:1\n" OTHER;
+static const char scan_text[] = SERVICES ROUTE "targets=scan-serve:1\n" OTHER KILN;
 static const char no_route_text[]
   = SERVICES OTHER "[route 198.18.0.3:8443]\nname=x\nkind=once\ntargets=kiln-log:1\n";
 
@@ -415,6 +418,10 @@
       REQUEST,
       SENT (DELIVER, 1),
       { EXPECT_LAST, 4, 0, 0, NULL } } },
+  { "a flow is reset because its route changed during the search (azf-bake hunt-2ee0-19: FLOW)",
+    { CONFIRMED_VIEW (scan_text), WAIT (2000), REQUEST, SENT (SEARCH, SCAN_AGENTS),
+      CONFIRMED_VIEW (split_text), BY (3, ABSENT), BY (4, ABSENT), RESETS (0), SENT (SEARCH, KILN_AGENTS),
+      BY (1, OWNED), REQUEST, SENT (DELIVER, 1) } },
   { "the caller of a flow that is nowhere waits for its deadline",
     { CONFIRMED_VIEW (split_text), WAIT (2000), REQUEST, SENT (SEARCH, AGENTS), BY (0, ABSENT),
       BY (1, ABSENT), BY (2, ABSENT), BY (3, ABSENT), RESETS (0), BY (4, ABSENT), RESETS (1) } },
