segment_balancer: use the room of the route's other services

Change: when the service that a flow's hash selects has no room, the other targets with a weight above 0 are tried.

--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -146,30 +146,35 @@
   return false;
 }
 
-/* Tries the service that the flow's hash selects, then the other targets of the route. */
+/*
+ * Tries the service that the flow's hash selects, then the other targets of the route: an upstream that has
+ * room serves the caller better than the exact share of a service that has none.
+ */
 static bool
 choose_upstream (oh_segment_balancer_t *balancer, const oh_route_t *route, const oh_balancer_flow_t *flow,
                  uint64_t *service, oh_placement_decision_t *decision)
 {
   uint64_t tried[OH_SEGMENT_OFFERS_MAX];
-  const uint64_t first = flow->service != 0 ? flow->service : oh_route_choose (route, &flow->key);
+  const uint64_t first = oh_route_choose (route, &flow->key);
+  oh_placement_decision_t other;
 
   for (unsigned i = 0; i < flow->n_offers; i++)
     tried[i] = flow->offers[i].incarnation;
   *service = first;
   if (oh_placement_choose (&balancer->placement, first, tried, flow->n_offers, balancer->now_us, decision))
     return true;
-  for (guint i = 0; i < route->targets->len && flow->n_offers == 0; i++)
+  for (guint i = 0; i < route->targets->len; i++)
     {
       const oh_route_target_t *target = &g_array_index (route->targets, oh_route_target_t, i);
 
+      if (target->weight == 0 || target->service == first
+          || !oh_placement_choose (&balancer->placement, target->service, tried, flow->n_offers,
+                                   balancer->now_us, &other))
+        continue;
       *service = target->service;
-      if (target->weight > 0 && target->service != first
-          && oh_placement_choose (&balancer->placement, target->service, tried, 0, balancer->now_us,
-                                  decision))
-        return true;
+      *decision = other;
+      return true;
     }
-  *service = first;
   return false;
 }
 
@@ -235,8 +240,11 @@
       return;
     }
   offer = &flow->offers[flow->n_offers++];
-  *offer = (oh_offer_t){ .agent = decision.upstream->agent, .incarnation = decision.upstream->incarnation };
-  flow->service = service;
+  *offer = (oh_offer_t){
+    .agent = decision.upstream->agent,
+    .incarnation = decision.upstream->incarnation,
+    .service = service,
+  };
   oh_counter_increment (&balancer->counters.placed);
   if (flow->n_offers > 1)
     oh_counter_increment (&balancer->counters.placed_again);
@@ -249,6 +257,12 @@
   send_relay (balancer, offer->agent, OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN, service, bytes, length);
 }
 
+static void
+repeat_offer (oh_segment_balancer_t *balancer, const oh_offer_t *offer, const uint8_t *bytes, size_t length)
+{
+  send_relay (balancer, offer->agent, OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN, offer->service, bytes, length);
+}
+
 /* A further copy of a first segment that was placed here. */
 static void
 repeat_first (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes, size_t length)
@@ -264,16 +278,14 @@
   for (unsigned i = 0; i < flow->n_offers; i++)
     if (flow->offers[i].state == OH_OFFER_ACCEPTED)
       {
-        send_relay (balancer, flow->offers[i].agent, OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN, flow->service,
-                    bytes, length);
+        repeat_offer (balancer, &flow->offers[i], bytes, length);
         return;
       }
   if (flow->n_offers < OH_SEGMENT_OFFERS_MAX)
     place_flow (balancer, flow, bytes, length);
   for (unsigned i = 0; i < offers && flow->n_offers == offers; i++)
     if (flow->offers[i].state == OH_OFFER_SENT)
-      send_relay (balancer, flow->offers[i].agent, OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN, flow->service, bytes,
-                  length);
+      repeat_offer (balancer, &flow->offers[i], bytes, length);
 }
 
 static void
--- a/lib/core/segment_balancer.h
+++ b/lib/core/segment_balancer.h
@@ -85,13 +85,13 @@
 {
   oh_address_t agent;
   uint64_t incarnation;
+  uint64_t service;
   oh_offer_state_t state;
 } oh_offer_t;
 
 typedef struct
 {
   oh_flow_key_t key;
-  uint64_t service;        /* 0: not placed here */
   uint32_t first_sequence; /* of the first segment, if first_seen */
   bool first_seen;         /* a copy of the first segment came to this balancer */
   bool first_copy;         /* the first copy of the first segment came to this balancer */
--- a/tests/test_segment_balancer.c
+++ b/tests/test_segment_balancer.c
@@ -27,6 +27,7 @@
 static const char split_text[] = SERVICES ROUTE "targets=kiln-log:1,scan-serve:0\n" OTHER;
 static const char kiln_text[] = SERVICES ROUTE "targets=kiln-log:1\n" OTHER;
 static const char scan_text[] = SERVICES ROUTE "targets=scan-serve:1\n" OTHER KILN;
+static const char both_text[] = SERVICES ROUTE "targets=kiln-log:1,scan-serve:1000000\n" OTHER;
 static const char no_route_text[]
   = SERVICES OTHER "[route 198.18.0.3:8443]\nname=x\nkind=once\ntargets=kiln-log:1\n";
 
@@ -395,6 +396,9 @@
       BY_LAST (REFUSED, OVERLOADED), BY_LAST (REFUSED, OVERLOADED), WAIT (400), RESETS (0), COPY (2),
       BY_LAST (REFUSED, OVERLOADED), BY_LAST (REFUSED, OVERLOADED), BY_LAST (REFUSED, OVERLOADED),
       RESETS (1) } },
+  { "a service without room takes none of the room of the route's other service (azf-bake hunt-2ee0-35)",
+    { CONFIRMED_VIEW (both_text), FIRST, BY_LAST (REFUSED, OVERLOADED), BY_LAST (REFUSED, OVERLOADED),
+      SENT (OPEN, 3), BY_LAST (ACCEPTED, 0), RESETS (0) } },
   { "a flow without a record is not searched",
     { CONFIRMED_VIEW (kiln_text),
       REQUEST,
