control: say when every live node had the time to announce itself

Cause: resets of flows that are nowhere waited 3 s after the replicas' start, longer than most callers wait.

--- a/lib/core/control_core.c
+++ b/lib/core/control_core.c
@@ -174,6 +174,7 @@
   if (view.has_text)
     view.text = core->state.text;
   view.key_generation = core->state.key_generation;
+  view.listed = oh_membership_is_listed (&core->membership, core->now_us);
   view.replicas = endpoints;
   for (guint i = 0; i < core->committed_replicas->len; i++)
     endpoints[view.n_replicas++]
@@ -751,6 +752,7 @@
 handle_tick (oh_control_core_t *core)
 {
   const uint64_t sequence = core->membership.sequence;
+  const bool listed = oh_membership_is_listed (&core->membership, core->now_us);
   bool confirmed;
 
   oh_membership_expire (&core->membership, core->now_us);
@@ -761,8 +763,10 @@
   if (confirmed != core->pushed_confirmed)
     log_event (core, "confirmed_changed", "confirmed=%d version=%" G_GUINT64_FORMAT, confirmed,
                core->state.version);
-  if (core->membership.sequence != core->pushed_sequence || (confirmed && !core->pushed_confirmed))
+  if (core->membership.sequence != core->pushed_sequence || (confirmed && !core->pushed_confirmed)
+      || (listed && !core->pushed_listed))
     push_views (core);
+  core->pushed_listed = listed;
   core->pushed_confirmed = confirmed;
 }
 
--- a/lib/core/control_core.h
+++ b/lib/core/control_core.h
@@ -115,6 +115,7 @@
   uint64_t pushed_version;
   uint64_t pushed_sequence;
   bool pushed_confirmed;
+  bool pushed_listed;
   bool was_leader;
   bool has_failed;
   int64_t now_us;          /* of the event being handled */
--- a/lib/core/membership.c
+++ b/lib/core/membership.c
@@ -310,6 +310,12 @@
   view->removed_balancers = (char **)g_ptr_array_free (removed_balancers, FALSE);
 }
 
+bool
+oh_membership_is_listed (const oh_membership_t *membership, int64_t now_us)
+{
+  return now_us - membership->started_us >= OH_LISTING_US;
+}
+
 void
 oh_membership_clear_view (Oh__View *view)
 {
--- a/lib/core/membership.h
+++ b/lib/core/membership.h
@@ -17,6 +17,9 @@
 enum
 {
   OH_LEASE_US = 3 * G_USEC_PER_SEC,
+  /* After its start a replica has heard every live node that can reach it by then: nodes announce themselves
+   * each second and try a lost connection again each 200 ms. */
+  OH_LISTING_US = 1500 * 1000,
   OH_MEMBERSHIP_REMOVALS = 1024, /* removals kept for deltas */
   OH_MEMBERSHIP_MAX_NODES = 65536,
   OH_NODE_NAME_MAX_BYTES = 63,
@@ -79,6 +82,8 @@
  */
 void oh_membership_fill_view (const oh_membership_t *membership, uint64_t epoch, uint64_t sequence,
                               int64_t now_us, Oh__View *view);
+/* True if every live node that can reach the replica had the time to announce itself. */
+bool oh_membership_is_listed (const oh_membership_t *membership, int64_t now_us);
 void oh_membership_clear_view (Oh__View *view);
 
 /* NULL if the node has no lease. */
--- a/lib/core/view.c
+++ b/lib/core/view.c
@@ -418,7 +418,7 @@
       view->confirmed = true;
       changed = true;
     }
-  if (message->confirmed && message->replica_epoch != 0 && !view->complete)
+  if (message->confirmed && message->listed && !view->complete)
     {
       view->complete = true;
       changed = true;
--- a/lib/core/view.h
+++ b/lib/core/view.h
@@ -43,7 +43,7 @@
 typedef struct
 {
   bool confirmed; /* a quorum confirmed the version, or a later one, since this process started */
-  bool complete;  /* a confirmed replica listed all nodes that have a lease */
+  bool complete;  /* a confirmed replica listed all live nodes, since this process started */
   uint64_t version;
   uint32_t key_generation;
   char *text;
--- a/lib/wire/control.pb-c.c
+++ b/lib/wire/control.pb-c.c
@@ -946,7 +946,7 @@
   (ProtobufCMessageInit) oh__poll__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__view__field_descriptors[14] =
+static const ProtobufCFieldDescriptor oh__view__field_descriptors[15] =
 {
   {
     "replica_epoch",
@@ -1116,6 +1116,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "listed",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Oh__View, listed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__view__field_indices_by_name[] = {
   11,   /* field[11] = balancers */
@@ -1123,6 +1135,7 @@
   8,   /* field[8] = drained */
   5,   /* field[5] = has_text */
   7,   /* field[7] = key_generation */
+  14,   /* field[14] = listed */
   9,   /* field[9] = members */
   12,   /* field[12] = removed_balancers */
   10,   /* field[10] = removed_members */
@@ -1136,7 +1149,7 @@
 static const ProtobufCIntRange oh__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor oh__view__descriptor =
 {
@@ -1146,7 +1159,7 @@
   "Oh__View",
   "oh",
   sizeof(Oh__View),
-  14,
+  15,
   oh__view__field_descriptors,
   oh__view__field_indices_by_name,
   1,  oh__view__number_ranges,
--- a/lib/wire/control.pb-c.h
+++ b/lib/wire/control.pb-c.h
@@ -180,10 +180,14 @@
    */
   size_t n_replicas;
   char **replicas;
+  /*
+   * every live node had the time to announce itself to this replica
+   */
+  protobuf_c_boolean listed;
 };
 #define OH__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__view__descriptor) \
-    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 struct  Oh__Change
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -184,6 +184,19 @@
   oh_membership_finish (&membership);
 }
 
+/* Guards against a replica that claims to list every node before they could announce themselves. */
+static void
+test_listed (void)
+{
+  oh_membership_t membership;
+
+  oh_membership_init (&membership, EPOCH, SECOND);
+  g_assert_false (oh_membership_is_listed (&membership, SECOND));
+  g_assert_false (oh_membership_is_listed (&membership, SECOND + OH_LISTING_US - 1));
+  g_assert_true (oh_membership_is_listed (&membership, SECOND + OH_LISTING_US));
+  oh_membership_finish (&membership);
+}
+
 /* Guards against malformed announcements that are stored or crash. */
 static void
 test_malformed (void)
@@ -226,6 +239,7 @@
   g_test_add_func ("/membership/pause", test_pause);
   g_test_add_func ("/membership/deltas", test_deltas);
   g_test_add_func ("/membership/start", test_start);
+  g_test_add_func ("/membership/listed", test_listed);
   g_test_add_func ("/membership/malformed", test_malformed);
   return g_test_run ();
 }
--- a/tests/test_segment_balancer.c
+++ b/tests/test_segment_balancer.c
@@ -185,7 +185,8 @@
       pointers[i] = &members[i];
     }
   oh_view_init (&view);
-  message.replica_epoch = step->b ? 1 : 0;
+  message.replica_epoch = 1;
+  message.listed = step->b;
   message.snapshot = true;
   message.confirmed = step->a;
   message.version = ++fixture->view_version;
