segment_agent: tell the callers of flows whose upstream is gone; stand-ins of the platform and its whole path as a test

Cause (test_platform_path test_crashed_upstream): a caller whose request was acknowledged sends nothing, so it never met the reset that the agent keeps for its next segment, and waited for its deadline.

--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -289,6 +289,28 @@
          && agent->now_us - agent->identity.heard_us >= (int64_t)OH_SEGMENT_LEAVE_MS * 1000;
 }
 
+/* Tells the callers of flows whose upstream is gone; one that waits for an answer may send nothing that would
+ * be answered by a reset. */
+static void
+reset_dead_flows (oh_segment_agent_t *agent, const char *reason)
+{
+  const bool left = has_left (agent);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, agent->flows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      oh_agent_flow_t *flow = value;
+
+      if (flow->state != OH_AGENT_FLOW_OPEN || flow->closed || flow->generation == 0
+          || (!left && flow->generation == agent->identity.generation))
+        continue;
+      reset_flow (agent, flow, reason);
+      close_flow (agent, flow);
+    }
+}
+
 /* From balancers. */
 
 /* Beyond this a request would wait longer at the upstream than it may take in all. */
@@ -633,6 +655,7 @@
       /* Records of the first generation that this process sees may be missing, unless the upstream has only
        * just started. */
       agent->complete = generation > 0 || announcement->sequence <= 1;
+      reset_dead_flows (agent, "upstream-replaced");
     }
   report_load (agent);
   agent->sink->ops->changed (agent->sink);
@@ -696,6 +719,8 @@
 {
   give_up_openings (agent);
   give_up_fresh (agent);
+  if (agent->n_open > 0 && has_left (agent))
+    reset_dead_flows (agent, "upstream-left");
   if (agent->now_us - agent->reported_us < (int64_t)OH_SEGMENT_REPORT_MS * 1000)
     return;
   expire_flows (agent);
--- /dev/null
+++ b/scripts/lib/platform_system.py
@@ -0,0 +1,193 @@
+"""The programs of a platform deployment as real processes on loopback, with settings from deploy/templates.
+
+Every machine has an address of its own in a /16 of loopback. Ends only processes that it started.
+"""
+import collections
+import os
+import re
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+sys.path.insert(0, os.path.join(ROOT, 'standins'))
+import platform_world as world_module  # noqa: E402
+
+Ports = collections.namedtuple('Ports', 'segments readiness control app outbound first last heartbeat_ms')
+PORTS = Ports(8172, 8167, 8166, 8165, 8162, 7720, 7735, 300)
+
+
+def render(template, fields):
+    """As much of the platform's templates as deploy/templates uses."""
+    def value(name):
+        found = fields
+        for part in name.split('.'):
+            found = found[int(part)] if isinstance(found, list) else found.get(part)
+        if isinstance(found, list):
+            return ','.join(str(item) for item in found)
+        return '' if found is None else str(found)
+
+    def section(match):
+        wanted = match.group(1) == '#'
+        return match.group(3) if bool(fields.get(match.group(2))) == wanted else ''
+
+    template = re.sub(r'\{\{([#^])(\w+)\}\}(.*?)\{\{/\2\}\}', section, template)
+    return re.sub(r'\{\{([\w.]+)\}\}', lambda match: value(match.group(1)), template)
+
+
+class PlatformSystem:
+    def __init__(self, build, seed=1, n_control=3, n_balancers=3):
+        self.build = build
+        self.folder = tempfile.mkdtemp(prefix='oriolehaven-platform-')
+        self.network = f'127.{10 + os.getpid() % 200}'
+        self.world = world_module.World(seed)
+        self.processes, self.commands, self.upstreams = {}, {}, {}
+        self.gone = []  # upstreams that have left or crashed
+        self.control = [f'{self.network}.1.{i + 1}' for i in range(n_control)]
+        self.balancers = [f'{self.network}.2.{i + 1}' for i in range(n_balancers)]
+        self.seeds = [f'{ip}:{PORTS.control}' for ip in self.control[:3]]
+        self.operator = world_module.Operator([(ip, PORTS.control) for ip in self.control], seed)
+        self.callers, self.next_port = [], 20000
+        self.router = None
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, _value, _trace):
+        if self.router is not None:
+            self.router.stopped = True
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        self.world.finish()
+        if kind is not None and os.environ.get('ORIOLEHAVEN_KEEP_LOGS'):
+            print(f'logs: {self.folder}', file=sys.stderr)
+        else:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    # Processes.
+
+    def fields(self, name, ip, bootstrap):
+        return {
+            'NodeName': name, 'Ip': ip, 'Zone': 'a', 'InternalPortRange': [PORTS.first, PORTS.last],
+            'BindAddrs': {'DatagramAddr': f'{ip}:{PORTS.segments}', 'Readiness': f'{ip}:{PORTS.readiness}',
+                          'Control': f'{ip}:{PORTS.control}', 'outbound': f'{ip}:{PORTS.outbound}'},
+            'Seeds': self.seeds, 'Bootstrap': bootstrap, 'DataDir': os.path.join(self.folder, f'data-{name}'),
+            'HeartbeatMs': PORTS.heartbeat_ms, 'FaultTolerance': {'Machines': 1},
+            'PolicyParams': {'FlowTimeoutS': 60}, 'app': f'{ip}:{PORTS.app}',
+        }
+
+    def start(self, program, template, name, ip, bootstrap=True):
+        fields = self.fields(name, ip, bootstrap)
+        path = os.path.join(self.folder, f'{name}.ini')
+        os.makedirs(fields['DataDir'], exist_ok=True)
+        with open(os.path.join(ROOT, 'deploy', 'templates', template), encoding='utf-8') as file:
+            content = render(file.read(), fields)
+        with open(path, 'w', encoding='utf-8') as file:
+            file.write(content)
+        self.commands[name] = (program, template, ip)
+        with open(os.path.join(self.folder, f'{name}.log'), 'ab') as log:
+            self.processes[name] = subprocess.Popen(
+                [os.path.join(self.build, 'daemons', program), '--settings', path], stdin=subprocess.DEVNULL,
+                stdout=log, stderr=log, cwd=ROOT)
+
+    def start_control(self, index, bootstrap=True):
+        self.start('oriole-control', 'control.ini', f'control-{index}', self.control[index], bootstrap)
+
+    def start_balancer(self, index):
+        self.start('oriole-flow-balancer', 'balancer.ini', f'balancer-{index}', self.balancers[index])
+
+    def start_agent(self, name, ip):
+        self.start('oriole-flow-agent', 'agent.ini', name, ip)
+
+    def restart(self, name):
+        program, template, ip = self.commands[name]
+        self.start(program, template, name, ip, bootstrap=False)
+
+    def kill(self, name, number=signal.SIGKILL, limit_s=8):
+        """Ends the process and waits for it, while the world goes on."""
+        process = self.processes.pop(name)
+        process.send_signal(number)
+        if not self.world.run(limit_s, lambda: process.poll() is not None):
+            process.kill()
+            process.wait()
+            raise AssertionError(f'{name} did not end within {limit_s} s of the signal')
+
+    def check_running(self):
+        for name, process in self.processes.items():
+            if process.poll() is not None:
+                raise AssertionError(f'{name} ended by itself with status {process.returncode}')
+
+    def log(self, name):
+        with open(os.path.join(self.folder, f'{name}.log'), encoding='utf-8') as file:
+            return file.read()
+
+    # The platform's side.
+
+    def add_upstream(self, name, service, with_agent=True):
+        if name not in self.upstreams:
+            ip = f'{self.network}.3.{len(self.upstreams) + 1}'
+        else:
+            ip = self.upstreams[name].ip
+            self.gone.append(self.upstreams[name])
+        if with_agent:
+            self.start_agent(f'agent-{name}', ip)
+        self.upstreams[name] = world_module.Upstream(self.world, service, ip, PORTS)
+
+    def document(self, version, routes, services=('kiln', 'scan')):
+        """routes: {(host, port): (service, kind)}"""
+        return {
+            'Version': version,
+            'Routes': [{'Name': f'r-{port}', 'Host': host, 'PathPrefix': f'/{port}/', 'Type': kind, 'TimeoutMs': 3000,
+                        'TargetLatencyMs': 150, 'Priority': 1, 'Service': service}
+                       for (host, port), (service, kind) in routes.items()],
+            'Services': [{'Name': name, 'HealthPath': '/health', 'MaxConns': 2000} for name in services],
+            'Limits': {'IdleTimeoutMs': 15000}, 'Unknown': {'kept': True},
+        }
+
+    def start_router(self):
+        self.router = world_module.Router(self.world, self.balancers, PORTS.readiness, PORTS.segments)
+
+    def wait_ready(self, limit_s=10):
+        if not self.world.run(limit_s, lambda: all(missed == 0 for missed in self.router.ready.values())):
+            raise AssertionError(f'balancers are not ready: {self.router.ready}')
+
+    def call(self, route, kind, requests=1, deadline_s=3, **details):
+        ip = f'{self.network}.4.{1 + len(self.callers) % 20}'
+        self.next_port += 1
+        caller = world_module.Caller(self.world, self.router, ip, self.next_port, route, kind, requests, deadline_s,
+                                     **details)
+        self.callers.append(caller)
+        return caller
+
+    def wait_callers(self, limit_s):
+        return self.world.run(limit_s, lambda: all(caller.ended for caller in self.callers))
+
+    def all_upstreams(self):
+        return list(self.upstreams.values()) + self.gone
+
+    def check_ledgers(self, allowed):
+        """allowed: {route: services}. Returns what was broken, from the ledgers of both ends."""
+        broken = list(self.world.broken)
+        sent = {request for caller in self.callers for request in caller.sent}
+        seen = collections.Counter()
+        for upstream in self.all_upstreams():
+            for _, request, route in upstream.runs:
+                seen[request] += 1
+                if request not in sent:
+                    broken.append(f'UNASKED: {upstream.service} ran {request}')
+                if upstream.service not in allowed[route]:
+                    broken.append(f'ROUTE: {upstream.service} ran a request of {route}')
+            if upstream.draining_acknowledged is not None:
+                late = [at for at, _ in upstream.opened if at > upstream.draining_acknowledged + 3]
+                if late:
+                    broken.append(f'DRAIN: {upstream.service} got {len(late)} flows after it was acknowledged')
+        broken += [f'DOUBLED: {request} ran {count} times' for request, count in seen.items() if count > 1]
+        for caller in self.callers:
+            broken += [f'LOST: {request} was answered and never ran' for request in caller.done if not seen[request]]
+        return broken
+
+
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,164 @@
+#!/usr/bin/env python3
+"""The whole path on the users' platform as real processes on loopback, judged from the ledgers of both ends."""
+import json
+import os
+import signal
+import sys
+import time
+import unittest
+
+BUILD = sys.argv.pop(1)
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), '..', 'scripts', 'lib'))
+import platform_system  # noqa: E402
+
+FEED, NOTE, TRANSFER = '198.18.0.1:8443', '198.18.0.1:8080', '198.18.0.2:8443'
+ROUTES = {('198.18.0.1', 8443): ('kiln', 'safe'), ('198.18.0.1', 8080): ('kiln', 'unsafe'),
+          ('198.18.0.2', 8443): ('scan', 'download')}
+CONFIG_APPLY_S = 3  # of the platform: a read that is sent later shows the newest acknowledged version
+ALLOWED = {FEED: {'kiln'}, NOTE: {'kiln'}, TRANSFER: {'scan'}}
+
+
+class PlatformPathTest(unittest.TestCase):
+    def deploy(self, system, n_control=3, n_kiln=3, n_scan=2):
+        for index in range(n_control):
+            system.start_control(index)
+        for index in range(len(system.balancers)):
+            system.start_balancer(index)
+        for index in range(n_kiln):
+            system.add_upstream(f'kiln-{index}', 'kiln')
+        for index in range(n_scan):
+            system.add_upstream(f'scan-{index}', 'scan')
+        system.start_router()
+        self.assertEqual(system.operator.publish(system.document(1, ROUTES)), 200)
+        system.wait_ready()
+        system.world.run(1.5)
+
+    def finish(self, system, lost_allowed=0):
+        """All callers end; nothing is broken, and at most the given number of them failed."""
+        self.assertTrue(system.wait_callers(20), 'callers did not end')
+        system.check_running()
+        self.assertEqual(system.check_ledgers(ALLOWED), [])
+        failed = [(caller.route, caller.reason, caller.sent[-1:]) for caller in system.callers
+                  if caller.state == 'failed']
+        self.assertLessEqual(len(failed), lost_allowed, failed)
+
+    def test_calm(self):
+        """Guards against programs that do not work together: requests, feeds and transfers, and every sort of
+        caller error."""
+        with platform_system.PlatformSystem(BUILD) as system:
+            self.deploy(system)
+            for _ in range(30):
+                system.call(FEED, 'safe', requests=10)
+                system.call(NOTE, 'unsafe', requests=5, length=600)
+                system.call(TRANSFER, 'download', length=40000)
+            self.finish(system)
+            loads = [len(upstream.opened) for name, upstream in system.upstreams.items() if name.startswith('kiln')]
+            self.assertLess(max(loads), 2 * min(loads), loads)
+            nowhere = system.call('198.18.0.9:1', 'safe')
+            system.world.run(2, lambda: nowhere.ended)
+            self.assertEqual(nowhere.reason, 'reset', 'a route that does not exist is refused at once')
+
+    def test_configurations(self):
+        """Guards against a version that goes back, a document that is changed, and invalid ones that are taken."""
+        with platform_system.PlatformSystem(BUILD, n_balancers=1) as system:
+            self.deploy(system, n_kiln=1, n_scan=1)
+            operator = system.operator
+            for index in range(10):
+                document = system.document(10 + index * 3, ROUTES)
+                self.assertEqual(operator.publish(document), 200)
+                self.assertTrue(system.world.run(CONFIG_APPLY_S, lambda: json.loads(operator.read()) == document))
+            self.assertEqual(operator.publish(system.document(12, ROUTES)), 200, 'an overtaken version')
+            broken = system.document(100, ROUTES)
+            broken['Routes'][0]['TimeoutMs'] = 0
+            self.assertEqual(operator.publish(broken), 400)
+            self.assertEqual(operator.request('POST', '/config/put', b'{"Version":200,"Routes":[')[0] // 100, 4)
+            newest = operator.acknowledged[37]
+            for index in range(3):
+                system.kill(f'control-{index}')
+            for index in range(3):
+                system.restart(f'control-{index}')
+            self.assertEqual(json.loads(operator.read()), json.loads(newest), 'after all control processes were killed')
+            added = dict(ROUTES)
+            added[('198.18.0.3', 443)] = ('scan', 'safe')
+            self.assertEqual(operator.publish(system.document(300, added)), 200)
+            system.world.run(1)
+            self.assertTrue(system.wait_callers(5))
+            caller = system.call('198.18.0.3:443', 'safe')
+            self.assertTrue(system.wait_callers(5))
+            self.assertEqual(caller.state, 'closed')
+
+    def test_release(self):
+        """Guards against requests that a planned replacement of upstreams and balancers breaks, and new flows at an
+        upstream that leaves."""
+        with platform_system.PlatformSystem(BUILD) as system:
+            self.deploy(system)
+            for _ in range(20):
+                system.call(FEED, 'safe', requests=40)
+                system.call(NOTE, 'unsafe', requests=30, length=600)
+            system.world.run(1)
+            system.add_upstream('kiln-new', 'kiln')
+            system.upstreams['kiln-0'].drain()
+            system.world.run(1)
+            system.kill('balancer-0', signal.SIGTERM)
+            system.restart('balancer-0')
+            system.world.run(1)
+            self.assertIsNotNone(system.upstreams['kiln-0'].draining_acknowledged)
+            for _ in range(10):
+                system.call(FEED, 'safe', requests=5)
+            self.finish(system)
+            self.assertGreater(len(system.upstreams['kiln-new'].opened), 0)
+
+    def test_restarted_agent(self):
+        """Guards against flows that are lost because the agent beside a live upstream was killed."""
+        with platform_system.PlatformSystem(BUILD) as system:
+            self.deploy(system, n_kiln=2, n_scan=1)
+            for _ in range(20):
+                system.call(FEED, 'safe', requests=30)
+            system.world.run(1)
+            system.kill('agent-kiln-0')
+            system.restart('agent-kiln-0')
+            system.world.run(0.5)
+            system.kill('balancer-1')
+            system.restart('balancer-1')
+            self.finish(system)
+
+    def test_crashed_upstream(self):
+        """Guards against callers that wait in vain for an upstream that was replaced, and requests that run twice."""
+        with platform_system.PlatformSystem(BUILD) as system:
+            self.deploy(system, n_kiln=2, n_scan=1)
+            callers = [system.call(NOTE, 'unsafe', requests=40, length=600) for _ in range(20)]
+            system.world.run(1)
+            crashed = system.upstreams['kiln-0']
+            crashed.crash()
+            system.world.run(0.2)
+            system.add_upstream('kiln-0', 'kiln', with_agent=False)
+            self.finish(system, lost_allowed=len(crashed.flows))
+            reasons = {caller.reason for caller in callers if caller.state == 'failed'}
+            self.assertLessEqual(reasons, {'reset', 'deadline'})
+            self.assertIn('reset', reasons, 'no caller was told that its flow is gone')
+
+    def test_everything_killed(self):
+        """Guards against a system that does not come back, or loses what was acknowledged, when all of its processes
+        are killed at once."""
+        with platform_system.PlatformSystem(BUILD) as system:
+            self.deploy(system)
+            document = system.document(50, ROUTES)
+            self.assertEqual(system.operator.publish(document), 200)
+            names = list(system.processes)
+            for name in names:
+                system.processes[name].kill()
+            for name in names:
+                system.kill(name)
+            for name in names:
+                system.restart(name)
+            started = time.monotonic()
+            self.assertEqual(json.loads(system.operator.read()), document)
+            system.world.run(3)
+            for _ in range(10):
+                system.call(FEED, 'safe', requests=3)
+            self.finish(system)
+            self.assertLess(time.monotonic() - started, 12)
+
+
+if __name__ == '__main__':
+    unittest.main(verbosity=2)
