log, metrics: standard output with a limit for each kind of event; histograms; the text format of Prometheus

Lines go to standard output through the bounded queue; events that come with every flow have a token bucket each, with a line that counts what was left out. A reader that does not read, or has gone, never blocks (tests). GET /metrics at the admin address.

--- a/bench/bench_forward.c
+++ b/bench/bench_forward.c
@@ -590,7 +590,7 @@
   size_t chunk_length;
 
   redirect_log ();
-  oh_log_start (OH_LOG_INFO);
+  oh_log_start (OH_LOG_INFO, STDERR_FILENO);
   start_balancer (&balancer, oh_udp_local_address (agent_fd));
   request_length = make_request (&balancer, request);
   chunk_length = make_chunk_relay (&balancer, oh_udp_local_address (caller_fd), chunk);
--- a/daemons/oriole_agent.c
+++ b/daemons/oriole_agent.c
@@ -410,7 +410,7 @@
     }
   else if (!arguments.check)
     {
-      oh_log_start (level);
+      oh_log_start (level, STDOUT_FILENO);
       status = run (&agent);
       oh_log_stop ();
     }
--- a/daemons/oriole_balancer.c
+++ b/daemons/oriole_balancer.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #include "adapters/admin.h"
 #include "adapters/daemon.h"
@@ -175,7 +176,7 @@
     }
   else if (!arguments.check)
     {
-      oh_log_start (level);
+      oh_log_start (level, STDOUT_FILENO);
       if (!run (&balancer, level, &error))
         {
           oh_log_error ("failed", "domain=%s code=%d message=\"%s\"", oh_error_domain_name (error.domain),
--- a/daemons/oriole_call.c
+++ b/daemons/oriole_call.c
@@ -278,7 +278,7 @@
   argp_parse (&argp, argc, argv, 0, NULL, &arguments);
   if (arguments.check)
     return EXIT_SUCCESS;
-  oh_log_start (OH_LOG_WARNING);
+  oh_log_start (OH_LOG_WARNING, STDERR_FILENO);
   status = run (&arguments);
   oh_log_stop ();
   return status;
--- a/daemons/oriole_control.c
+++ b/daemons/oriole_control.c
@@ -5,6 +5,7 @@
 #include <glib-unix.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "adapters/admin.h"
 #include "adapters/daemon.h"
@@ -87,6 +88,12 @@
   oh_counter_t version;
   oh_counter_t applied_index;
   oh_counter_t nodes;
+  oh_counter_t publish_latency; /* stands for the histogram */
+  oh_counter_t persist_latency; /* stands for the histogram */
+  oh_histogram_t publish_seconds;
+  oh_histogram_t persist_seconds;
+  GHashTable *published_us; /* request number to the time at which the publication arrived */
+  int64_t persisting_us;    /* when the outstanding persist request was made */
 } control_t;
 
 const char *argp_program_version = "oriole-control " OH_VERSION;
@@ -252,6 +259,7 @@
 {
   oh_publish_status_t status = OH_PUBLISH_UNAVAILABLE;
   oh_address_t leader = { 0 };
+  const int64_t *arrived_us;
 
   switch (reply->status)
     {
@@ -275,6 +283,10 @@
                "request=%" G_GUINT64_FORMAT " status=%d version=%" G_GUINT64_FORMAT " detail=\"%s\"", request,
                (int)status, reply->version, reply->detail);
   oh_operator_http_answer (control->operators, request, status, leader.ipv4, reply->detail);
+  arrived_us = g_hash_table_lookup (control->published_us, &request);
+  if (arrived_us != NULL)
+    oh_histogram_observe (&control->publish_seconds, oh_clock_now_us (oh_system_clock ()) - *arrived_us);
+  g_hash_table_remove (control->published_us, &request);
 }
 
 static void
@@ -347,6 +359,7 @@
 static void
 on_persist (oh_control_sink_t *sink, oh_persist_t *request)
 {
+  control_of (sink)->persisting_us = oh_clock_now_us (oh_system_clock ());
   oh_storage_worker_persist (control_of (sink)->storage, request);
 }
 
@@ -495,7 +508,10 @@
     .message = { .route = route, .message = &message },
   };
   uint8_t id[OH_CHANGE_ID_BYTES];
+  const int64_t now_us = oh_clock_now_us (oh_system_clock ());
 
+  g_hash_table_insert (control->published_us, g_memdup2 (&request, sizeof request),
+                       g_memdup2 (&now_us, sizeof now_us));
   /* The same publication has the same id, so that one that is sent again gets the first result. */
   oh_change_id_of_publication (publication->number, publication->document, id);
   change.id.data = id;
@@ -542,6 +558,8 @@
   control_t *control = data;
   oh_control_event_t event = { .kind = error == NULL ? OH_CONTROL_SYNCED : OH_CONTROL_STORAGE_FAILED };
 
+  oh_histogram_observe (&control->persist_seconds,
+                        oh_clock_now_us (oh_system_clock ()) - control->persisting_us);
   event.persist.id = id;
   event.persist.full = error != NULL && error->code == OH_ERROR_CODE_NO_SPACE;
   if (error != NULL)
@@ -618,6 +636,10 @@
   oh_counters_init (&control->counters);
   for (size_t i = 0; i < G_N_ELEMENTS (table); i++)
     oh_counters_add (&control->counters, table[i].counter, table[i].name);
+  oh_counters_add_histogram (&control->counters, &control->publish_latency, &control->publish_seconds,
+                             "publish_seconds", "Time from a publication to its answer");
+  oh_counters_add_histogram (&control->counters, &control->persist_latency, &control->persist_seconds,
+                             "persist_seconds", "Time that the disk takes to sync a write of the log");
 }
 
 /* Other seeds matter only to a process that has not found its cluster yet, which starts anew to use them. */
@@ -734,8 +756,9 @@
     }
   if (arguments.check)
     return EXIT_SUCCESS;
-  oh_log_start (control.log_level);
+  oh_log_start (control.log_level, STDOUT_FILENO);
   register_counters (&control);
+  control.published_us = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   control.links = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, close_link);
   control.loop = g_main_loop_new (NULL, FALSE);
   oh_control_core_init (&control.core, control.settings.name, oh_random_u64 (oh_system_random ()) | 1,
@@ -747,6 +770,7 @@
     }
   oh_log_info ("stopped", "replica=%s status=%d", control.settings.name, control.status);
   oh_control_core_finish (&control.core);
+  g_hash_table_unref (control.published_us);
   g_hash_table_unref (control.links);
   g_array_unref (control.initial);
   g_main_loop_unref (control.loop);
--- a/daemons/oriole_flow_agent.c
+++ b/daemons/oriole_flow_agent.c
@@ -153,7 +153,11 @@
 write_log (oh_segment_agent_sink_t *sink, oh_log_level_t level, const char *event, const char *pairs)
 {
   (void)sink;
-  oh_log_event (OH_LOG_MODULE, level, event, "%s", pairs);
+  /* What the core logs comes with every flow, but for warnings. */
+  if (level <= OH_LOG_WARNING)
+    oh_log_event (OH_LOG_MODULE, level, event, "%s", pairs);
+  else
+    oh_log_limited (OH_LOG_MODULE, level, event, "%s", pairs);
 }
 
 /* Sources of events. */
@@ -431,7 +435,7 @@
     }
   else if (!arguments.check)
     {
-      oh_log_start (level);
+      oh_log_start (level, STDOUT_FILENO);
       if (!run (&agent, &error))
         {
           oh_log_error ("start_failed", "reason=\"%s\"", error.message);
--- a/daemons/oriole_flow_balancer.c
+++ b/daemons/oriole_flow_balancer.c
@@ -112,7 +112,11 @@
 write_log (oh_segment_balancer_sink_t *sink, oh_log_level_t level, const char *event, const char *pairs)
 {
   (void)sink;
-  oh_log_event (OH_LOG_MODULE, level, event, "%s", pairs);
+  /* What the core logs comes with every flow, but for warnings. */
+  if (level <= OH_LOG_WARNING)
+    oh_log_event (OH_LOG_MODULE, level, event, "%s", pairs);
+  else
+    oh_log_limited (OH_LOG_MODULE, level, event, "%s", pairs);
 }
 
 /* Sources of events. */
@@ -348,7 +352,7 @@
     }
   else if (!arguments.check)
     {
-      oh_log_start (level);
+      oh_log_start (level, STDOUT_FILENO);
       if (!run (&balancer, &error))
         {
           oh_log_error ("start_failed", "reason=\"%s\"", error.message);
--- a/lib/adapters/admin.c
+++ b/lib/adapters/admin.c
@@ -24,6 +24,21 @@
   soup_server_message_set_response (message, "text/plain", SOUP_MEMORY_TAKE, text, strlen (text));
 }
 
+static void
+handle_metrics (SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query,
+                gpointer data)
+{
+  oh_admin_t *admin = data;
+  char *text = oh_counters_format_metrics (admin->counters);
+
+  (void)server;
+  (void)path;
+  (void)query;
+  soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
+  soup_server_message_set_response (message, "text/plain; version=0.0.4", SOUP_MEMORY_TAKE, text,
+                                    strlen (text));
+}
+
 static void
 handle_health (SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query,
                gpointer data)
@@ -51,6 +66,7 @@
   admin->counters = counters;
   admin->server = soup_server_new (NULL, NULL);
   soup_server_add_handler (admin->server, "/counters", handle_counters, admin, NULL);
+  soup_server_add_handler (admin->server, "/metrics", handle_metrics, admin, NULL);
   soup_server_add_handler (admin->server, "/healthz", handle_health, admin, NULL);
   if (!soup_server_listen (admin->server, listen, 0, &gerror))
     {
--- a/lib/base/counters.h
+++ b/lib/base/counters.h
@@ -4,13 +4,16 @@
 #include <stdatomic.h>
 #include <stdint.h>
 
+#include "base/histogram.h"
 #include "base/list.h"
 
 /* Monotonic counters and gauges of one process, readable from any thread. */
 
 typedef struct
 {
-  const char *name; /* static; lower case with underscores, the unit as suffix */
+  const char *name;          /* static; lower case with underscores, the unit as suffix */
+  const char *help;          /* static; NULL if the name says it all */
+  oh_histogram_t *histogram; /* NULL for a counter or gauge; then the value is not used */
   _Atomic uint64_t value;
   oh_list_t link;
 } oh_counter_t;
@@ -27,6 +30,18 @@
  * start. */
 void oh_counters_add (oh_counters_t *counters, oh_counter_t *counter, const char *name);
 
+/* As oh_counters_add, with a sentence for the reader of the metrics. */
+void oh_counters_add_with_help (oh_counters_t *counters, oh_counter_t *counter, const char *name,
+                                const char *help);
+
+/* Adds a histogram under the counter's name, which ends in _seconds. */
+void oh_counters_add_histogram (oh_counters_t *counters, oh_counter_t *counter, oh_histogram_t *histogram,
+                                const char *name, const char *help);
+
+/* The text format that Prometheus reads: HELP and TYPE lines, names with the prefix oriolehaven_. Names that
+ * end in _total are counters, the others gauges. */
+char *oh_counters_format_metrics (oh_counters_t *counters);
+
 /* One "name value" line for each counter, in the order of registration. */
 char *oh_counters_format (oh_counters_t *counters);
 
--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -1,15 +1,22 @@
 #define OH_LOG_MODULE "log"
 #include "base/log.h"
 
+#include <errno.h>
+#include <poll.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stdatomic.h>
-#include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 enum
 {
   QUEUE_LINES = 8192, /* 4 MiB at the greatest line length */
   LINE_BYTES = 512,
+  POLL_MS = 100, /* between looks at whether the writer has to stop */
+  STOP_MS = 500,
+  BUCKET_LINES = 200,
+  BUCKET_LINES_PER_S = 100,
 };
 
 typedef struct
@@ -20,12 +27,23 @@
   char (*lines)[LINE_BYTES]; /* ring of QUEUE_LINES */
   unsigned head;             /* first line not yet written */
   unsigned count;
+  int fd;
   bool stop;
 } log_writer_t;
 
+/* Of one kind of event. */
+typedef struct
+{
+  double tokens;
+  int64_t filled_us;
+  uint64_t suppressed;
+} log_bucket_t;
+
 static log_writer_t writer;
 static _Atomic int enabled_level = OH_LOG_INFO;
+static bool writer_installed;
 static _Atomic uint64_t dropped;
+static _Atomic int64_t stop_us; /* when the writer gives up on its reader; 0 while it runs */
 
 static const GLogLevelFlags glib_levels[] = {
   [OH_LOG_ERROR] = G_LOG_LEVEL_CRITICAL,
@@ -81,6 +99,43 @@
   return G_LOG_WRITER_HANDLED;
 }
 
+/* True if the writer was told to stop and has waited long enough for its reader. */
+static bool
+gave_up (void)
+{
+  return atomic_load (&stop_us) != 0 && g_get_monotonic_time () > atomic_load (&stop_us);
+}
+
+/* Returns false if the reader is gone, or did not read before the writer was told to stop. */
+static bool
+write_line (const char *line)
+{
+  size_t length = strlen (line);
+
+  while (length > 0)
+    {
+      struct pollfd ready = { .fd = writer.fd, .events = POLLOUT };
+      ssize_t written;
+
+      if (poll (&ready, 1, gave_up () ? 0 : POLL_MS) == 0)
+        {
+          if (gave_up ())
+            return false;
+          continue;
+        }
+      /* A pipe that is writable takes a line at once: lines are shorter than PIPE_BUF. */
+      written = write (writer.fd, line, length);
+      if (written < 0 && errno != EINTR && errno != EAGAIN)
+        return false;
+      if (written > 0)
+        {
+          line += written;
+          length -= (size_t)written;
+        }
+    }
+  return true;
+}
+
 static gpointer
 run_writer (gpointer data)
 {
@@ -100,25 +155,33 @@
           writer.head = (writer.head + 1) % QUEUE_LINES;
           writer.count--;
           g_mutex_unlock (&writer.mutex);
-          fputs (line, stderr);
+          if (!write_line (line))
+            atomic_fetch_add (&dropped, 1);
           g_mutex_lock (&writer.mutex);
         }
       if (atomic_load (&dropped) != reported)
         {
+          char line[LINE_BYTES];
+
           reported = atomic_load (&dropped);
-          fprintf (stderr, "level=warning module=log event=lines_dropped total=%" G_GUINT64_FORMAT "\n",
-                   reported);
+          g_snprintf (line, sizeof line,
+                      "level=warning module=log event=lines_dropped total=%" G_GUINT64_FORMAT "\n", reported);
+          g_mutex_unlock (&writer.mutex);
+          write_line (line);
+          g_mutex_lock (&writer.mutex);
         }
-      fflush (stderr);
     }
   g_mutex_unlock (&writer.mutex);
   return NULL;
 }
 
 void
-oh_log_start (oh_log_level_t level)
+oh_log_start (oh_log_level_t level, int fd)
 {
   g_assert (writer.thread == NULL);
+  signal (SIGPIPE, SIG_IGN);
+  writer.fd = fd;
+  atomic_store (&stop_us, 0);
   atomic_store (&enabled_level, (int)level);
   g_mutex_init (&writer.mutex);
   g_cond_init (&writer.cond);
@@ -126,7 +189,9 @@
   writer.head = 0;
   writer.count = 0;
   writer.stop = false;
-  g_log_set_writer_func (enqueue_line, NULL, NULL);
+  if (!writer_installed)
+    g_log_set_writer_func (enqueue_line, NULL, NULL); /* GLib takes one in the life of a process */
+  writer_installed = true;
   writer.thread = g_thread_new ("log", run_writer, NULL);
 }
 
@@ -135,6 +200,7 @@
 {
   if (writer.thread == NULL)
     return;
+  atomic_store (&stop_us, g_get_monotonic_time () + (int64_t)STOP_MS * 1000);
   g_mutex_lock (&writer.mutex);
   writer.stop = true;
   g_cond_signal (&writer.cond);
@@ -174,16 +240,52 @@
   return atomic_load (&dropped);
 }
 
-void
-oh_log_event (const char *module, oh_log_level_t level, const char *event, const char *format, ...)
+/* Returns false if the line is beyond what the kind of event may write. */
+static bool
+take_token (const char *module, const char *event)
+{
+  static GMutex mutex;
+  static GHashTable *buckets; /* event to log_bucket_t; the kinds are few and live as long as the process */
+  const int64_t now_us = g_get_monotonic_time ();
+  uint64_t suppressed = 0;
+  log_bucket_t *bucket;
+  bool taken;
+
+  g_mutex_lock (&mutex);
+  if (buckets == NULL)
+    buckets = g_hash_table_new (g_str_hash, g_str_equal);
+  bucket = g_hash_table_lookup (buckets, event);
+  if (bucket == NULL)
+    {
+      bucket = g_new0 (log_bucket_t, 1);
+      bucket->tokens = BUCKET_LINES;
+      bucket->filled_us = now_us;
+      g_hash_table_insert (buckets, g_strdup (event), bucket);
+    }
+  bucket->tokens += (double)(now_us - bucket->filled_us) * BUCKET_LINES_PER_S / G_USEC_PER_SEC;
+  bucket->tokens = MIN (bucket->tokens, BUCKET_LINES);
+  bucket->filled_us = now_us;
+  taken = bucket->tokens >= 1;
+  if (taken)
+    {
+      bucket->tokens -= 1;
+      suppressed = bucket->suppressed;
+      bucket->suppressed = 0;
+    }
+  else
+    bucket->suppressed++;
+  g_mutex_unlock (&mutex);
+  if (suppressed > 0)
+    oh_log_event (module, OH_LOG_INFO, "lines_suppressed", "of=%s count=%" G_GUINT64_FORMAT, event,
+                  suppressed);
+  return taken;
+}
+
+static void
+log_pairs (const char *module, oh_log_level_t level, const char *event, const char *pairs)
 {
-  char pairs[LINE_BYTES];
   char line[LINE_BYTES + 64];
-  va_list args;
 
-  va_start (args, format);
-  g_vsnprintf (pairs, sizeof pairs, format, args);
-  va_end (args);
   g_snprintf (line, sizeof line, "event=%s %s", event, pairs);
 
   const GLogField fields[] = {
@@ -193,3 +295,29 @@
 
   g_log_structured_array (glib_levels[level], fields, G_N_ELEMENTS (fields));
 }
+
+void
+oh_log_event (const char *module, oh_log_level_t level, const char *event, const char *format, ...)
+{
+  char pairs[LINE_BYTES];
+  va_list args;
+
+  va_start (args, format);
+  g_vsnprintf (pairs, sizeof pairs, format, args);
+  va_end (args);
+  log_pairs (module, level, event, pairs);
+}
+
+void
+oh_log_limited (const char *module, oh_log_level_t level, const char *event, const char *format, ...)
+{
+  char pairs[LINE_BYTES];
+  va_list args;
+
+  if (!take_token (module, event))
+    return;
+  va_start (args, format);
+  g_vsnprintf (pairs, sizeof pairs, format, args);
+  va_end (args);
+  log_pairs (module, level, event, pairs);
+}
--- a/lib/base/log.h
+++ b/lib/base/log.h
@@ -23,12 +23,13 @@
 } oh_log_level_t;
 
 /*
- * Starts the writer thread: lines go to standard error through a bounded queue. A line that finds the queue
- * full is dropped and counted; the writer reports the number of dropped lines.
+ * Starts the writer thread: lines go to the descriptor through a bounded queue. A line that finds the queue
+ * full is dropped and counted; the writer reports the number of dropped lines. A reader that does not read
+ * blocks the writer thread only. SIGPIPE is ignored from here on.
  */
-void oh_log_start (oh_log_level_t level);
+void oh_log_start (oh_log_level_t level, int fd);
 
-/* Writes what is queued and stops the thread. */
+/* Writes what is queued and stops the thread; gives up on a reader that does not read after 500 ms. */
 void oh_log_stop (void);
 
 bool oh_log_level_parse (const char *name, oh_log_level_t *level);
@@ -38,6 +39,14 @@
 void oh_log_event (const char *module, oh_log_level_t level, const char *event, const char *format, ...)
   G_GNUC_PRINTF (4, 5);
 
+/*
+ * As oh_log_event, for events that come with every flow: each kind of event has a token bucket of 200 lines,
+ * filled with 100 a second. Lines beyond it are counted and the count is logged with the next line of the
+ * kind, as event=lines_suppressed.
+ */
+void oh_log_limited (const char *module, oh_log_level_t level, const char *event, const char *format, ...)
+  G_GNUC_PRINTF (4, 5);
+
 #define oh_log_at(level, event, ...)                                                                         \
   G_STMT_START                                                                                               \
   {                                                                                                          \
--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -49,8 +49,9 @@
 static void
 set_waiting (oh_segment_agent_t *agent, oh_agent_flow_t *flow, bool waiting)
 {
-  if (waiting != flow->waiting)
-    agent->n_waiting += waiting ? 1 : -1;
+  if (waiting == flow->waiting)
+    return;
+  agent->n_waiting += waiting ? 1 : -1;
   flow->waiting = waiting;
   flow->waiting_us = agent->now_us;
 }
@@ -583,6 +584,7 @@
   if (flow->answered)
     return;
   flow->answered = true;
+  oh_histogram_observe (&agent->first_seconds, agent->now_us - flow->opened_us);
   answer (agent, flow->balancer, OH__SEGMENT_RELAY_KIND__SEGMENT_ACCEPTED, OH__RESULT__RESULT_NONE,
           &flow->key, NULL, 0);
 }
@@ -617,8 +619,11 @@
       answer (agent, flow->balancer, OH__SEGMENT_RELAY_KIND__SEGMENT_OWNED, OH__RESULT__RESULT_NONE, &key,
               NULL, 0);
     }
-  if (segment.length > 0)
-    set_waiting (agent, flow, false);
+  if (segment.length > 0 && flow->waiting)
+    {
+      oh_histogram_observe (&agent->request_seconds, agent->now_us - flow->waiting_us);
+      set_waiting (agent, flow, false);
+    }
   if (segment.fin || segment.rst)
     close_flow (agent, flow);
   oh_counter_increment (&agent->counters.sent);
@@ -761,27 +766,33 @@
   {
     oh_counter_t *counter;
     const char *name;
+    const char *help;
   } table[] = {
-    { &own->delivered, "segments_delivered" },
-    { &own->returned, "segments_returned" },
-    { &own->sent, "segments_sent" },
-    { &own->opened, "flows_opened" },
-    { &own->refused, "firsts_refused" },
-    { &own->unanswered, "firsts_unanswered" },
-    { &own->probes, "probes" },
-    { &own->searches, "searches" },
-    { &own->absent, "segments_absent" },
-    { &own->resets, "resets" },
-    { &own->dropped_malformed, "dropped_malformed" },
-    { &own->dropped_bad_seal, "dropped_bad_seal" },
-    { &own->announcements, "announcements" },
-    { &own->announcements_stale, "announcements_stale" },
-    { &own->flows, "flows" },
-    { &own->waiting, "requests_waiting" },
+    { &own->delivered, "segments_delivered_total", "Segments delivered to the upstream" },
+    { &own->returned, "segments_returned_total", "Segments that the upstream gave back" },
+    { &own->sent, "segments_sent_total", "Segments sent to callers" },
+    { &own->opened, "flows_opened_total", "Flows that callers opened at the upstream" },
+    { &own->refused, "firsts_refused_total", "First segments refused" },
+    { &own->unanswered, "firsts_unanswered_total", "First segments that the upstream left unanswered" },
+    { &own->probes, "probes_total", "Segments delivered to learn whether the upstream holds the flow" },
+    { &own->searches, "searches_total", "Searched segments received" },
+    { &own->absent, "segments_absent_total", "Segments of flows that are not here" },
+    { &own->resets, "resets_total", "Resets of flows whose upstream is gone" },
+    { &own->dropped_malformed, "dropped_malformed_total", "Datagrams that are no segments" },
+    { &own->dropped_bad_seal, "dropped_bad_seal_total", "Datagrams of balancers without a valid seal" },
+    { &own->announcements, "announcements_total", "Announcements of the upstream" },
+    { &own->announcements_stale, "announcements_stale_total",
+      "Late announcements, or those of a former start" },
+    { &own->flows, "flows", "Open flows" },
+    { &own->waiting, "requests_waiting", "Requests that the upstream has not begun to answer" },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (table); i++)
-    oh_counters_add (counters, table[i].counter, table[i].name);
+    oh_counters_add_with_help (counters, table[i].counter, table[i].name, table[i].help);
+  oh_counters_add_histogram (counters, &own->first_latency, &agent->first_seconds, "first_answer_seconds",
+                             "Time from a first segment to the upstream's answer");
+  oh_counters_add_histogram (counters, &own->request_latency, &agent->request_seconds, "request_wait_seconds",
+                             "Time from a request to the first data of its answer");
 }
 
 const char *
--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -126,8 +126,10 @@
   oh_counter_t dropped_bad_seal;
   oh_counter_t announcements;
   oh_counter_t announcements_stale;
-  oh_counter_t flows;   /* gauge */
-  oh_counter_t waiting; /* gauge: requests without an answer */
+  oh_counter_t flows;           /* gauge */
+  oh_counter_t waiting;         /* gauge: requests without an answer */
+  oh_counter_t first_latency;   /* stands for the histogram */
+  oh_counter_t request_latency; /* stands for the histogram */
 } oh_segment_agent_counters_t;
 
 typedef struct
@@ -160,6 +162,8 @@
   uint64_t report_sequence;
   int64_t reported_us;
   oh_segment_agent_counters_t counters;
+  oh_histogram_t first_seconds;
+  oh_histogram_t request_seconds;
   int64_t now_us;
   oh_segment_agent_sink_t *sink; /* valid while an event is handled */
   oh_arena_t arena;
--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -244,6 +244,7 @@
     .agent = decision.upstream->agent,
     .incarnation = decision.upstream->incarnation,
     .service = service,
+    .sent_us = balancer->now_us,
   };
   oh_counter_increment (&balancer->counters.placed);
   if (flow->n_offers > 1)
@@ -521,6 +522,8 @@
   if (flow == NULL)
     return;
   oh_counter_increment (&balancer->counters.accepted);
+  if (offer != NULL && offer->state == OH_OFFER_SENT)
+    oh_histogram_observe (&balancer->offer_seconds, balancer->now_us - offer->sent_us);
   oh_placement_answered (&balancer->placement, load, oh_flow_key_digest (&flow->key), true, balancer->now_us);
   if (offer != NULL)
     offer->state = OH_OFFER_ACCEPTED;
@@ -641,6 +644,7 @@
       if (balancer->routes_version == 0)
         balancer->confirmed_us = balancer->now_us;
       balancer->routes_version = view->version;
+      oh_counter_set (&balancer->counters.view_version, view->version);
       oh_route_table_load (&balancer->routes, &view->config);
     }
   balancer->listed = view->complete;
@@ -684,31 +688,36 @@
   {
     oh_counter_t *counter;
     const char *name;
+    const char *help;
   } table[] = {
-    { &own->segments, "segments" },
-    { &own->forwarded, "segments_forwarded" },
-    { &own->searched, "segments_searched" },
-    { &own->search_messages, "search_messages" },
-    { &own->found, "flows_found" },
-    { &own->placed, "flows_placed" },
-    { &own->placed_again, "flows_placed_again" },
-    { &own->accepted, "offers_accepted" },
-    { &own->refused_by_agent, "offers_refused" },
-    { &own->resets_absent, "resets_absent" },
-    { &own->held, "flows_held" },
-    { &own->resets_no_route, "resets_no_route" },
-    { &own->resets_refused, "resets_refused" },
-    { &own->dropped_malformed, "dropped_malformed" },
-    { &own->dropped_bad_seal, "dropped_bad_seal" },
-    { &own->dropped_no_view, "dropped_no_view" },
-    { &own->dropped_no_route, "dropped_no_route" },
-    { &own->dropped_searches, "dropped_searches" },
-    { &own->dropped_late, "dropped_late" },
-    { &own->flows, "flows" },
+    { &own->segments, "segments_total", "Segments received from callers" },
+    { &own->forwarded, "segments_forwarded_total",
+      "Segments sent to an agent that was offered the flow or owns it" },
+    { &own->searched, "segments_searched_total", "Segments whose owner was not known" },
+    { &own->search_messages, "search_messages_total", "Messages sent to agents to find owners" },
+    { &own->found, "flows_found_total", "Flows whose owner answered a search" },
+    { &own->placed, "flows_placed_total", "Offers of flows to agents" },
+    { &own->placed_again, "flows_placed_again_total", "Offers after a refusal or a repetition" },
+    { &own->accepted, "offers_accepted_total", "Offers that an upstream answered" },
+    { &own->refused_by_agent, "offers_refused_total", "Offers that an agent refused" },
+    { &own->resets_absent, "resets_absent_total", "Resets of flows that no upstream holds" },
+    { &own->held, "flows_held_total", "First segments that wait for the next copy, for want of room" },
+    { &own->resets_no_route, "resets_no_route_total", "Flows refused because no route leads there" },
+    { &own->resets_refused, "resets_refused_total", "Flows refused because no upstream takes them" },
+    { &own->dropped_malformed, "dropped_malformed_total", "Datagrams of callers that are no segments" },
+    { &own->dropped_bad_seal, "dropped_bad_seal_total", "Datagrams of agents without a valid seal" },
+    { &own->dropped_no_view, "dropped_no_view_total", "First segments before the first confirmed view" },
+    { &own->dropped_no_route, "dropped_no_route_total", "Later segments whose route is gone" },
+    { &own->dropped_searches, "dropped_searches_total", "Segments beyond the bound of searches of a flow" },
+    { &own->dropped_late, "dropped_late_total", "First segments of flows that are open or given up" },
+    { &own->flows, "flows", "Flow records" },
+    { &own->view_version, "view_version", "Configuration version in effect" },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (table); i++)
-    oh_counters_add (counters, table[i].counter, table[i].name);
+    oh_counters_add_with_help (counters, table[i].counter, table[i].name, table[i].help);
+  oh_counters_add_histogram (counters, &own->offer_latency, &balancer->offer_seconds, "offer_seconds",
+                             "Time from the offer of a flow to the upstream's answer");
 }
 
 bool
--- a/lib/core/segment_balancer.h
+++ b/lib/core/segment_balancer.h
@@ -86,6 +86,7 @@
   oh_address_t agent;
   uint64_t incarnation;
   uint64_t service;
+  int64_t sent_us;
   oh_offer_state_t state;
 } oh_offer_t;
 
@@ -137,6 +138,8 @@
   oh_counter_t dropped_searches; /* beyond the bound of searches */
   oh_counter_t dropped_late;     /* first segments of flows that are open or given up */
   oh_counter_t flows;            /* gauge */
+  oh_counter_t view_version;     /* gauge */
+  oh_counter_t offer_latency;    /* stands for the histogram */
 } oh_segment_balancer_counters_t;
 
 typedef struct
@@ -154,6 +157,7 @@
   GHashTable *flows;    /* of oh_balancer_flow_t, owned */
   oh_list_t by_use;     /* least recently used first */
   oh_segment_balancer_counters_t counters;
+  oh_histogram_t offer_seconds;
   int64_t handled_us; /* last event */
   int64_t lagged_us;  /* when the process last came back from a pause */
   int64_t now_us;
--- a/standins/load.c
+++ b/standins/load.c
@@ -644,7 +644,7 @@
   getrlimit (RLIMIT_NOFILE, &files);
   files.rlim_cur = files.rlim_max;
   setrlimit (RLIMIT_NOFILE, &files);
-  oh_log_start (OH_LOG_WARNING);
+  oh_log_start (OH_LOG_WARNING, STDERR_FILENO);
   status = run (&arguments);
   oh_log_stop ();
   return status;
--- a/standins/standin_fabric.c
+++ b/standins/standin_fabric.c
@@ -493,7 +493,7 @@
 
   argp_err_exit_status = EXIT_USAGE;
   argp_parse (&argp, argc, argv, 0, NULL, &fabric);
-  oh_log_start (OH_LOG_INFO);
+  oh_log_start (OH_LOG_INFO, STDERR_FILENO);
   fabric.rand = g_rand_new_with_seed ((guint32)fabric.seed);
   fabric.balancers = g_array_new (FALSE, FALSE, sizeof (balancer_t));
   fabric.callers = g_hash_table_new_full (hash_address, equal_address, NULL, caller_release);
--- a/standins/standin_upstream.c
+++ b/standins/standin_upstream.c
@@ -586,7 +586,7 @@
 
   argp_err_exit_status = EXIT_USAGE;
   argp_parse (&argp, argc, argv, 0, NULL, &upstream);
-  oh_log_start (OH_LOG_INFO);
+  oh_log_start (OH_LOG_INFO, STDERR_FILENO);
   upstream.loop = g_main_loop_new (NULL, FALSE);
   upstream.runs = g_hash_table_new (g_str_hash, g_str_equal);
   upstream.ran = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -3,6 +3,7 @@
 
 #include <glib/gstdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/counters.h"
 #include "base/list.h"
@@ -115,6 +116,115 @@
   oh_counters_finish (&counters);
 }
 
+/* Guards against metrics that the usual collectors cannot read. */
+static void
+test_metrics (void)
+{
+  static const char expected[] = "# HELP oriolehaven_packets_total Packets received\n"
+                                 "# TYPE oriolehaven_packets_total counter\n"
+                                 "oriolehaven_packets_total 4\n"
+                                 "# HELP oriolehaven_flows flows\n"
+                                 "# TYPE oriolehaven_flows gauge\n"
+                                 "oriolehaven_flows 2\n"
+                                 "# HELP oriolehaven_wait_seconds Waits\n"
+                                 "# TYPE oriolehaven_wait_seconds histogram\n"
+                                 "oriolehaven_wait_seconds_bucket{le=\"0.0001\"} 1\n";
+  oh_counters_t counters;
+  oh_counter_t packets;
+  oh_counter_t flows;
+  oh_counter_t latency;
+  oh_histogram_t wait;
+  g_autofree char *text = NULL;
+
+  oh_counters_init (&counters);
+  oh_counters_add_with_help (&counters, &packets, "packets_total", "Packets received");
+  oh_counters_add (&counters, &flows, "flows");
+  oh_counters_add_histogram (&counters, &latency, &wait, "wait_seconds", "Waits");
+  oh_counter_add (&packets, 4);
+  oh_counter_set (&flows, 2);
+  oh_histogram_observe (&wait, 50);
+  oh_histogram_observe (&wait, 3000);
+  oh_histogram_observe (&wait, INT64_MAX / 2);
+  text = oh_counters_format_metrics (&counters);
+  g_assert_true (g_str_has_prefix (text, expected));
+  g_assert_nonnull (strstr (text, "oriolehaven_wait_seconds_bucket{le=\"0.005\"} 2\n"));
+  g_assert_nonnull (strstr (text, "oriolehaven_wait_seconds_bucket{le=\"+Inf\"} 3\n"));
+  g_assert_nonnull (strstr (text, "oriolehaven_wait_seconds_count 3\n"));
+  oh_counters_finish (&counters);
+}
+
+static char *
+read_all (int fd)
+{
+  GString *text = g_string_new (NULL);
+  char buffer[4096];
+  ssize_t length;
+
+  while ((length = read (fd, buffer, sizeof buffer)) > 0)
+    g_string_append_len (text, buffer, length);
+  return g_string_free (text, FALSE);
+}
+
+static unsigned
+count_lines (const char *text, const char *part)
+{
+  unsigned count = 0;
+
+  for (const char *at = strstr (text, part); at != NULL; at = strstr (at + 1, part))
+    count++;
+  return count;
+}
+
+/* Guards against logs that grow with the load, and against lines left out that nobody learns of. */
+static void
+test_log_limit (void)
+{
+  int ends[2];
+  g_autofree char *text = NULL;
+
+  g_assert_cmpint (pipe (ends), ==, 0);
+  oh_log_start (OH_LOG_INFO, ends[1]);
+  for (unsigned i = 0; i < 500; i++)
+    oh_log_limited ("test", OH_LOG_INFO, "often", "i=%u", i);
+  g_usleep (30000); /* three lines are allowed again */
+  oh_log_limited ("test", OH_LOG_INFO, "often", "i=last");
+  oh_log_event ("test", OH_LOG_INFO, "rare", "i=0");
+  oh_log_stop ();
+  close (ends[1]);
+  text = read_all (ends[0]);
+  close (ends[0]);
+  g_assert_cmpuint (count_lines (text, "event=often"), >=, 200);
+  g_assert_cmpuint (count_lines (text, "event=often"), <, 300);
+  g_assert_cmpuint (count_lines (text, "event=lines_suppressed of=often count="), >=, 1);
+  g_assert_cmpuint (count_lines (text, "event=rare"), ==, 1);
+}
+
+/* Guards against a process that stops because nobody reads its logs, or because the reader has gone. */
+static void
+test_log_unread (void)
+{
+  for (unsigned gone = 0; gone < 2; gone++)
+    {
+      const int64_t started_us = g_get_monotonic_time ();
+      int ends[2];
+
+      g_assert_cmpint (pipe (ends), ==, 0);
+      oh_log_start (OH_LOG_INFO, ends[1]);
+      if (gone)
+        close (ends[0]);
+      for (unsigned i = 0; i < 20000; i++)
+        oh_log_event ("test", OH_LOG_INFO, "event", "i=%u padding=0123456789012345678901234567890123456789",
+                      i);
+      g_assert_cmpint (g_get_monotonic_time () - started_us, <, 2 * G_USEC_PER_SEC);
+      oh_log_stop ();
+      g_assert_cmpint (g_get_monotonic_time () - started_us, <, 4 * G_USEC_PER_SEC);
+      g_assert_cmpuint (oh_log_dropped (), >, 0);
+      if (!gone)
+        close (ends[0]);
+      close (ends[1]);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -123,5 +233,8 @@
   g_test_add_func ("/base/list", test_list);
   g_test_add_func ("/base/seeded-random", test_seeded_random);
   g_test_add_func ("/base/counters", test_counters);
+  g_test_add_func ("/base/metrics", test_metrics);
+  g_test_add_func ("/base/log-limit", test_log_limit);
+  g_test_add_func ("/base/log-unread", test_log_unread);
   return g_test_run ();
 }
