--- a/daemons/oriolectl.c
+++ b/daemons/oriolectl.c
@@ -10,6 +10,7 @@
 #include "base/settings.h"
 #include "core/config_text.h"
 #include "core/control_state.h"
+#include "core/log_story.h"
 #include "core/stop_order.h"
 
 /* Operator's command line. */
@@ -81,6 +82,8 @@
     "  add-replica NAME ENDPOINT    add a control replica\n"
     "  remove-replica NAME          remove a control replica\n"
     "  counters IPV4:PORT           print the counters of a process\n"
+    "  explain flow IPV4:PORT       print the story of a caller's flow from log lines on standard input\n"
+    "  explain version NUMBER       print the story of a configuration version, likewise\n"
     "Exit status: 0 done, 1 failed, 2 usage or settings, 3 conflict, 4 invalid text, 5 no "
     "answer: the outcome is unknown, repeat the command with the printed --id.";
 
@@ -591,6 +594,35 @@
   return EXIT_DONE;
 }
 
+/* Reads log lines of any processes from standard input and prints one flow's or one version's story. */
+static int
+run_explain (session_t *session)
+{
+  const char *kind = session->arguments->arguments[0];
+  const char *value = session->arguments->arguments[1];
+  g_autofree char *text = NULL;
+  oh_log_story_t story;
+  char *line = NULL;
+  size_t capacity = 0;
+
+  if (strcmp (kind, "flow") != 0 && strcmp (kind, "version") != 0)
+    {
+      g_printerr ("oriolectl: explain \"%s\": expected flow IPV4:PORT or version NUMBER\n", kind);
+      return EXIT_USAGE;
+    }
+  oh_log_story_init (&story, strcmp (kind, "flow") == 0 ? OH_STORY_FLOW : OH_STORY_VERSION, value);
+  while (getline (&line, &capacity, stdin) >= 0)
+    oh_log_story_add (&story, line);
+  free (line);
+  text = oh_log_story_format (&story);
+  fputs (text, stdout);
+  oh_log_story_finish (&story);
+  if (text[0] != '\0')
+    return EXIT_SUCCESS;
+  g_printerr ("oriolectl: no line names %s %s\n", kind, value);
+  return EXIT_FAILED;
+}
+
 static const command_t commands[] = {
   { "check", 1, false, run_check },
   { "diff", 1, true, run_diff },
@@ -602,6 +634,7 @@
   { "add-replica", 2, true, run_add_replica },
   { "remove-replica", 1, true, run_remove_replica },
   { "counters", 1, false, run_counters },
+  { "explain", 2, false, run_explain },
 };
 
 static const command_t *
