--- a/lib/adapters/view_client.c
+++ b/lib/adapters/view_client.c
@@ -14,6 +14,7 @@
   POLL_TICKS = 10,
   MAX_REPLICAS = 32,
   SILENCE_US = 3 * G_USEC_PER_SEC, /* the lease of a member: what a silent replica lists is older than that */
+  TEXT_WAIT_MS = 150,              /* for the text of a version that other replicas have */
   LEAVE_MS = 20,                   /* for the I/O thread to send the last poll; closing discards the rest */
 };
 
@@ -25,11 +26,12 @@
   oh_link_t *link;
   uint64_t epoch; /* cursor: the last view taken from this replica; 0: none */
   uint64_t sequence;
-  int64_t heard_us;       /* last message; 0: never */
-  int64_t heard_since_us; /* start of the present run of messages */
-  bool unsent;            /* the last poll found no connection */
-  bool configured;        /* named by the settings */
-  bool listed;            /* in the replica set of the last confirmed view */
+  int64_t heard_us;         /* last message; 0: never */
+  int64_t heard_since_us;   /* start of the present run of messages */
+  bool unsent;              /* the last poll found no connection */
+  uint64_t offered_version; /* highest version whose text it withheld */
+  bool configured;          /* named by the settings */
+  bool listed;              /* in the replica set of the last confirmed view */
 } replica_t;
 
 struct oh_view_client
@@ -42,7 +44,9 @@
   oh_view_client_callbacks_t callbacks;
   void *data;
   oh_view_t view;
-  GPtrArray *replicas; /* of replica_t * */
+  GPtrArray *replicas;    /* of replica_t * */
+  replica_t *text_source; /* the replica that sends the text; NULL before the first answer */
+  int64_t offered_us;     /* since when a version is known whose text has not come; 0: none */
   GSource *timer;
   unsigned ticks;
 };
@@ -70,6 +74,7 @@
 
   own.replica_epoch = replica->epoch;
   own.sequence = replica->sequence;
+  own.without_text = poll->without_text || replica != client->text_source;
   message.sender = client->name;
   message.body_case = OH__CONTROL__BODY_POLL;
   message.poll = &own;
@@ -89,6 +94,7 @@
   poll.leaving = leaving;
   if (client->callbacks.fill_poll != NULL)
     client->callbacks.fill_poll (&poll, client->data);
+  client->view.without_text = poll.without_text;
   for (guint i = 0; i < client->replicas->len; i++)
     {
       replica_t *replica = g_ptr_array_index (client->replicas, i);
@@ -223,6 +229,14 @@
     client->callbacks.changed (&client->view, client->data);
 }
 
+static void
+take_text_from (oh_view_client_t *client, replica_t *replica)
+{
+  client->text_source = replica;
+  client->offered_us = 0;
+  send_polls (client, false);
+}
+
 static void
 handle_message (oh_link_t *link, GBytes *peer, const uint8_t *bytes, size_t length, void *data)
 {
@@ -252,7 +266,11 @@
       if (replica->heard_us == 0 || now_us - replica->heard_us > SILENCE_US)
         replica->heard_since_us = now_us;
       replica->heard_us = now_us;
+      if (message->view->text_withheld)
+        replica->offered_version = message->view->version;
       follow_replica_set (client, message->view);
+      if (client->text_source == NULL)
+        take_text_from (client, replica);
       if (take_cursor (replica, message->view))
         merge (replica, message->view);
     }
@@ -291,6 +309,8 @@
           || !other_replica_is_steady (client, replica, now_us))
         continue;
       oh_log_warning ("replica_silent", "replica=%s", replica->endpoint);
+      if (client->text_source == replica)
+        client->text_source = NULL;
       replica->heard_us = 0;
       replica->epoch = 0;
       replica->sequence = 0;
@@ -314,18 +334,49 @@
           || client->replicas->len == 1)
         continue;
       oh_log_info ("replica_dropped", "replica=%s", replica->endpoint);
+      if (client->text_source == replica)
+        client->text_source = NULL;
       nothing.snapshot = true;
       merge (replica, &nothing);
       g_ptr_array_remove_index (client->replicas, i - 1);
     }
 }
 
+/* Takes the text from another replica if the present source is behind the others for too long. */
+static void
+change_text_source (oh_view_client_t *client)
+{
+  const int64_t now_us = oh_clock_now_us (oh_system_clock ());
+
+  if (client->view.without_text || client->view.offered_version <= client->view.version)
+    {
+      client->offered_us = 0;
+      return;
+    }
+  if (client->offered_us == 0)
+    client->offered_us = now_us;
+  if (now_us - client->offered_us < (int64_t)TEXT_WAIT_MS * 1000)
+    return;
+  for (guint i = 0; i < client->replicas->len; i++)
+    {
+      replica_t *replica = g_ptr_array_index (client->replicas, i);
+
+      if (replica == client->text_source || replica->offered_version <= client->view.version)
+        continue;
+      oh_log_info ("text_source_changed", "replica=%s version=%" G_GUINT64_FORMAT, replica->endpoint,
+                   replica->offered_version);
+      take_text_from (client, replica);
+      return;
+    }
+}
+
 static gboolean
 on_timer (gpointer data)
 {
   oh_view_client_t *client = data;
 
   client->ticks++;
+  change_text_source (client);
   if (client->ticks % POLL_TICKS == 0)
     {
       forget_silent_replicas (client);
--- a/lib/core/control_core.c
+++ b/lib/core/control_core.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/packed.h"
+
 typedef enum
 {
   PENDING_REPLICA_SET, /* waits for the entry of the replica set */
@@ -159,8 +161,21 @@
 
 /* Views. */
 
+/* The text in effect as it is sent; made once for each version. */
+static GBytes *
+packed_text (oh_control_core_t *core)
+{
+  if (core->packed_text == NULL || core->packed_version != core->state.text_version)
+    {
+      g_clear_pointer (&core->packed_text, g_bytes_unref);
+      core->packed_text = oh_pack (core->state.text);
+      core->packed_version = core->state.text_version;
+    }
+  return core->packed_text;
+}
+
 static void
-send_view (const oh_control_core_t *core, GBytes *route, uint64_t version_in_force, bool without_text,
+send_view (oh_control_core_t *core, GBytes *route, uint64_t version_in_force, bool without_text,
            uint64_t epoch, uint64_t sequence)
 {
   Oh__Control message = OH__CONTROL__INIT;
@@ -171,8 +186,13 @@
   view.confirmed = oh_control_core_confirmed (core, core->now_us);
   view.version = core->state.version;
   view.has_text = !without_text && version_in_force < core->state.text_version;
+  view.text_withheld = without_text && version_in_force < core->state.text_version;
   if (view.has_text)
-    view.text = core->state.text;
+    {
+      GBytes *packed = packed_text (core);
+
+      view.packed_text.data = (uint8_t *)g_bytes_get_data (packed, &view.packed_text.len);
+    }
   view.key_generation = core->state.key_generation;
   view.listed = oh_membership_is_listed (&core->membership, core->now_us);
   view.replicas = endpoints;
@@ -815,6 +835,7 @@
 {
   g_clear_pointer (&core->pending, g_ptr_array_unref);
   g_clear_pointer (&core->snapshot, g_bytes_unref);
+  g_clear_pointer (&core->packed_text, g_bytes_unref);
   g_clear_pointer (&core->committed_replicas, g_ptr_array_unref);
   oh_raft_finish (&core->raft);
   g_clear_pointer (&core->name, g_free);
--- a/lib/core/control_core.h
+++ b/lib/core/control_core.h
@@ -109,6 +109,8 @@
   GPtrArray *pending;            /* changes whose outcome is not known yet, owned */
   GBytes *snapshot;              /* taken, to be handed to Raft */
   uint64_t snapshot_index;
+  GBytes *packed_text; /* of packed_version; NULL before the first view with a text */
+  uint64_t packed_version;
   uint64_t next_tag;
   int64_t proof_us; /* when the query was sent that the leader answered last */
   uint64_t proof_version;
--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -2,6 +2,7 @@
 
 #include <stdarg.h>
 #include <string.h>
+#include <xxhash.h>
 
 static void G_GNUC_PRINTF (5, 6)
   log_flow (const oh_segment_balancer_t *balancer, oh_log_level_t level, const char *event,
@@ -452,6 +453,221 @@
     end_absent_flow (balancer, flow);
 }
 
+/* The directory. */
+
+static uint64_t
+holder_rank (uint64_t digest, oh_address_t balancer)
+{
+  const uint64_t words[] = { digest, (uint64_t)balancer.ipv4 << 16 | balancer.port };
+
+  return XXH64 (words, sizeof words, 0);
+}
+
+/* The balancers that are told the owner of a flow: those of the highest ranks. Every balancer of the
+ * availability zone selects the same ones. Returns their number. */
+static unsigned
+select_holders (const oh_segment_balancer_t *balancer, const oh_flow_key_t *key,
+                oh_address_t holders[OH_SEGMENT_HOLDERS])
+{
+  const uint64_t digest = oh_flow_key_digest (key);
+  uint64_t ranks[OH_SEGMENT_HOLDERS];
+  unsigned n = 0;
+
+  for (guint i = 0; i < balancer->peers->len; i++)
+    {
+      oh_address_t peer = g_array_index (balancer->peers, oh_address_t, i);
+      uint64_t rank = holder_rank (digest, peer);
+
+      for (unsigned j = 0; j < n; j++)
+        if (rank > ranks[j])
+          {
+            const oh_address_t lower = holders[j];
+            const uint64_t lower_rank = ranks[j];
+
+            holders[j] = peer;
+            ranks[j] = rank;
+            peer = lower;
+            rank = lower_rank;
+          }
+      if (n < OH_SEGMENT_HOLDERS)
+        {
+          holders[n] = peer;
+          ranks[n++] = rank;
+        }
+    }
+  return n;
+}
+
+/* The agent that holds the flow, as far as this balancer knows. */
+static bool
+known_owner (const oh_balancer_flow_t *flow, oh_address_t *owner)
+{
+  unsigned open = 0;
+
+  if (flow->owned)
+    {
+      *owner = flow->owner;
+      return true;
+    }
+  for (unsigned i = 0; i < flow->n_offers; i++)
+    if (flow->offers[i].state != OH_OFFER_REFUSED)
+      {
+        *owner = flow->offers[i].agent;
+        open++;
+      }
+  return open == 1;
+}
+
+static void
+send_peer (oh_segment_balancer_t *balancer, oh_address_t to, Oh__SegmentRelayKind kind,
+           const oh_flow_key_t *key, const oh_address_t *owner)
+{
+  Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
+  Oh__Address addresses[4];
+  size_t size;
+
+  oh_address_to_wire (balancer->relay, &addresses[0]);
+  oh_address_to_wire (key->caller, &addresses[1]);
+  oh_address_to_wire (key->route, &addresses[2]);
+  relay.kind = kind;
+  relay.balancer = &addresses[0];
+  relay.caller = &addresses[1];
+  relay.route = &addresses[2];
+  if (owner != NULL)
+    {
+      oh_address_to_wire (*owner, &addresses[3]);
+      relay.owner = &addresses[3];
+    }
+  size = oh_segment_relay_encode (&relay, &balancer->keyring, balancer->out, sizeof balancer->out);
+  if (size > 0)
+    balancer->sink->ops->send_agent (balancer->sink, to, balancer->out, size);
+}
+
+/* Tells the holders the owner of a flow that has just opened. */
+static void
+record_owner (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
+{
+  oh_address_t holders[OH_SEGMENT_HOLDERS];
+  oh_address_t owner;
+  unsigned n;
+
+  if (flow->recorded || !known_owner (flow, &owner))
+    return;
+  flow->recorded = true;
+  n = select_holders (balancer, &flow->key, holders);
+  for (unsigned i = 0; i < n; i++)
+    {
+      if (oh_address_equal (holders[i], balancer->relay))
+        continue;
+      oh_counter_increment (&balancer->counters.records);
+      send_peer (balancer, holders[i], OH__SEGMENT_RELAY_KIND__SEGMENT_RECORD, &flow->key, &owner);
+    }
+}
+
+/* Asks the holders for the owner; the segment waits for their answers. Returns false if there is nobody to
+ * ask.
+ */
+static bool
+look_up (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes, size_t length)
+{
+  oh_address_t holders[OH_SEGMENT_HOLDERS];
+  const unsigned n = select_holders (balancer, &flow->key, holders);
+
+  flow->lookups = 0;
+  flow->lookup_us = balancer->now_us;
+  for (unsigned i = 0; i < n; i++)
+    {
+      if (oh_address_equal (holders[i], balancer->relay))
+        continue;
+      flow->lookups++;
+      send_peer (balancer, holders[i], OH__SEGMENT_RELAY_KIND__SEGMENT_LOOKUP, &flow->key, NULL);
+    }
+  if (flow->lookups == 0)
+    return false;
+  oh_counter_increment (&balancer->counters.lookups);
+  end_search (flow);
+  flow->searched = g_bytes_new (bytes, length);
+  return true;
+}
+
+static void
+on_record (oh_segment_balancer_t *balancer, const oh_flow_key_t *key, const Oh__SegmentRelay *relay)
+{
+  oh_balancer_flow_t *flow = g_hash_table_lookup (balancer->flows, key);
+  oh_address_t owner;
+
+  if (!oh_address_from_wire (relay->owner, &owner))
+    return;
+  if (flow == NULL)
+    flow = add_flow (balancer, key);
+  else if (flow->owned || has_open_offer (flow))
+    return; /* what this balancer saw itself counts */
+  flow->owned = true;
+  flow->owner = owner;
+  flow->recorded = true;
+}
+
+/* Another balancer asks for the owner of a flow. */
+static void
+on_lookup (oh_segment_balancer_t *balancer, const oh_flow_key_t *key, const Oh__SegmentRelay *relay)
+{
+  const oh_balancer_flow_t *flow = g_hash_table_lookup (balancer->flows, key);
+  oh_address_t asker;
+  oh_address_t owner;
+
+  if (!oh_address_from_wire (relay->balancer, &asker))
+    return;
+  if (flow == NULL || !known_owner (flow, &owner))
+    send_peer (balancer, asker, OH__SEGMENT_RELAY_KIND__SEGMENT_UNKNOWN, key, NULL);
+  else
+    send_peer (balancer, asker, OH__SEGMENT_RELAY_KIND__SEGMENT_RECORD, key, &owner);
+}
+
+/* Sends the segment that waits for its owner. */
+static void
+end_lookup (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
+{
+  g_autoptr (GBytes) waiting = g_steal_pointer (&flow->searched);
+  gsize length;
+  const uint8_t *bytes;
+
+  flow->lookups = 0;
+  if (waiting == NULL)
+    return;
+  bytes = g_bytes_get_data (waiting, &length);
+  if (flow->owned)
+    {
+      oh_counter_increment (&balancer->counters.looked_up);
+      send_relay (balancer, flow->owner, OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER, 0, bytes, length);
+    }
+  else
+    search (balancer, flow, bytes, length);
+}
+
+static void
+on_unknown (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
+{
+  if (flow == NULL || flow->lookups == 0 || --flow->lookups > 0)
+    return;
+  end_lookup (balancer, flow);
+}
+
+static void
+find_owner (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes, size_t length)
+{
+  const bool asked = flow->lookup_us != 0;
+
+  if (asked && flow->lookups > 0 && balancer->now_us - flow->lookup_us < (int64_t)OH_SEGMENT_LOOKUP_MS * 1000)
+    {
+      /* The first one waits for the answer; the caller sends this one again. */
+      oh_counter_increment (&balancer->counters.dropped_searches);
+      return;
+    }
+  flow->lookups = 0;
+  if (asked || !look_up (balancer, flow, bytes, length))
+    search (balancer, flow, bytes, length);
+}
+
 static void
 handle_later (oh_segment_balancer_t *balancer, const oh_flow_key_t *key, const oh_segment_t *segment,
               const uint8_t *bytes, size_t length)
@@ -466,15 +682,17 @@
   flow->last_acknowledged = segment->acknowledged;
   if (flow->owned)
     {
+      record_owner (balancer, flow);
       oh_counter_increment (&balancer->counters.forwarded);
       send_relay (balancer, flow->owner, OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER, 0, bytes, length);
       return;
     }
   if (!has_open_offer (flow))
     {
-      search (balancer, flow, bytes, length);
+      find_owner (balancer, flow, bytes, length);
       return;
     }
+  record_owner (balancer, flow);
   oh_counter_increment (&balancer->counters.forwarded);
   for (unsigned i = 0; i < flow->n_offers; i++)
     if (flow->offers[i].state != OH_OFFER_REFUSED)
@@ -557,7 +775,9 @@
     oh_counter_increment (&balancer->counters.found);
   flow->owned = true;
   flow->owner = agent;
+  flow->lookups = 0;
   end_search (flow);
+  record_owner (balancer, flow);
 }
 
 static void
@@ -576,7 +796,7 @@
   if (offer != NULL)
     offer->state = OH_OFFER_REFUSED;
   if (flow->owned && oh_address_equal (flow->owner, agent))
-    flow->owned = false;
+    flow->owned = flow->recorded = false;
   if (!flow->owned && !has_open_offer (flow))
     search (balancer, flow, relay->segment.data, relay->segment.len);
 }
@@ -595,6 +815,37 @@
   return true;
 }
 
+/* Returns true if the message came from another balancer. */
+static bool
+handle_peer (oh_segment_balancer_t *balancer, const Oh__SegmentRelay *relay)
+{
+  oh_balancer_flow_t *flow;
+  oh_flow_key_t key;
+
+  if (relay->kind != OH__SEGMENT_RELAY_KIND__SEGMENT_RECORD
+      && relay->kind != OH__SEGMENT_RELAY_KIND__SEGMENT_LOOKUP
+      && relay->kind != OH__SEGMENT_RELAY_KIND__SEGMENT_UNKNOWN)
+    return false;
+  if (relay->caller == NULL || relay->route == NULL || !relay_key (balancer, relay, &key))
+    {
+      oh_counter_increment (&balancer->counters.dropped_malformed);
+      return true;
+    }
+  if (relay->kind == OH__SEGMENT_RELAY_KIND__SEGMENT_LOOKUP)
+    {
+      on_lookup (balancer, &key, relay);
+      return true;
+    }
+  if (relay->kind == OH__SEGMENT_RELAY_KIND__SEGMENT_RECORD)
+    on_record (balancer, &key, relay);
+  flow = g_hash_table_lookup (balancer->flows, &key);
+  if (relay->kind == OH__SEGMENT_RELAY_KIND__SEGMENT_UNKNOWN)
+    on_unknown (balancer, flow);
+  else if (flow != NULL && flow->lookups > 0 && flow->owned)
+    end_lookup (balancer, flow);
+  return true;
+}
+
 static void
 handle_relay (oh_segment_balancer_t *balancer, const uint8_t *bytes, size_t length)
 {
@@ -604,6 +855,8 @@
   oh_flow_key_t key;
   oh_balancer_flow_t *flow;
 
+  if (relay != NULL && handle_peer (balancer, relay))
+    return;
   if (relay == NULL || relay->load == NULL || !oh_address_from_wire (relay->load->agent, &agent))
     {
       oh_counter_increment (&balancer->counters.dropped_bad_seal);
@@ -631,6 +884,9 @@
     case OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN:
     case OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER:
     case OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH:
+    case OH__SEGMENT_RELAY_KIND__SEGMENT_RECORD:
+    case OH__SEGMENT_RELAY_KIND__SEGMENT_LOOKUP:
+    case OH__SEGMENT_RELAY_KIND__SEGMENT_UNKNOWN:
     case _OH__SEGMENT_RELAY_KIND_IS_INT_SIZE:
       return;
     }
@@ -648,6 +904,14 @@
       oh_route_table_load (&balancer->routes, &view->config);
     }
   balancer->listed = view->complete;
+  g_array_set_size (balancer->peers, 0);
+  for (guint i = 0; i < view->balancers->len; i++)
+    {
+      const oh_view_balancer_t *peer = g_ptr_array_index (view->balancers, i);
+
+      if (g_strcmp0 (peer->zone, balancer->placement.zone) == 0)
+        g_array_append_val (balancer->peers, peer->relay);
+    }
   oh_keyring_advance (&balancer->keyring, view->key_generation);
   oh_placement_update (&balancer->placement, oh_placement_view_new (view), balancer->now_us);
 }
@@ -662,6 +926,7 @@
     .keyring = *keyring,
     .flow_timeout_us = config->flow_timeout_ms * 1000,
     .max_flows = config->max_flows,
+    .peers = g_array_new (FALSE, FALSE, sizeof (oh_address_t)),
     .flows = g_hash_table_new_full (oh_flow_key_hash, oh_flow_key_equal, NULL, free_flow),
     .lagged_us = G_MININT64 / 2,
   };
@@ -675,6 +940,7 @@
 oh_segment_balancer_finish (oh_segment_balancer_t *balancer)
 {
   g_hash_table_unref (balancer->flows);
+  g_array_unref (balancer->peers);
   oh_route_table_finish (&balancer->routes);
   oh_placement_finish (&balancer->placement);
   oh_keyring_finish (&balancer->keyring);
@@ -700,6 +966,9 @@
     { &own->placed_again, "flows_placed_again_total", "Offers after a refusal or a repetition" },
     { &own->accepted, "offers_accepted_total", "Offers that an upstream answered" },
     { &own->refused_by_agent, "offers_refused_total", "Offers that an agent refused" },
+    { &own->records, "flow_records_sent_total", "Owners of flows told to other balancers" },
+    { &own->lookups, "flow_lookups_total", "Segments sent to other balancers for want of a record" },
+    { &own->looked_up, "flow_lookups_found_total", "Flows whose owner another balancer knew" },
     { &own->resets_absent, "resets_absent_total", "Resets of flows that no upstream holds" },
     { &own->held, "flows_held_total", "First segments that wait for the next copy, for want of room" },
     { &own->resets_no_route, "resets_no_route_total", "Flows refused because no route leads there" },
--- a/lib/core/segment_balancer.h
+++ b/lib/core/segment_balancer.h
@@ -14,8 +14,12 @@
 
 /*
  * The balancer's decisions about flows whose ends do not speak the caller protocol: places the first segment
- * of a flow, remembers to which agents it was offered, and forwards later segments there. A flow that it has
- * no record of is searched: the segment goes to every agent that could own it, and the owner answers.
+ * of a flow, remembers to which agents it was offered, and forwards later segments there.
+ *
+ * The owner of each open flow is also told to two balancers of the availability zone that a hash of the flow
+ * selects, so that a balancer without a record (it has just started, or the fabric moved the flow) finds it
+ * with one message. If they do not know it either, the flow is searched: the segment goes to every agent that
+ * could own it, and the owner answers.
  *
  * A state machine without I/O. What an action points to is valid during the call.
  */
@@ -24,6 +28,8 @@
 {
   OH_SEGMENT_OFFERS_MAX = OH_PLACEMENT_TRIED_MAX, /* agents that one flow is offered to */
   OH_SEGMENT_TICK_MS = 100,
+  OH_SEGMENT_HOLDERS = 2,      /* balancers that are told the owner of a flow */
+  OH_SEGMENT_LOOKUP_MS = 50,   /* for their answers, before the agents are asked */
   OH_SEGMENT_SEARCHES_MAX = 4, /* segments of one flow that are searched within a period */
   OH_SEGMENT_SEARCH_PERIOD_MS = 100,
   OH_SEGMENT_OPENING_MS = 1400, /* a caller gives up a flow that has not opened by then */
@@ -104,6 +110,9 @@
   unsigned copies;   /* of the first segment, after the first */
   bool overloaded;   /* an agent refused the flow only because it has too much to do */
   unsigned searches; /* in the present period */
+  bool recorded;     /* its owner was told to the balancers that the hash selects */
+  unsigned lookups;  /* balancers that were asked and have not answered */
+  int64_t lookup_us; /* when they were asked; 0: never */
   uint16_t question; /* number of the last search */
   GBytes *searched;  /* the segment whose owner is searched; NULL if none is */
   GArray *asked;     /* of oh_address_t, agents that were asked; NULL without a search */
@@ -127,6 +136,9 @@
   oh_counter_t placed_again;    /* of them after a refusal or a repetition */
   oh_counter_t accepted;        /* first segments that an upstream answered */
   oh_counter_t refused_by_agent;
+  oh_counter_t records;       /* owners told to other balancers */
+  oh_counter_t lookups;       /* segments sent to other balancers for want of a record */
+  oh_counter_t looked_up;     /* of them, those whose owner one of them knew */
   oh_counter_t resets_absent; /* flows that no upstream holds */
   oh_counter_t held;          /* first segments that wait for the caller's next copy, for want of room */
   oh_counter_t resets_no_route;
@@ -154,6 +166,7 @@
   uint64_t routes_version;
   int64_t confirmed_us; /* first confirmed view */
   bool listed;          /* the view lists every upstream that has a lease */
+  GArray *peers;        /* of oh_address_t: balancers of the availability zone, this one included */
   GHashTable *flows;    /* of oh_balancer_flow_t, owned */
   oh_list_t by_use;     /* least recently used first */
   oh_segment_balancer_counters_t counters;
--- a/lib/core/view.c
+++ b/lib/core/view.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/packed.h"
 #include "core/codec.h"
 
 enum
@@ -355,25 +356,37 @@
     }
 }
 
+/* Returns false and leaves the view as it was if the text is malformed. */
+static bool
+take_text (oh_view_t *view, const Oh__View *message)
+{
+  const ProtobufCBinaryData *packed = &message->packed_text;
+  g_autofree char *text = packed->len > 0 ? oh_unpack (packed->data, packed->len, OH_CONFIG_TEXT_MAX_BYTES)
+                                          : g_strdup (message->text);
+  oh_config_t config = { 0 };
+
+  if (text == NULL || (text[0] != '\0' && !oh_config_parse (&config, "view", text, NULL)))
+    return false;
+  oh_config_finish (&view->config);
+  view->config = config;
+  g_free (view->text);
+  view->text = g_steal_pointer (&text);
+  return true;
+}
+
 /* Without a text the message says that the text did not change since the version in the node's last poll. */
 static bool
 apply_version (oh_view_t *view, const Oh__View *message)
 {
-  oh_config_t config;
-
   if (message->version <= view->version)
     return false;
-  if (message->has_text)
+  if (message->text_withheld && !view->without_text)
     {
-      if (message->text[0] == '\0')
-        config = (oh_config_t){ 0 };
-      else if (!oh_config_parse (&config, "view", message->text, NULL))
-        return false;
-      oh_config_finish (&view->config);
-      view->config = config;
-      g_free (view->text);
-      view->text = g_strdup (message->text);
+      view->offered_version = MAX (view->offered_version, message->version);
+      return false;
     }
+  if (message->has_text && !take_text (view, message))
+    return false;
   view->version = message->version;
   set_drained (view, message);
   return true;
--- a/lib/core/view.h
+++ b/lib/core/view.h
@@ -45,6 +45,8 @@
   bool confirmed; /* a quorum confirmed the version, or a later one, since this process started */
   bool complete;  /* a confirmed replica listed all live nodes, since this process started */
   uint64_t version;
+  bool without_text;        /* the node has no use for the text; set by its owner */
+  uint64_t offered_version; /* highest version of which a replica withheld the text */
   uint32_t key_generation;
   char *text;
   oh_config_t config;
--- a/lib/wire/control.pb-c.c
+++ b/lib/wire/control.pb-c.c
@@ -946,7 +946,7 @@
   (ProtobufCMessageInit) oh__poll__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__view__field_descriptors[15] =
+static const ProtobufCFieldDescriptor oh__view__field_descriptors[17] =
 {
   {
     "replica_epoch",
@@ -1128,6 +1128,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "text_withheld",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Oh__View, text_withheld),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "packed_text",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Oh__View, packed_text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__view__field_indices_by_name[] = {
   11,   /* field[11] = balancers */
@@ -1137,6 +1161,7 @@
   7,   /* field[7] = key_generation */
   14,   /* field[14] = listed */
   9,   /* field[9] = members */
+  16,   /* field[16] = packed_text */
   12,   /* field[12] = removed_balancers */
   10,   /* field[10] = removed_members */
   0,   /* field[0] = replica_epoch */
@@ -1144,12 +1169,13 @@
   1,   /* field[1] = sequence */
   2,   /* field[2] = snapshot */
   6,   /* field[6] = text */
+  15,   /* field[15] = text_withheld */
   4,   /* field[4] = version */
 };
 static const ProtobufCIntRange oh__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor oh__view__descriptor =
 {
@@ -1159,7 +1185,7 @@
   "Oh__View",
   "oh",
   sizeof(Oh__View),
-  15,
+  17,
   oh__view__field_descriptors,
   oh__view__field_indices_by_name,
   1,  oh__view__number_ranges,
--- a/lib/wire/control.pb-c.h
+++ b/lib/wire/control.pb-c.h
@@ -184,10 +184,18 @@
    * every live node had the time to announce itself to this replica
    */
   protobuf_c_boolean listed;
+  /*
+   * the text changed since the node's version, but the node takes it elsewhere
+   */
+  protobuf_c_boolean text_withheld;
+  /*
+   * text, compressed with zlib; used instead of it for long ones
+   */
+  ProtobufCBinaryData packed_text;
 };
 #define OH__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__view__descriptor) \
-    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, {0,NULL} }
 
 
 struct  Oh__Change
--- a/lib/wire/packet.pb-c.c
+++ b/lib/wire/packet.pb-c.c
@@ -2223,7 +2223,7 @@
   (ProtobufCMessageInit) oh__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__segment_relay__field_descriptors[9] =
+static const ProtobufCFieldDescriptor oh__segment_relay__field_descriptors[10] =
 {
   {
     "kind",
@@ -2333,12 +2333,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "owner",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Oh__SegmentRelay, owner),
+    &oh__address__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__segment_relay__field_indices_by_name[] = {
   1,   /* field[1] = balancer */
   6,   /* field[6] = caller */
   0,   /* field[0] = kind */
   5,   /* field[5] = load */
+  9,   /* field[9] = owner */
   4,   /* field[4] = refused */
   7,   /* field[7] = route */
   8,   /* field[8] = search */
@@ -2348,7 +2361,7 @@
 static const ProtobufCIntRange oh__segment_relay__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor oh__segment_relay__descriptor =
 {
@@ -2358,7 +2371,7 @@
   "Oh__SegmentRelay",
   "oh",
   sizeof(Oh__SegmentRelay),
-  9,
+  10,
   oh__segment_relay__field_descriptors,
   oh__segment_relay__field_indices_by_name,
   1,  oh__segment_relay__number_ranges,
@@ -2582,7 +2595,7 @@
   oh__upstream_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue oh__segment_relay_kind__enum_values_by_number[8] =
+static const ProtobufCEnumValue oh__segment_relay_kind__enum_values_by_number[11] =
 {
   { "SEGMENT_LOAD", "OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD", 0 },
   { "SEGMENT_OPEN", "OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN", 1 },
@@ -2592,20 +2605,26 @@
   { "SEGMENT_REFUSED", "OH__SEGMENT_RELAY_KIND__SEGMENT_REFUSED", 5 },
   { "SEGMENT_OWNED", "OH__SEGMENT_RELAY_KIND__SEGMENT_OWNED", 6 },
   { "SEGMENT_ABSENT", "OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT", 7 },
+  { "SEGMENT_RECORD", "OH__SEGMENT_RELAY_KIND__SEGMENT_RECORD", 8 },
+  { "SEGMENT_LOOKUP", "OH__SEGMENT_RELAY_KIND__SEGMENT_LOOKUP", 9 },
+  { "SEGMENT_UNKNOWN", "OH__SEGMENT_RELAY_KIND__SEGMENT_UNKNOWN", 10 },
 };
 static const ProtobufCIntRange oh__segment_relay_kind__value_ranges[] = {
-{0, 0},{0, 8}
+{0, 0},{0, 11}
 };
-static const ProtobufCEnumValueIndex oh__segment_relay_kind__enum_values_by_name[8] =
+static const ProtobufCEnumValueIndex oh__segment_relay_kind__enum_values_by_name[11] =
 {
   { "SEGMENT_ABSENT", 7 },
   { "SEGMENT_ACCEPTED", 4 },
   { "SEGMENT_DELIVER", 2 },
   { "SEGMENT_LOAD", 0 },
+  { "SEGMENT_LOOKUP", 9 },
   { "SEGMENT_OPEN", 1 },
   { "SEGMENT_OWNED", 6 },
+  { "SEGMENT_RECORD", 8 },
   { "SEGMENT_REFUSED", 5 },
   { "SEGMENT_SEARCH", 3 },
+  { "SEGMENT_UNKNOWN", 10 },
 };
 const ProtobufCEnumDescriptor oh__segment_relay_kind__descriptor =
 {
@@ -2614,9 +2633,9 @@
   "SegmentRelayKind",
   "Oh__SegmentRelayKind",
   "oh",
-  8,
+  11,
   oh__segment_relay_kind__enum_values_by_number,
-  8,
+  11,
   oh__segment_relay_kind__enum_values_by_name,
   1,
   oh__segment_relay_kind__value_ranges,
--- a/lib/wire/packet.pb-c.h
+++ b/lib/wire/packet.pb-c.h
@@ -127,7 +127,19 @@
   /*
    * agent to balancer: this agent does not hold the flow; the segment comes back
    */
-  OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT = 7
+  OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT = 7,
+  /*
+   * balancer to balancer: the flow's owner, for the directory
+   */
+  OH__SEGMENT_RELAY_KIND__SEGMENT_RECORD = 8,
+  /*
+   * balancer to balancer: a segment whose owner the sender does not know
+   */
+  OH__SEGMENT_RELAY_KIND__SEGMENT_LOOKUP = 9,
+  /*
+   * balancer to balancer: nor does this one
+   */
+  OH__SEGMENT_RELAY_KIND__SEGMENT_UNKNOWN = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(OH__SEGMENT_RELAY_KIND)
 } Oh__SegmentRelayKind;
 
@@ -479,10 +491,14 @@
    * SEARCH, and ABSENT as its answer: names the question, 0 for none
    */
   uint32_t search;
+  /*
+   * RECORD: the agent that holds the flow
+   */
+  Oh__Address *owner;
 };
 #define OH__SEGMENT_RELAY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__segment_relay__descriptor) \
-    , OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD, NULL, 0, {0,NULL}, OH__RESULT__RESULT_NONE, NULL, NULL, NULL, 0 }
+    , OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD, NULL, 0, {0,NULL}, OH__RESULT__RESULT_NONE, NULL, NULL, NULL, 0, NULL }
 
 
 struct  Oh__Relay
--- a/tests/test_segment_balancer.c
+++ b/tests/test_segment_balancer.c
@@ -34,6 +34,8 @@
 typedef enum
 {
   STEP_END,
+  STEP_PEERS,       /* from now on views list two other balancers of the zone */
+  STEP_PEER,        /* a: peer, b: kind; it sends about the flow, as owner the agent c */
   STEP_VIEW,        /* text, a: confirmed, b: complete, c: number of agents listed */
   STEP_CALLER,      /* a: flags, b: acknowledged (of a first segment: copies), c: length of data */
   STEP_ANSWER,      /* a: agent, b: kind, c: result; answers the last question that the agent got */
@@ -69,6 +71,7 @@
   uint32_t reset_sequence;
   uint64_t view_version;
   uint64_t sequence; /* of load reports */
+  bool peers;        /* views list two other balancers */
 } fixture_t;
 
 static oh_address_t
@@ -163,6 +166,34 @@
   load->agent = address;
 }
 
+static oh_address_t
+peer_address (int peer)
+{
+  return (oh_address_t){ .ipv4 = 0x0a000010 + (uint32_t)peer, .port = 7735 };
+}
+
+/* This balancer and two others of its zone, and one of another zone. */
+static void
+add_peers (Oh__View *message, Oh__BalancerEntry entries[4], Oh__BalancerEntry *pointers[4],
+           Oh__Address addresses[4])
+{
+  static const char *const names[] = { "b0", "b1", "b2", "b3" };
+
+  for (int i = 0; i < 4; i++)
+    {
+      const oh_address_t self = { .ipv4 = 0x0a000002, .port = 7735 };
+
+      oh__balancer_entry__init (&entries[i]);
+      oh_address_to_wire (i == 0 ? self : peer_address (i), &addresses[i]);
+      entries[i].name = (char *)names[i];
+      entries[i].zone = (char *)(i < 3 ? "a" : "b");
+      entries[i].relay = &addresses[i];
+      pointers[i] = &entries[i];
+    }
+  message->balancers = pointers;
+  message->n_balancers = 4;
+}
+
 static void
 play_view (fixture_t *fixture, const step_t *step)
 {
@@ -173,6 +204,9 @@
   Oh__Load loads[AGENTS];
   Oh__Address addresses[AGENTS];
   char names[AGENTS][16];
+  Oh__BalancerEntry balancers[4];
+  Oh__BalancerEntry *balancer_pointers[4];
+  Oh__Address balancer_addresses[4];
 
   for (int i = 0; i < step->c; i++)
     {
@@ -195,11 +229,36 @@
   message.key_generation = 1;
   message.members = pointers;
   message.n_members = (size_t)step->c;
+  if (fixture->peers)
+    add_peers (&message, balancers, balancer_pointers, balancer_addresses);
   oh_view_merge (&view, 0, &message);
   handle (fixture, (oh_segment_balancer_event_t){ .kind = OH_SEGMENT_BALANCER_VIEW, .view = &view });
   oh_view_finish (&view);
 }
 
+static void
+play_peer (fixture_t *fixture, const step_t *step)
+{
+  Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
+  Oh__Address addresses[4];
+  uint8_t buffer[OH_RELAY_MAX_BYTES];
+  size_t length;
+
+  oh_address_to_wire (peer_address (step->a), &addresses[0]);
+  oh_address_to_wire (fixture_address ("100.64.0.7:40001"), &addresses[1]);
+  oh_address_to_wire (fixture_address ("198.18.0.1:8443"), &addresses[2]);
+  oh_address_to_wire (agent_address (step->c), &addresses[3]);
+  relay.kind = (Oh__SegmentRelayKind)step->b;
+  relay.balancer = &addresses[0];
+  relay.caller = &addresses[1];
+  relay.route = &addresses[2];
+  if (relay.kind == OH__SEGMENT_RELAY_KIND__SEGMENT_RECORD)
+    relay.owner = &addresses[3];
+  length = oh_segment_relay_encode (&relay, &fixture->keyring, buffer, sizeof buffer);
+  handle (fixture, (oh_segment_balancer_event_t){ .kind = OH_SEGMENT_BALANCER_RELAY,
+                                                  .datagram = { .bytes = buffer, .length = length } });
+}
+
 static void
 play_caller (fixture_t *fixture, const step_t *step)
 {
@@ -272,6 +331,12 @@
     {
     case STEP_END:
       return;
+    case STEP_PEERS:
+      fixture->peers = true;
+      return;
+    case STEP_PEER:
+      play_peer (fixture, step);
+      return;
     case STEP_VIEW:
       play_view (fixture, step);
       return;
@@ -320,6 +385,9 @@
 #define REFUSED OH__SEGMENT_RELAY_KIND__SEGMENT_REFUSED
 #define OWNED OH__SEGMENT_RELAY_KIND__SEGMENT_OWNED
 #define ABSENT OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT
+#define RECORD OH__SEGMENT_RELAY_KIND__SEGMENT_RECORD
+#define LOOKUP OH__SEGMENT_RELAY_KIND__SEGMENT_LOOKUP
+#define UNKNOWN OH__SEGMENT_RELAY_KIND__SEGMENT_UNKNOWN
 #define OVERLOADED OH__RESULT__RESULT_NOT_RUN_OVERLOADED
 #define LEAVING OH__RESULT__RESULT_NOT_RUN_DRAINING
 
@@ -347,6 +415,14 @@
   {                                                                                                          \
     STEP_ANSWER_LAST, 0, kind, result, NULL                                                                  \
   }
+#define PEERS                                                                                                \
+  {                                                                                                          \
+    STEP_PEERS, 0, 0, 0, NULL                                                                                \
+  }
+#define BY_PEER(peer, kind, agent)                                                                           \
+  {                                                                                                          \
+    STEP_PEER, peer, kind, agent, NULL                                                                       \
+  }
 #define WAIT(ms)                                                                                             \
   {                                                                                                          \
     STEP_WAIT, ms, 0, 0, NULL                                                                                \
@@ -460,6 +536,50 @@
       WAIT (400),
       COPY (2),
       RESETS (1) } },
+  { "other balancers do not learn the owner of a flow",
+    { PEERS, CONFIRMED_VIEW (kiln_text), FIRST, BY_LAST (ACCEPTED, 0), SENT (OPEN, 1), REQUEST,
+      SENT (RECORD, 2), REQUEST, SENT (RECORD, 0) } },
+  { "a flow whose owner another balancer knows is searched (azf-bake-grown quiet-1: links full of searches)",
+    { PEERS,
+      CONFIRMED_VIEW (kiln_text),
+      REQUEST,
+      SENT (LOOKUP, 2),
+      BY_PEER (1, RECORD, 2),
+      SENT (DELIVER, 1),
+      { EXPECT_LAST, 2, 0, 0, NULL },
+      BY_PEER (2, UNKNOWN, 0),
+      REQUEST,
+      SENT (DELIVER, 1) } },
+  { "a flow that no balancer knows is not searched",
+    { PEERS, CONFIRMED_VIEW (kiln_text), REQUEST, SENT (LOOKUP, 2), BY_PEER (1, UNKNOWN, 0), SENT (SEARCH, 0),
+      BY_PEER (2, UNKNOWN, 0), SENT (SEARCH, KILN_AGENTS) } },
+  { "a balancer that does not answer keeps a flow from being searched",
+    { PEERS, CONFIRMED_VIEW (kiln_text), REQUEST, SENT (LOOKUP, 2), WAIT (200), REQUEST,
+      SENT (SEARCH, KILN_AGENTS) } },
+  { "a record that has become wrong is kept",
+    { PEERS,
+      CONFIRMED_VIEW (kiln_text),
+      BY_PEER (1, RECORD, 2),
+      REQUEST,
+      SENT (DELIVER, 1),
+      BY (2, ABSENT),
+      SENT (SEARCH, KILN_AGENTS),
+      BY (0, OWNED),
+      REQUEST,
+      SENT (DELIVER, 1),
+      { EXPECT_LAST, 0, 0, 0, NULL } } },
+  { "a record replaces what the balancer saw itself",
+    { PEERS,
+      CONFIRMED_VIEW (kiln_text),
+      REQUEST,
+      BY_PEER (1, RECORD, 2),
+      BY (0, OWNED),
+      BY_PEER (1, RECORD, 1),
+      REQUEST,
+      { EXPECT_LAST, 0, 0, 0, NULL } } },
+  { "a balancer does not answer the question of another one",
+    { PEERS, CONFIRMED_VIEW (kiln_text), BY_PEER (1, LOOKUP, 0), SENT (UNKNOWN, 1), BY_PEER (2, RECORD, 1),
+      BY_PEER (1, LOOKUP, 0), SENT (RECORD, 1) } },
   { "a service that has no upstream keeps its callers waiting",
     { { STEP_VIEW, 1, 1, 0, kiln_text }, WAIT (4000), FIRST, RESETS (1) } },
 };
