raft: one founder, observers without a disk; control on two VMs of each zone

Cause: the grown deployments lose two disks at once, which needs five voters on machines with a disk, two a zone; on today's deployments the second VM of a zone has no disk. Tests: 80 first starts with every choice of seeds without a disk.

--- a/daemons/oriole_control.c
+++ b/daemons/oriole_control.c
@@ -11,6 +11,7 @@
 #include "adapters/daemon.h"
 #include "adapters/file_storage.h"
 #include "adapters/link.h"
+#include "adapters/memory_storage.h"
 #include "adapters/settings_watch.h"
 #include "adapters/storage_worker.h"
 #include "adapters/system_clock.h"
@@ -44,7 +45,7 @@
   { "control", "name", OH_SETTING_STRING, offsetof (settings_t, name), true, NULL, 0, 0 },
   { "control", "zone", OH_SETTING_STRING, offsetof (settings_t, zone), false, "", 0, 0 },
   { "control", "listen", OH_SETTING_STRING, offsetof (settings_t, listen), true, NULL, 0, 0 },
-  { "control", "data", OH_SETTING_STRING, offsetof (settings_t, data), true, NULL, 0, 0 },
+  { "control", "data", OH_SETTING_STRING, offsetof (settings_t, data), false, "", 0, 0 },
   { "control", "admin", OH_SETTING_ADDRESS, offsetof (settings_t, admin), false, NULL, 0, 0 },
   { "control", "replicas", OH_SETTING_STRING, offsetof (settings_t, replicas), false, "", 0, 0 },
   { "control", "seeds", OH_SETTING_STRING, offsetof (settings_t, seeds), false, "", 0, 0 },
@@ -172,7 +173,6 @@
   g_autofree char *endpoints
     = oh_daemon_seed_endpoints (path, control->settings.seeds, control->settings.port, error);
   g_auto (GStrv) items = NULL;
-  bool has_self = false;
 
   if (endpoints == NULL)
     return false;
@@ -181,11 +181,8 @@
     {
       const oh_raft_replica_t replica = { .name = seed_name (*item), .endpoint = g_strdup (*item) };
 
-      has_self |= strcmp (*item, control->settings.listen) == 0;
       g_array_append_val (control->initial, replica);
     }
-  if (!has_self)
-    control->settings.join = true;
   return true;
 }
 
@@ -202,6 +199,9 @@
     return settings_error (control, path, "listen", settings->listen, "tcp://IPV4:PORT", error);
   if (settings->seeds[0] != '\0')
     return parse_seeds (control, path, error);
+  if (settings->data[0] == '\0')
+    return settings_error (control, path, "data", "", "a folder, or seeds for a replica without a disk",
+                           error);
   return parse_replicas (control, path, error);
 }
 
@@ -670,17 +670,23 @@
 static bool
 run (control_t *control, oh_error_t *error)
 {
+  const bool observer = control->settings.data[0] == '\0';
+  oh_memory_storage_t memory;
   oh_storage_t *storage = NULL;
   oh_recovered_t recovered = { 0 };
   oh_control_event_t start = { .kind = OH_CONTROL_START };
   oh_admin_t *admin = NULL;
   bool ok = false;
 
-  storage = oh_file_storage_open (control->settings.data, control->settings.name, oh_system_random (),
-                                  &recovered, error);
-  if (storage == NULL)
+  if (observer)
+    oh_memory_storage_init (&memory, control->settings.name, oh_system_random (), &recovered);
+  else
+    storage = oh_file_storage_open (control->settings.data, control->settings.name, oh_system_random (),
+                                    &recovered, error);
+  if (!observer && storage == NULL)
     goto out;
-  control->storage = oh_storage_worker_start (NULL, storage, on_persisted, control);
+  control->storage
+    = oh_storage_worker_start (NULL, observer ? &memory.storage : storage, on_persisted, control);
   control->server = oh_link_serve (NULL, control->settings.listen, on_message, control, error);
   if (control->server == NULL)
     goto out;
@@ -699,7 +705,10 @@
   start.start.n_initial = control->initial->len;
   start.start.endpoint = control->settings.listen;
   start.start.join = control->settings.join;
-  start.start.voters = control->settings.tolerate > 0 ? (unsigned)control->settings.tolerate * 2 + 1 : 0;
+  if (control->settings.seeds[0] != '\0')
+    start.start.voters = (unsigned)control->settings.tolerate * 2 + 1;
+  start.start.observer = observer;
+  start.start.may_found = !control->settings.join;
   start.start.compact_entries = (unsigned)control->settings.compact_entries;
   oh_log_info ("started", "replica=%s zone=%s listen=%s", control->settings.name, control->settings.zone,
                control->settings.listen);
--- a/daemons/oriolectl.c
+++ b/daemons/oriolectl.c
@@ -491,6 +491,8 @@
       return "learner";
     case OH__REPLICA_ROLE__REPLICA_AWAITED:
       return "awaited";
+    case OH__REPLICA_ROLE__REPLICA_OBSERVER:
+      return "observer";
     case _OH__REPLICA_ROLE_IS_INT_SIZE:
       break;
     }
--- a/lib/core/control_core.c
+++ b/lib/core/control_core.c
@@ -761,6 +761,8 @@
       .endpoint = event->start.endpoint,
       .join = event->start.join,
       .voters = event->start.voters,
+      .observer = event->start.observer,
+      .may_found = event->start.may_found,
       .compact_entries = event->start.compact_entries,
     },
   };
--- a/lib/core/control_core.h
+++ b/lib/core/control_core.h
@@ -55,6 +55,8 @@
       const char *endpoint;
       bool join;
       unsigned voters;          /* that the leader keeps up; 0: operators change the set */
+      bool observer;            /* nothing is on disk */
+      bool may_found;           /* with voters: first start of the whole deployment */
       unsigned compact_entries; /* 0 for the default */
     } start;
     struct
--- a/lib/core/raft.c
+++ b/lib/core/raft.c
@@ -201,6 +201,10 @@
     }
   raft->join = event->start.join;
   raft->voters = event->start.voters;
+  raft->observer = event->start.observer;
+  raft->may_found = event->start.may_found && raft->voters > 0 && recovered->hard.cluster == 0;
+  raft->first_seed
+    = event->start.n_initial > 0 && g_str_equal (event->start.initial[0].name, recovered->name);
   raft->hello_nonce = oh_random_u64 (raft->random);
   raft->compact_entries
     = event->start.compact_entries > 0 ? event->start.compact_entries : OH_RAFT_COMPACT_ENTRIES;
@@ -230,6 +234,8 @@
   oh_raft_log_line (raft, "raft-start", "role=%s last=%" PRIu64 " snapshot=%" PRIu64 " cluster=%016" PRIx64,
                     oh_raft_role_name (raft->role), oh_raft_log_last_index (&raft->log),
                     raft->log.snapshot.index, raft->hard.cluster);
+  if (raft->first_seed && raft->may_found && !raft->observer && raft->role == OH_RAFT_UNFORMED)
+    oh_raft_found (raft);
   oh_raft_try_form (raft);
   oh_raft_apply_committed (raft);
 }
@@ -302,6 +308,10 @@
     return raft->storage_full ? OH_RAFT_STORAGE_FULL : OH_RAFT_NOT_LEADER;
   if (g_bytes_get_size (data) > OH_RAFT_COMMAND_MAX_BYTES)
     return OH_RAFT_CHANGE_INVALID;
+  /* What a founder alone has synced does not survive its disk. */
+  if (raft->voters > 1 && oh_raft_replicas_count (raft->replicas, OH__REPLICA_ROLE__REPLICA_VOTER) == 1
+      && raft->now_us - raft->led_us < OH_RAFT_GATHER_US)
+    return OH_RAFT_NOT_READY;
   oh_raft_append_entry (
     raft, oh_entry_new (oh_raft_log_last_index (&raft->log) + 1, raft->hard.term, OH_ENTRY_COMMAND, data));
   raft->broadcast = true;
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -23,7 +23,13 @@
  *
  * With a number of voters given at the start, the leader manages the set itself: it takes any replica that
  * asks as a learner, promotes one that has caught up while voters are missing, and demotes a voter that has
- * been out of contact for OH_RAFT_REPLACE_US when a learner can take its place.
+ * been out of contact for OH_RAFT_REPLACE_US when a learner can take its place. Such a cluster has one
+ * founder: the first of the initial set if it has a disk, otherwise the first replica with a disk that asks
+ * it, on the first start of the deployment. All others join. Commands wait until the voters are complete, but
+ * no longer than OH_RAFT_GATHER_US.
+ *
+ * An observer keeps nothing on disk and never votes; it receives the log, and is another replica after each
+ * start.
  *
  * At most one persist request is outstanding; what changes meanwhile goes into the next one.
  */
@@ -39,6 +45,7 @@
   OH_RAFT_HEARTBEAT_US = 100000,
   OH_RAFT_CONFIRMED_US = 1000000,          /* age of quorum contact up to which a replica is confirmed */
   OH_RAFT_COMMAND_MAX_BYTES = 2304 * 1024, /* a document and a text of the greatest size */
+  OH_RAFT_GATHER_US = 5000000,
   OH_RAFT_REPLACE_US = 3000000,
   OH_RAFT_FORGET_US = 60000000,   /* a learner out of contact for this time makes room for others */
   OH_RAFT_COMPACT_ENTRIES = 1024, /* default number of applied entries between snapshots */
@@ -82,6 +89,8 @@
       bool join;                /* never form a cluster from an empty data folder */
       unsigned compact_entries; /* applied entries between snapshots; 0 for the default */
       unsigned voters;          /* that the leader keeps up by itself; 0: operators change the set */
+      bool observer;            /* nothing is on disk */
+      bool may_found;           /* with voters: first start of the whole deployment */
     } start;
     const Oh__RaftMessage *message;
     struct
@@ -203,6 +212,11 @@
   bool join;
   unsigned compact_entries;
   unsigned voters; /* 0: operators change the set */
+  bool observer;
+  bool may_found;
+  bool first_seed;    /* this replica is the first of the initial set as it was given */
+  uint64_t appointed; /* id of the replica that was told to found the cluster; 0: none */
+  int64_t led_us;     /* when the present leadership began */
 
   oh_raft_role_t role;
   oh_hard_state_t hard;
--- a/lib/core/raft_membership.c
+++ b/lib/core/raft_membership.c
@@ -51,6 +51,8 @@
   hello.n_known = raft->join ? 0 : raft->initial->len;
   hello.known = pointers;
   hello.nonce = raft->hello_nonce;
+  hello.observer = raft->observer;
+  hello.may_found = raft->may_found && raft->role == OH_RAFT_UNFORMED;
   hello.n_heard = hello.n_known;
   hello.heard = raft->heard;
   message.body_case = OH__RAFT_MESSAGE__BODY_HELLO;
@@ -77,10 +79,84 @@
   if (raft->now_us < raft->hello_due_us)
     return;
   raft->hello_due_us = raft->now_us + HELLO_US;
-  if (raft->role == OH_RAFT_UNFORMED || !oh_raft_is_voter (raft, raft->self->id))
+  /* A replica that hears its leader is in the set. */
+  if (raft->role == OH_RAFT_UNFORMED
+      || (!oh_raft_is_voter (raft, raft->self->id)
+          && raft->now_us - raft->leader_contact_us > OH_RAFT_CONFIRMED_US))
     send_hellos (raft);
 }
 
+void
+oh_raft_found (oh_raft_t *raft)
+{
+  g_autoptr (GPtrArray) replicas = oh_raft_replicas_new ();
+  g_autoptr (GBytes) bytes = NULL;
+  size_t length;
+  const void *data;
+
+  oh_raft_replicas_add (replicas, oh_raft_replica_new (raft->self->name, raft->self->id, raft->self->endpoint,
+                                                       OH__REPLICA_ROLE__REPLICA_VOTER));
+  bytes = oh_raft_replicas_encode (replicas);
+  data = g_bytes_get_data (bytes, &length);
+  raft->may_found = false;
+  oh_raft_append_entry (raft, oh_entry_new (1, 0, OH_ENTRY_REPLICAS, bytes));
+  oh_raft_set_cluster (raft, MAX (XXH64 (data, length, 0), 1));
+}
+
+/* Adds a replica to those that are asked for the cluster. */
+static void
+learn_replica (oh_raft_t *raft, const Oh__Replica *replica)
+{
+  if (raft->initial->len >= OH_RAFT_REPLICAS_MAX || strlen (replica->name) == 0
+      || strlen (replica->name) > OH_RAFT_NAME_MAX_BYTES || strlen (replica->endpoint) == 0
+      || strlen (replica->endpoint) > OH_RAFT_ENDPOINT_MAX_BYTES
+      || find_name (raft->initial, replica->name) != NULL)
+    return;
+  /* The set is no longer the initial one, and a cluster exists. */
+  raft->join = true;
+  oh_raft_replicas_add (raft->initial, oh_raft_replica_new (replica->name, replica->id, replica->endpoint,
+                                                            OH__REPLICA_ROLE__REPLICA_VOTER));
+}
+
+/* The first seed has no disk: it appoints the first replica with one that asks, and no other one. */
+static void
+appoint_founder (oh_raft_t *raft, const Oh__RaftMessage *message)
+{
+  Oh__RaftMessage answer = OH__RAFT_MESSAGE__INIT;
+  Oh__HelloReply reply = OH__HELLO_REPLY__INIT;
+  Oh__Replica founder = OH__REPLICA__INIT;
+  Oh__Replica *founder_pointer = &founder;
+  oh_raft_replica_t *known;
+  oh_raft_replica_t *to;
+
+  if (!raft->first_seed || !raft->may_found || !raft->observer || message->cluster != 0)
+    return;
+  if (raft->appointed == 0 && (message->hello->observer || !message->hello->may_found))
+    return;
+  if (raft->appointed == 0)
+    {
+      raft->appointed = message->from;
+      learn_replica (raft, message->hello->self);
+      known = find_name (raft->initial, message->hello->self->name);
+      if (known != NULL)
+        known->id = message->from;
+    }
+  reply.found = raft->appointed == message->from;
+  known = oh_raft_replicas_find (raft->initial, raft->appointed);
+  if (known == NULL)
+    return;
+  founder.name = known->name;
+  founder.endpoint = known->endpoint;
+  founder.id = known->id;
+  reply.n_replicas = 1;
+  reply.replicas = &founder_pointer;
+  to = oh_raft_sender (message);
+  answer.body_case = OH__RAFT_MESSAGE__BODY_HELLO_REPLY;
+  answer.hello_reply = &reply;
+  oh_raft_send (raft, to, raft->hard.term, &answer);
+  oh_raft_replica_free (to);
+}
+
 void
 oh_raft_try_form (oh_raft_t *raft)
 {
@@ -88,7 +164,8 @@
   size_t length;
   const void *data;
 
-  if (raft->role != OH_RAFT_UNFORMED || raft->join || find_name (raft->initial, raft->self->name) == NULL)
+  if (raft->role != OH_RAFT_UNFORMED || raft->join || raft->voters > 0
+      || find_name (raft->initial, raft->self->name) == NULL)
     return;
   for (unsigned i = 0; i < raft->initial->len; i++)
     {
@@ -248,7 +325,7 @@
     {
       const oh_raft_replica_t *replica = replicas->pdata[i];
 
-      if (replica->role != OH__REPLICA_ROLE__REPLICA_LEARNER || silence_us (raft, replica->id) < longest_us)
+      if (replica->role == OH__REPLICA_ROLE__REPLICA_VOTER || silence_us (raft, replica->id) < longest_us)
         continue;
       longest_us = silence_us (raft, replica->id);
       position = i;
@@ -291,8 +368,10 @@
       g_ptr_array_unref (replicas);
       return;
     }
-  oh_raft_replicas_add (replicas, oh_raft_replica_new (joiner->name, joiner->id, joiner->endpoint,
-                                                       OH__REPLICA_ROLE__REPLICA_LEARNER));
+  oh_raft_replicas_add (replicas,
+                        oh_raft_replica_new (joiner->name, joiner->id, joiner->endpoint,
+                                             message->hello->observer ? OH__REPLICA_ROLE__REPLICA_OBSERVER
+                                                                      : OH__REPLICA_ROLE__REPLICA_LEARNER));
   oh_raft_log_line (raft, "raft-learner", "name=%s learner=%016" PRIx64, joiner->name, joiner->id);
   append_replicas (raft, replicas);
 }
@@ -308,6 +387,7 @@
     return;
   if (raft->role == OH_RAFT_UNFORMED)
     {
+      appoint_founder (raft, message);
       on_hello_unformed (raft, message);
       return;
     }
@@ -323,22 +403,14 @@
 {
   const Oh__HelloReply *reply = message->hello_reply;
 
-  /* Learns where the present replicas are; the leader may not be one of the initial set. */
-  for (size_t i = 0; i < reply->n_replicas; i++)
+  if (reply->found && raft->may_found && !raft->observer && raft->role == OH_RAFT_UNFORMED)
     {
-      const Oh__Replica *replica = reply->replicas[i];
-
-      if (raft->initial->len >= OH_RAFT_REPLICAS_MAX)
-        return;
-      if (strlen (replica->name) == 0 || strlen (replica->name) > OH_RAFT_NAME_MAX_BYTES
-          || strlen (replica->endpoint) == 0 || strlen (replica->endpoint) > OH_RAFT_ENDPOINT_MAX_BYTES
-          || find_name (raft->initial, replica->name) != NULL)
-        continue;
-      /* The set is no longer the initial one, and a cluster exists. */
-      raft->join = true;
-      oh_raft_replicas_add (raft->initial, oh_raft_replica_new (replica->name, 0, replica->endpoint,
-                                                                OH__REPLICA_ROLE__REPLICA_VOTER));
+      oh_raft_found (raft);
+      return;
     }
+  /* Learns where the present replicas are; the leader may not be one of the initial set. */
+  for (size_t i = 0; i < reply->n_replicas; i++)
+    learn_replica (raft, reply->replicas[i]);
 }
 
 oh_raft_proposal_t
--- a/lib/core/raft_private.h
+++ b/lib/core/raft_private.h
@@ -88,4 +88,6 @@
 void oh_raft_check_learners (oh_raft_t *raft);
 
 /* An unformed cluster of one replica, and one whose Hello messages agree, is formed here. */
+/* Makes this replica the only voter of a new cluster. */
+void oh_raft_found (oh_raft_t *raft);
 void oh_raft_try_form (oh_raft_t *raft);
--- a/lib/core/raft_replicas.c
+++ b/lib/core/raft_replicas.c
@@ -28,6 +28,7 @@
     {
     case OH__REPLICA_ROLE__REPLICA_VOTER:
     case OH__REPLICA_ROLE__REPLICA_LEARNER:
+    case OH__REPLICA_ROLE__REPLICA_OBSERVER:
       return wire->id != 0;
     case OH__REPLICA_ROLE__REPLICA_AWAITED:
       return wire->id == 0;
--- a/lib/core/raft_replication.c
+++ b/lib/core/raft_replication.c
@@ -151,6 +151,7 @@
   const uint64_t last = oh_raft_log_last_index (&raft->log);
 
   raft->role = OH_RAFT_LEADER;
+  raft->led_us = raft->now_us;
   raft->term_start = last + 1;
   oh_raft_set_leader (
     raft, oh_raft_replica_new (raft->self->name, raft->self->id, raft->self->endpoint, raft->self->role));
--- a/lib/wire/raft.pb-c.c
+++ b/lib/wire/raft.pb-c.c
@@ -919,7 +919,7 @@
   (ProtobufCMessageInit) oh__log_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__hello__field_descriptors[4] =
+static const ProtobufCFieldDescriptor oh__hello__field_descriptors[6] =
 {
   {
     "self",
@@ -969,17 +969,43 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "observer",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Oh__Hello, observer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "may_found",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Oh__Hello, may_found),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__hello__field_indices_by_name[] = {
   3,   /* field[3] = heard */
   1,   /* field[1] = known */
+  5,   /* field[5] = may_found */
   2,   /* field[2] = nonce */
+  4,   /* field[4] = observer */
   0,   /* field[0] = self */
 };
 static const ProtobufCIntRange oh__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor oh__hello__descriptor =
 {
@@ -989,14 +1015,14 @@
   "Oh__Hello",
   "oh",
   sizeof(Oh__Hello),
-  4,
+  6,
   oh__hello__field_descriptors,
   oh__hello__field_indices_by_name,
   1,  oh__hello__number_ranges,
   (ProtobufCMessageInit) oh__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__hello_reply__field_descriptors[1] =
+static const ProtobufCFieldDescriptor oh__hello_reply__field_descriptors[2] =
 {
   {
     "replicas",
@@ -1010,14 +1036,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "found",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Oh__HelloReply, found),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__hello_reply__field_indices_by_name[] = {
+  1,   /* field[1] = found */
   0,   /* field[0] = replicas */
 };
 static const ProtobufCIntRange oh__hello_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor oh__hello_reply__descriptor =
 {
@@ -1027,7 +1066,7 @@
   "Oh__HelloReply",
   "oh",
   sizeof(Oh__HelloReply),
-  1,
+  2,
   oh__hello_reply__field_descriptors,
   oh__hello_reply__field_indices_by_name,
   1,  oh__hello_reply__number_ranges,
@@ -2038,19 +2077,21 @@
   (ProtobufCMessageInit) oh__stored_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue oh__replica_role__enum_values_by_number[3] =
+static const ProtobufCEnumValue oh__replica_role__enum_values_by_number[4] =
 {
   { "REPLICA_VOTER", "OH__REPLICA_ROLE__REPLICA_VOTER", 0 },
   { "REPLICA_LEARNER", "OH__REPLICA_ROLE__REPLICA_LEARNER", 1 },
   { "REPLICA_AWAITED", "OH__REPLICA_ROLE__REPLICA_AWAITED", 2 },
+  { "REPLICA_OBSERVER", "OH__REPLICA_ROLE__REPLICA_OBSERVER", 3 },
 };
 static const ProtobufCIntRange oh__replica_role__value_ranges[] = {
-{0, 0},{0, 3}
+{0, 0},{0, 4}
 };
-static const ProtobufCEnumValueIndex oh__replica_role__enum_values_by_name[3] =
+static const ProtobufCEnumValueIndex oh__replica_role__enum_values_by_name[4] =
 {
   { "REPLICA_AWAITED", 2 },
   { "REPLICA_LEARNER", 1 },
+  { "REPLICA_OBSERVER", 3 },
   { "REPLICA_VOTER", 0 },
 };
 const ProtobufCEnumDescriptor oh__replica_role__descriptor =
@@ -2060,9 +2101,9 @@
   "ReplicaRole",
   "Oh__ReplicaRole",
   "oh",
-  3,
+  4,
   oh__replica_role__enum_values_by_number,
-  3,
+  4,
   oh__replica_role__enum_values_by_name,
   1,
   oh__replica_role__value_ranges,
--- a/lib/wire/raft.pb-c.h
+++ b/lib/wire/raft.pb-c.h
@@ -44,7 +44,11 @@
   /*
    * added by an operator; its id is not known before it reports
    */
-  OH__REPLICA_ROLE__REPLICA_AWAITED = 2
+  OH__REPLICA_ROLE__REPLICA_AWAITED = 2,
+  /*
+   * receives the log, keeps nothing on disk and never votes
+   */
+  OH__REPLICA_ROLE__REPLICA_OBSERVER = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(OH__REPLICA_ROLE)
 } Oh__ReplicaRole;
 typedef enum _Oh__EntryKind {
@@ -123,10 +127,18 @@
    */
   size_t n_heard;
   uint64_t *heard;
+  /*
+   * the sender keeps nothing on disk
+   */
+  protobuf_c_boolean observer;
+  /*
+   * first start of the whole deployment: the sender may found the cluster
+   */
+  protobuf_c_boolean may_found;
 };
 #define OH__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__hello__descriptor) \
-    , NULL, 0,NULL, 0, 0,NULL }
+    , NULL, 0,NULL, 0, 0,NULL, 0, 0 }
 
 
 /*
@@ -137,10 +149,14 @@
   ProtobufCMessage base;
   size_t n_replicas;
   Oh__Replica **replicas;
+  /*
+   * there is no cluster: the receiver founds it
+   */
+  protobuf_c_boolean found;
 };
 #define OH__HELLO_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__hello_reply__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0 }
 
 
 struct  Oh__VoteRequest
--- a/tests/raft_sim.c
+++ b/tests/raft_sim.c
@@ -319,7 +319,10 @@
                                      .join = node->join,
                                      .compact_entries = sim->compact_entries,
                                      .voters = sim->voters,
+                                     .observer = node->observer,
+                                     .may_found = !node->started,
                                    } });
+  node->started = true;
 }
 
 void
@@ -337,6 +340,11 @@
       oh_persist_free (g_steal_pointer (&node->request));
     }
   oh_raft_finish (&node->raft);
+  if (node->observer)
+    {
+      oh_recovered_clear (&node->disk);
+      node->disk = (oh_recovered_t){ 0 };
+    }
 }
 
 void
@@ -377,7 +385,7 @@
       .endpoint = g_strdup_printf ("tcp://127.0.0.1:%u", 9000 + i),
       .join = i >= n_initial,
     };
-  for (unsigned i = 0; i < n_initial; i++)
+  for (unsigned i = 0; i < n_initial && voters == 0; i++)
     sim_start (sim, i);
 }
 
--- a/tests/raft_sim.h
+++ b/tests/raft_sim.h
@@ -11,7 +11,7 @@
 
 enum
 {
-  SIM_MAX = 5,
+  SIM_MAX = 6,
   SIM_MS = 1000,
   SIM_S = 1000000,
 };
@@ -27,6 +27,8 @@
   char *endpoint;
   bool alive;
   bool join;
+  bool observer; /* nothing is on disk */
+  bool started;  /* once at least */
   bool isolated;
   bool disk_full;
   int64_t sync_us;     /* time a persist request takes; 0: random up to 5 ms */
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -280,6 +280,59 @@
                                  OH__REPLICA_ROLE__REPLICA_VOTER);
 }
 
+static void
+start_seeds (sim_t *sim)
+{
+  for (unsigned i = 0; i < sim->n_initial; i++)
+    sim_start (sim, i);
+}
+
+/* Guards against a first start that forms no cluster, two clusters, or one whose first command is on one disk
+ * only, whichever of the seeds have a disk. */
+static void
+test_founding (void)
+{
+  for (uint32_t seed = 0; seed < 80; seed++)
+    {
+      const unsigned observers = seed % 8; /* bit per seed */
+      const uint32_t order = seed / 8;
+      sim_t sim;
+      uint64_t index;
+
+      sim_init_voters (&sim, seed, 3, 3);
+      for (unsigned i = 0; i < 3; i++)
+        sim.nodes[i].observer = (observers >> i & 1) != 0;
+      for (unsigned i = 0; i < 6; i++)
+        {
+          sim_start (&sim, (i + order) % 6);
+          sim_run (&sim, 30 * SIM_MS);
+        }
+      sim_wait_leader (&sim, 2 * SIM_S);
+      index = sim_commit (&sim, 2 * SIM_S);
+      g_assert_cmpuint (count_voters (&sim), >=, 2);
+      sim_run (&sim, 3 * SIM_S);
+      g_assert_cmpuint (count_voters (&sim), ==, 3);
+      for (unsigned i = 0; i < 6; i++)
+        {
+          sim_wait_applied (&sim, i, index, 2 * SIM_S);
+          if (sim.nodes[i].observer)
+            sim_wait_role (&sim, i, OH__REPLICA_ROLE__REPLICA_OBSERVER, SIM_S);
+        }
+      /* An observer that was restarted is another one, and takes the place of the former. */
+      for (unsigned i = 0; i < 3; i++)
+        if (sim.nodes[i].observer)
+          {
+            sim_crash (&sim, i);
+            sim_run (&sim, 2 * SIM_S);
+            sim_start (&sim, i);
+            sim_wait_applied (&sim, i, index, 3 * SIM_S);
+          }
+      sim_commit (&sim, SIM_S);
+      sim_check_logs (&sim);
+      sim_finish (&sim);
+    }
+}
+
 /* Guards against a lost voter whose place nobody takes, a learner that is promoted beyond the number of
  * voters that is asked for, and committed entries that are lost on the way. */
 static void
@@ -292,7 +345,10 @@
       uint64_t index;
 
       sim_init_voters (&sim, seed, 3, 3);
+      start_seeds (&sim);
       sim_wait_leader (&sim, 2 * SIM_S);
+      sim_run (&sim, SIM_S);
+      g_assert_cmpuint (count_voters (&sim), ==, 3);
       sim_start (&sim, 3);
       index = sim_commit (&sim, SIM_S);
       sim_wait_role (&sim, 3, OH__REPLICA_ROLE__REPLICA_LEARNER, 3 * SIM_S);
@@ -330,7 +386,9 @@
       uint64_t index;
 
       sim_init_voters (&sim, seed, 3, 3);
+      start_seeds (&sim);
       sim_wait_leader (&sim, 2 * SIM_S);
+      sim_run (&sim, SIM_S);
       index = sim_commit (&sim, SIM_S);
       sim_crash (&sim, seed % 3);
       sim_run (&sim, SIM_S);
@@ -594,6 +652,7 @@
   g_test_add_func ("/raft/lost-disks", test_lost_disks);
   g_test_add_func ("/raft/no-second-cluster", test_no_second_cluster);
   g_test_add_func ("/raft/membership", test_membership);
+  g_test_add_func ("/raft/founding", test_founding);
   g_test_add_func ("/raft/voters-kept-up", test_voters_kept_up);
   g_test_add_func ("/raft/successor", test_successor);
   g_test_add_func ("/raft/quick-first-election", test_quick_first_election);
