--- a/lib/adapters/view_client.c
+++ b/lib/adapters/view_client.c
@@ -15,6 +15,7 @@
   MAX_REPLICAS = 32,
   SILENCE_US = 3 * G_USEC_PER_SEC, /* the lease of a member: what a silent replica lists is older than that */
   TEXT_WAIT_MS = 150,              /* for the text of a version that other replicas have */
+  LISTED_ENOUGH = 2,               /* voters that answer, for the others to be dropped */
   LEAVE_MS = 20,                   /* for the I/O thread to send the last poll; closing discards the rest */
 };
 
@@ -30,13 +31,13 @@
   int64_t heard_since_us;   /* start of the present run of messages */
   bool unsent;              /* the last poll found no connection */
   uint64_t offered_version; /* highest version whose text it withheld */
-  bool configured;          /* named by the settings */
   bool listed;              /* in the replica set of the last confirmed view */
 } replica_t;
 
 struct oh_view_client
 {
   GMainContext *context;
+  char *configured; /* endpoints that the settings name, separated by commas */
   char *name;
   Oh__NodeRole role;
   char *zone;
@@ -269,7 +270,7 @@
       if (message->view->text_withheld)
         replica->offered_version = message->view->version;
       follow_replica_set (client, message->view);
-      if (client->text_source == NULL)
+      if (client->text_source == NULL || (!client->text_source->listed && replica->listed))
         take_text_from (client, replica);
       if (take_cursor (replica, message->view))
         merge (replica, message->view);
@@ -319,23 +320,68 @@
     }
 }
 
-/* A replica that left the set, or was only ever a guess, is polled no longer once it is silent. */
-static void
-drop_former_replicas (oh_view_client_t *client)
+/* Takes over the settings' list of endpoints. */
+static bool
+configure_replicas (oh_view_client_t *client, const char *replicas, oh_error_t *error)
+{
+  g_auto (GStrv) endpoints = g_strsplit (replicas, ",", -1);
+
+  for (char **endpoint = endpoints; *endpoint != NULL; endpoint++)
+    {
+      replica_t *replica = find_replica (client, g_strstrip (*endpoint));
+
+      if (replica == NULL)
+        replica = add_replica (client, *endpoint, error);
+      if (replica == NULL)
+        return false;
+    }
+  if (client->replicas->len == 0)
+    return oh_error_set (error, OH_ERROR_SETTINGS, OH_ERROR_CODE_BAD_VALUE,
+                         "replicas \"\": expected endpoints tcp://IPV4:PORT, separated by commas");
+  return true;
+}
+
+static unsigned
+count_heard (const oh_view_client_t *client, bool listed_only)
 {
   const int64_t now_us = oh_clock_now_us (oh_system_clock ());
+  unsigned count = 0;
+
+  for (guint i = 0; i < client->replicas->len; i++)
+    {
+      const replica_t *replica = g_ptr_array_index (client->replicas, i);
+
+      count += replica->heard_us != 0 && now_us - replica->heard_us <= SILENCE_US
+               && (replica->listed || !listed_only);
+    }
+  return count;
+}
 
+/*
+ * Nodes poll the voters. Others, such as the seeds of the settings, serve to find them: they are dropped once
+ * enough voters answer, and taken up again when nobody does.
+ */
+static void
+review_replicas (oh_view_client_t *client)
+{
+  oh_error_t error;
+
+  if (count_heard (client, false) == 0)
+    {
+      if (!configure_replicas (client, client->configured, &error))
+        oh_log_warning ("replica_unusable", "reason=\"%s\"", error.message);
+      return;
+    }
+  if (count_heard (client, true) < LISTED_ENOUGH)
+    return;
   for (guint i = client->replicas->len; i > 0; i--)
     {
       replica_t *replica = g_ptr_array_index (client->replicas, i - 1);
       Oh__View nothing = OH__VIEW__INIT;
 
-      if (replica->configured || replica->listed || now_us - replica->heard_us <= SILENCE_US
-          || client->replicas->len == 1)
+      if (replica->listed || replica == client->text_source)
         continue;
       oh_log_info ("replica_dropped", "replica=%s", replica->endpoint);
-      if (client->text_source == replica)
-        client->text_source = NULL;
       nothing.snapshot = true;
       merge (replica, &nothing);
       g_ptr_array_remove_index (client->replicas, i - 1);
@@ -380,7 +426,7 @@
   if (client->ticks % POLL_TICKS == 0)
     {
       forget_silent_replicas (client);
-      drop_former_replicas (client);
+      review_replicas (client);
     }
   send_some_polls (client, false, client->ticks % POLL_TICKS != 0);
   return G_SOURCE_CONTINUE;
@@ -396,35 +442,12 @@
     }
   g_ptr_array_unref (client->replicas);
   oh_view_finish (&client->view);
+  g_free (client->configured);
   g_free (client->name);
   g_free (client->zone);
   g_free (client);
 }
 
-/* Takes over the settings' list of endpoints. */
-static bool
-configure_replicas (oh_view_client_t *client, const char *replicas, oh_error_t *error)
-{
-  g_auto (GStrv) endpoints = g_strsplit (replicas, ",", -1);
-
-  for (guint i = 0; i < client->replicas->len; i++)
-    ((replica_t *)g_ptr_array_index (client->replicas, i))->configured = false;
-  for (char **endpoint = endpoints; *endpoint != NULL; endpoint++)
-    {
-      replica_t *replica = find_replica (client, g_strstrip (*endpoint));
-
-      if (replica == NULL)
-        replica = add_replica (client, *endpoint, error);
-      if (replica == NULL)
-        return false;
-      replica->configured = true;
-    }
-  if (client->replicas->len == 0)
-    return oh_error_set (error, OH_ERROR_SETTINGS, OH_ERROR_CODE_BAD_VALUE,
-                         "replicas \"\": expected endpoints tcp://IPV4:PORT, separated by commas");
-  return true;
-}
-
 oh_view_client_t *
 oh_view_client_start (GMainContext *context, const char *name, Oh__NodeRole role, const char *zone,
                       const char *replicas, oh_keyring_t *keyring,
@@ -433,6 +456,7 @@
   oh_view_client_t *client = g_new0 (oh_view_client_t, 1);
 
   client->context = context;
+  client->configured = g_strdup (replicas);
   client->name = g_strdup (name);
   client->role = role;
   client->zone = g_strdup (zone != NULL ? zone : "");
@@ -456,7 +480,9 @@
 bool
 oh_view_client_set_replicas (oh_view_client_t *client, const char *replicas, oh_error_t *error)
 {
-  return configure_replicas (client, replicas, error);
+  g_free (client->configured);
+  client->configured = g_strdup (replicas);
+  return count_heard (client, true) >= LISTED_ENOUGH || configure_replicas (client, replicas, error);
 }
 
 void
--- a/lib/core/control_core.c
+++ b/lib/core/control_core.c
@@ -197,8 +197,12 @@
   view.listed = oh_membership_is_listed (&core->membership, core->now_us);
   view.replicas = endpoints;
   for (guint i = 0; i < core->committed_replicas->len; i++)
-    endpoints[view.n_replicas++]
-      = ((oh_raft_replica_t *)g_ptr_array_index (core->committed_replicas, i))->endpoint;
+    {
+      const oh_raft_replica_t *replica = g_ptr_array_index (core->committed_replicas, i);
+
+      if (replica->role == OH__REPLICA_ROLE__REPLICA_VOTER)
+        endpoints[view.n_replicas++] = replica->endpoint;
+    }
   view.n_drained = core->state.drained->len;
   view.drained = (char **)core->state.drained->pdata;
   message.sender = core->name;
--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -39,7 +39,9 @@
   oh_balancer_flow_t *flow = data;
 
   oh_list_remove (&flow->by_use);
+  oh_list_remove (&flow->by_lookup);
   end_search (flow);
+  g_clear_pointer (&flow->waiting, g_ptr_array_unref);
   g_free (flow);
 }
 
@@ -69,6 +71,7 @@
   flow->key = *key;
   flow->opened_us = balancer->now_us;
   oh_list_init (&flow->by_use);
+  oh_list_init (&flow->by_lookup);
   g_hash_table_replace (balancer->flows, &flow->key, flow);
   use_flow (balancer, flow);
   return flow;
@@ -585,8 +588,10 @@
   if (flow->lookups == 0)
     return false;
   oh_counter_increment (&balancer->counters.lookups);
-  end_search (flow);
-  flow->searched = g_bytes_new (bytes, length);
+  oh_list_remove (&flow->by_lookup);
+  oh_list_append (&balancer->lookups, &flow->by_lookup);
+  flow->waiting = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  g_ptr_array_add (flow->waiting, g_bytes_new (bytes, length));
   return true;
 }
 
@@ -623,25 +628,42 @@
     send_peer (balancer, asker, OH__SEGMENT_RELAY_KIND__SEGMENT_RECORD, key, &owner);
 }
 
-/* Sends the segment that waits for its owner. */
+/* Sends the segments that wait for their owner. */
 static void
 end_lookup (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
 {
-  g_autoptr (GBytes) waiting = g_steal_pointer (&flow->searched);
-  gsize length;
-  const uint8_t *bytes;
+  g_autoptr (GPtrArray) waiting = g_steal_pointer (&flow->waiting);
 
   flow->lookups = 0;
+  oh_list_remove (&flow->by_lookup);
   if (waiting == NULL)
     return;
-  bytes = g_bytes_get_data (waiting, &length);
   if (flow->owned)
+    oh_counter_increment (&balancer->counters.looked_up);
+  for (guint i = 0; i < waiting->len; i++)
     {
-      oh_counter_increment (&balancer->counters.looked_up);
-      send_relay (balancer, flow->owner, OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER, 0, bytes, length);
+      gsize length;
+      const uint8_t *bytes = g_bytes_get_data (g_ptr_array_index (waiting, i), &length);
+
+      if (flow->owned)
+        send_relay (balancer, flow->owner, OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER, 0, bytes, length);
+      else
+        search (balancer, flow, bytes, length);
+    }
+}
+
+/* Balancers that were asked and are gone do not answer. */
+static void
+expire_lookups (oh_segment_balancer_t *balancer)
+{
+  oh_list_foreach_safe (&balancer->lookups, link, following)
+    {
+      oh_balancer_flow_t *flow = oh_list_entry (link, oh_balancer_flow_t, by_lookup);
+
+      if (balancer->now_us - flow->lookup_us < (int64_t)OH_SEGMENT_LOOKUP_MS * 1000)
+        return;
+      end_lookup (balancer, flow);
     }
-  else
-    search (balancer, flow, bytes, length);
 }
 
 static void
@@ -655,17 +677,17 @@
 static void
 find_owner (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes, size_t length)
 {
-  const bool asked = flow->lookup_us != 0;
-
-  if (asked && flow->lookups > 0 && balancer->now_us - flow->lookup_us < (int64_t)OH_SEGMENT_LOOKUP_MS * 1000)
+  if (flow->waiting == NULL && flow->lookup_us == 0 && look_up (balancer, flow, bytes, length))
+    return;
+  if (flow->waiting == NULL)
     {
-      /* The first one waits for the answer; the caller sends this one again. */
-      oh_counter_increment (&balancer->counters.dropped_searches);
+      search (balancer, flow, bytes, length);
       return;
     }
-  flow->lookups = 0;
-  if (asked || !look_up (balancer, flow, bytes, length))
-    search (balancer, flow, bytes, length);
+  if (flow->waiting->len < OH_SEGMENT_WAITING_MAX)
+    g_ptr_array_add (flow->waiting, g_bytes_new (bytes, length));
+  else
+    oh_counter_increment (&balancer->counters.dropped_searches); /* the caller sends it again */
 }
 
 static void
@@ -775,8 +797,8 @@
     oh_counter_increment (&balancer->counters.found);
   flow->owned = true;
   flow->owner = agent;
-  flow->lookups = 0;
   end_search (flow);
+  end_lookup (balancer, flow);
   record_owner (balancer, flow);
 }
 
@@ -841,7 +863,7 @@
   flow = g_hash_table_lookup (balancer->flows, &key);
   if (relay->kind == OH__SEGMENT_RELAY_KIND__SEGMENT_UNKNOWN)
     on_unknown (balancer, flow);
-  else if (flow != NULL && flow->lookups > 0 && flow->owned)
+  else if (flow != NULL && flow->waiting != NULL && flow->owned)
     end_lookup (balancer, flow);
   return true;
 }
@@ -931,6 +953,7 @@
     .lagged_us = G_MININT64 / 2,
   };
   oh_list_init (&balancer->by_use);
+  oh_list_init (&balancer->lookups);
   oh_placement_init (&balancer->placement, config->zone, random);
   oh_route_table_init (&balancer->routes);
   oh_arena_init (&balancer->arena);
@@ -1018,6 +1041,7 @@
       break;
     case OH_SEGMENT_BALANCER_TICK:
       oh_placement_expire (&balancer->placement, event->now_us);
+      expire_lookups (balancer);
       expire_flows (balancer);
       break;
     }
--- a/lib/core/segment_balancer.h
+++ b/lib/core/segment_balancer.h
@@ -29,6 +29,7 @@
   OH_SEGMENT_OFFERS_MAX = OH_PLACEMENT_TRIED_MAX, /* agents that one flow is offered to */
   OH_SEGMENT_TICK_MS = 100,
   OH_SEGMENT_HOLDERS = 2,      /* balancers that are told the owner of a flow */
+  OH_SEGMENT_WAITING_MAX = 4,  /* segments of one flow that wait for its owner */
   OH_SEGMENT_LOOKUP_MS = 50,   /* for their answers, before the agents are asked */
   OH_SEGMENT_SEARCHES_MAX = 4, /* segments of one flow that are searched within a period */
   OH_SEGMENT_SEARCH_PERIOD_MS = 100,
@@ -107,15 +108,16 @@
   oh_address_t owner;
   unsigned n_offers;
   oh_offer_t offers[OH_SEGMENT_OFFERS_MAX];
-  unsigned copies;   /* of the first segment, after the first */
-  bool overloaded;   /* an agent refused the flow only because it has too much to do */
-  unsigned searches; /* in the present period */
-  bool recorded;     /* its owner was told to the balancers that the hash selects */
-  unsigned lookups;  /* balancers that were asked and have not answered */
-  int64_t lookup_us; /* when they were asked; 0: never */
-  uint16_t question; /* number of the last search */
-  GBytes *searched;  /* the segment whose owner is searched; NULL if none is */
-  GArray *asked;     /* of oh_address_t, agents that were asked; NULL without a search */
+  unsigned copies;    /* of the first segment, after the first */
+  bool overloaded;    /* an agent refused the flow only because it has too much to do */
+  unsigned searches;  /* in the present period */
+  bool recorded;      /* its owner was told to the balancers that the hash selects */
+  unsigned lookups;   /* balancers that were asked and have not answered */
+  int64_t lookup_us;  /* when they were asked; 0: never */
+  GPtrArray *waiting; /* of GBytes: segments that wait for their answers; NULL if none does */
+  uint16_t question;  /* number of the last search */
+  GBytes *searched;   /* the segment whose owner is searched; NULL if none is */
+  GArray *asked;      /* of oh_address_t, agents that were asked; NULL without a search */
   unsigned n_absent;
   uint64_t absent[OH_SEGMENT_ASKED_MAX / 64]; /* bit per agent asked: it does not hold the flow */
   uint32_t last_acknowledged;                 /* by the caller, in its last segment */
@@ -123,6 +125,7 @@
   int64_t opened_us;
   int64_t used_us;
   oh_list_t by_use;
+  oh_list_t by_lookup; /* in the list of flows whose lookup is not answered */
 } oh_balancer_flow_t;
 
 typedef struct
@@ -169,6 +172,7 @@
   GArray *peers;        /* of oh_address_t: balancers of the availability zone, this one included */
   GHashTable *flows;    /* of oh_balancer_flow_t, owned */
   oh_list_t by_use;     /* least recently used first */
+  oh_list_t lookups;    /* flows whose lookup is not answered, oldest first */
   oh_segment_balancer_counters_t counters;
   oh_histogram_t offer_seconds;
   int64_t handled_us; /* last event */
--- a/lib/wire/control.pb-c.h
+++ b/lib/wire/control.pb-c.h
@@ -176,7 +176,7 @@
   size_t n_removed_balancers;
   char **removed_balancers;
   /*
-   * endpoints of the committed replica set
+   * endpoints of the committed voters
    */
   size_t n_replicas;
   char **replicas;
