raft: a replica without a cluster finds it whatever its seeds are

Change: a replica without a cluster learns of it from any message of a member, members greet the seeds each second, and take over seeds that the settings change to. Test: observers-as-seeds fails before.

--- a/daemons/oriole_control.c
+++ b/daemons/oriole_control.c
@@ -168,14 +168,15 @@
 
 /* Replicas that are only known by the addresses of their VMs are named after these. */
 static bool
-parse_seeds (control_t *control, const char *path, oh_error_t *error)
+take_seeds (control_t *control, const char *seeds, oh_error_t *error)
 {
   g_autofree char *endpoints
-    = oh_daemon_seed_endpoints (path, control->settings.seeds, control->settings.port, error);
+    = oh_daemon_seed_endpoints (control->settings_path, seeds, control->settings.port, error);
   g_auto (GStrv) items = NULL;
 
   if (endpoints == NULL)
     return false;
+  g_array_set_size (control->initial, 0);
   items = g_strsplit (endpoints, ",", -1);
   for (char **item = items; *item != NULL && control->initial->len < OH_RAFT_REPLICAS_MAX; item++)
     {
@@ -198,7 +199,7 @@
   if (!endpoint_valid (settings->listen))
     return settings_error (control, path, "listen", settings->listen, "tcp://IPV4:PORT", error);
   if (settings->seeds[0] != '\0')
-    return parse_seeds (control, path, error);
+    return take_seeds (control, settings->seeds, error);
   if (settings->data[0] == '\0')
     return settings_error (control, path, "data", "", "a folder, or seeds for a replica without a disk",
                            error);
@@ -642,16 +643,30 @@
                              "persist_seconds", "Time that the disk takes to sync a write of the log");
 }
 
-/* Other seeds matter only to a process that has not found its cluster yet, which starts anew to use them. */
 static void
 on_settings_changed (void *data)
 {
   control_t *control = data;
+  settings_t changed;
+  oh_error_t error;
 
-  if (oh_raft_role (&control->core.raft) != OH_RAFT_UNFORMED)
-    return;
-  oh_log_info ("restarting", "replica=%s reason=settings", control->settings.name);
-  g_main_loop_quit (control->loop);
+  if (!oh_settings_load (control->settings_path, setting_table, G_N_ELEMENTS (setting_table), &changed,
+                         &error))
+    {
+      oh_log_error ("settings_rejected", "reason=\"%s\"", error.message);
+      return;
+    }
+  if (changed.seeds[0] != '\0' && take_seeds (control, changed.seeds, &error))
+    {
+      oh_control_event_t event = {
+        .kind = OH_CONTROL_SEEDS,
+        .seeds = { (const oh_raft_replica_t *)(gpointer)control->initial->data, control->initial->len },
+      };
+
+      handle (control, &event);
+      oh_log_info ("reloaded", "seeds=%s", changed.seeds);
+    }
+  oh_settings_clear (setting_table, G_N_ELEMENTS (setting_table), &changed);
 }
 
 static void
--- a/lib/core/control_core.c
+++ b/lib/core/control_core.c
@@ -873,6 +873,13 @@
     case OH_CONTROL_OPERATOR_MESSAGE:
       handle_operator_message (core, event->message.route, event->message.message);
       break;
+    case OH_CONTROL_SEEDS:
+      raft_handle (core, &(oh_raft_event_t){
+                           .kind = OH_RAFT_SEEDS,
+                           .now_us = event->now_us,
+                           .seeds = { .seeds = event->seeds.seeds, .n_seeds = event->seeds.n_seeds },
+                         });
+      break;
     case OH_CONTROL_SYNCED:
     case OH_CONTROL_STORAGE_FAILED:
       handle_persist (core, event);
--- a/lib/core/control_core.h
+++ b/lib/core/control_core.h
@@ -36,6 +36,7 @@
   OH_CONTROL_RAFT_TIMER,     /* the armed timer is due */
   OH_CONTROL_SYSTEM_MESSAGE, /* from a node or a replica, authenticated */
   OH_CONTROL_OPERATOR_MESSAGE,
+  OH_CONTROL_SEEDS, /* the settings name other replicas */
   OH_CONTROL_SYNCED,
   OH_CONTROL_STORAGE_FAILED,
 } oh_control_event_kind_t;
@@ -60,6 +61,11 @@
       unsigned compact_entries; /* 0 for the default */
     } start;
     struct
+    {
+      const oh_raft_replica_t *seeds;
+      size_t n_seeds;
+    } seeds;
+    struct
     {
       GBytes *route; /* where the answer goes */
       const Oh__Control *message;
--- a/lib/core/raft.c
+++ b/lib/core/raft.c
@@ -262,6 +262,7 @@
 
   if (message->from == 0 || message->from == raft->self->id)
     return;
+  oh_raft_learn_sender (raft, message);
   switch (message->body_case)
     {
     case OH__RAFT_MESSAGE__BODY_HELLO:
@@ -409,6 +410,9 @@
     case OH_RAFT_REMOVE_REPLICA:
       answer_proposal (raft, event->membership.tag, oh_raft_remove_replica (raft, event->membership.name));
       break;
+    case OH_RAFT_SEEDS:
+      oh_raft_set_seeds (raft, event->seeds.seeds, event->seeds.n_seeds);
+      break;
     case OH_RAFT_SYNCED:
       oh_raft_on_synced (raft, event->persist.id);
       break;
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -68,6 +68,7 @@
   OH_RAFT_PROPOSE,        /* a command; answered by the proposed action */
   OH_RAFT_ADD_REPLICA,    /* name and endpoint; answered by the proposed action */
   OH_RAFT_REMOVE_REPLICA, /* name; answered by the proposed action */
+  OH_RAFT_SEEDS,          /* other replicas to ask for the cluster, or to tell about it */
   OH_RAFT_SYNCED,         /* the persist request with this id is durable */
   OH_RAFT_STORAGE_FAILED, /* the persist request with this id failed */
   OH_RAFT_SNAPSHOT_READY, /* answer to take_snapshot */
@@ -94,6 +95,11 @@
     } start;
     const Oh__RaftMessage *message;
     struct
+    {
+      const oh_raft_replica_t *seeds; /* names and endpoints */
+      size_t n_seeds;
+    } seeds;
+    struct
     {
       uint64_t tag; /* returned in the proposed action */
       GBytes *data;
@@ -241,6 +247,7 @@
   int64_t election_due_us;
   int64_t heartbeat_due_us;
   int64_t hello_due_us;
+  int64_t seed_hello_due_us;
 
   oh_snapshot_t incoming; /* snapshot being received */
   GByteArray *incoming_data;
--- a/lib/core/raft_membership.c
+++ b/lib/core/raft_membership.c
@@ -6,6 +6,8 @@
 enum
 {
   HELLO_US = 200000,
+  /* Between Hellos of a replica that belongs to a cluster, to seeds that may look for it. */
+  SEED_HELLO_US = 1000000,
 };
 
 /* Forming the cluster. */
@@ -23,6 +25,39 @@
   return NULL;
 }
 
+/* Adds a replica to those that are asked for the cluster. */
+static void
+learn_replica (oh_raft_t *raft, const char *name, const char *endpoint)
+{
+  if (raft->initial->len >= OH_RAFT_REPLICAS_MAX || strlen (name) == 0
+      || strlen (name) > OH_RAFT_NAME_MAX_BYTES || strlen (endpoint) == 0
+      || strlen (endpoint) > OH_RAFT_ENDPOINT_MAX_BYTES || find_name (raft->initial, name) != NULL)
+    return;
+  /* The set is no longer the initial one, and a cluster exists. */
+  raft->join = true;
+  oh_raft_replicas_add (raft->initial,
+                        oh_raft_replica_new (name, 0, endpoint, OH__REPLICA_ROLE__REPLICA_VOTER));
+}
+
+void
+oh_raft_learn_sender (oh_raft_t *raft, const Oh__RaftMessage *message)
+{
+  if (raft->role == OH_RAFT_UNFORMED && raft->voters > 0 && message->cluster != 0)
+    learn_replica (raft, message->from_name, message->from_endpoint);
+}
+
+void
+oh_raft_set_seeds (oh_raft_t *raft, const oh_raft_replica_t *seeds, size_t n_seeds)
+{
+  for (size_t i = 0; i < n_seeds; i++)
+    {
+      /* Those that were learned first are known by the replica set, too. */
+      if (raft->initial->len >= OH_RAFT_REPLICAS_MAX)
+        g_ptr_array_remove_index (raft->initial, 0);
+      learn_replica (raft, seeds[i].name, seeds[i].endpoint);
+    }
+}
+
 static void
 send_hello (oh_raft_t *raft, const oh_raft_replica_t *to)
 {
@@ -84,6 +119,11 @@
       || (!oh_raft_is_voter (raft, raft->self->id)
           && raft->now_us - raft->leader_contact_us > OH_RAFT_CONFIRMED_US))
     send_hellos (raft);
+  else if (raft->voters > 0 && raft->now_us >= raft->seed_hello_due_us)
+    {
+      raft->seed_hello_due_us = raft->now_us + SEED_HELLO_US;
+      send_hellos (raft);
+    }
 }
 
 void
@@ -103,21 +143,6 @@
   oh_raft_set_cluster (raft, MAX (XXH64 (data, length, 0), 1));
 }
 
-/* Adds a replica to those that are asked for the cluster. */
-static void
-learn_replica (oh_raft_t *raft, const Oh__Replica *replica)
-{
-  if (raft->initial->len >= OH_RAFT_REPLICAS_MAX || strlen (replica->name) == 0
-      || strlen (replica->name) > OH_RAFT_NAME_MAX_BYTES || strlen (replica->endpoint) == 0
-      || strlen (replica->endpoint) > OH_RAFT_ENDPOINT_MAX_BYTES
-      || find_name (raft->initial, replica->name) != NULL)
-    return;
-  /* The set is no longer the initial one, and a cluster exists. */
-  raft->join = true;
-  oh_raft_replicas_add (raft->initial, oh_raft_replica_new (replica->name, replica->id, replica->endpoint,
-                                                            OH__REPLICA_ROLE__REPLICA_VOTER));
-}
-
 /* The first seed has no disk: it appoints the first replica with one that asks, and no other one. */
 static void
 appoint_founder (oh_raft_t *raft, const Oh__RaftMessage *message)
@@ -136,7 +161,7 @@
   if (raft->appointed == 0)
     {
       raft->appointed = message->from;
-      learn_replica (raft, message->hello->self);
+      learn_replica (raft, message->hello->self->name, message->hello->self->endpoint);
       known = find_name (raft->initial, message->hello->self->name);
       if (known != NULL)
         known->id = message->from;
@@ -410,7 +435,7 @@
     }
   /* Learns where the present replicas are; the leader may not be one of the initial set. */
   for (size_t i = 0; i < reply->n_replicas; i++)
-    learn_replica (raft, reply->replicas[i]);
+    learn_replica (raft, reply->replicas[i]->name, reply->replicas[i]->endpoint);
 }
 
 oh_raft_proposal_t
--- a/lib/core/raft_private.h
+++ b/lib/core/raft_private.h
@@ -88,6 +88,10 @@
 void oh_raft_check_learners (oh_raft_t *raft);
 
 /* An unformed cluster of one replica, and one whose Hello messages agree, is formed here. */
+/* A replica without a cluster learns of one from any message of a member. */
+void oh_raft_learn_sender (oh_raft_t *raft, const Oh__RaftMessage *message);
+void oh_raft_set_seeds (oh_raft_t *raft, const oh_raft_replica_t *seeds, size_t n_seeds);
+
 /* Makes this replica the only voter of a new cluster. */
 void oh_raft_found (oh_raft_t *raft);
 void oh_raft_try_form (oh_raft_t *raft);
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -333,6 +333,33 @@
     }
 }
 
+/* Guards against observers that are the only seeds and do not find the cluster after all have stopped at once
+ * (scs-ops scale-1: RECOVER). */
+static void
+test_observers_as_seeds (void)
+{
+  for (uint32_t seed = 0; seed < 20; seed++)
+    {
+      sim_t sim;
+      uint64_t index;
+
+      sim_init_voters (&sim, seed, 3, 3);
+      for (unsigned i = 0; i < 3; i++)
+        sim.nodes[i].observer = true;
+      for (unsigned i = 0; i < 6; i++)
+        sim_start (&sim, i);
+      index = sim_commit (&sim, 10 * SIM_S);
+      sim_run (&sim, 2 * SIM_S);
+      for (unsigned i = 0; i < 6; i++)
+        sim_crash (&sim, i);
+      for (unsigned i = 0; i < 6; i++)
+        sim_start (&sim, i);
+      for (unsigned i = 0; i < 6; i++)
+        sim_wait_applied (&sim, i, index, 4 * SIM_S);
+      sim_finish (&sim);
+    }
+}
+
 /* Guards against a lost voter whose place nobody takes, a learner that is promoted beyond the number of
  * voters that is asked for, and committed entries that are lost on the way. */
 static void
@@ -653,6 +680,7 @@
   g_test_add_func ("/raft/no-second-cluster", test_no_second_cluster);
   g_test_add_func ("/raft/membership", test_membership);
   g_test_add_func ("/raft/founding", test_founding);
+  g_test_add_func ("/raft/observers-as-seeds", test_observers_as_seeds);
   g_test_add_func ("/raft/voters-kept-up", test_voters_kept_up);
   g_test_add_func ("/raft/successor", test_successor);
   g_test_add_func ("/raft/quick-first-election", test_quick_first_election);
