--- a/lib/core/raft.c
+++ b/lib/core/raft.c
@@ -200,6 +200,7 @@
                                                                 OH__REPLICA_ROLE__REPLICA_VOTER));
     }
   raft->join = event->start.join;
+  raft->started_us = raft->now_us;
   raft->voters = event->start.voters;
   raft->observer = event->start.observer;
   raft->may_found = event->start.may_found && raft->voters > 0 && recovered->hard.cluster == 0;
@@ -342,6 +343,7 @@
       oh_raft_election_tick (raft);
       break;
     case OH_RAFT_LEADER:
+      oh_raft_hello_tick (raft);
       oh_raft_leader_tick (raft);
       break;
     case OH_RAFT_FAILED:
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -194,7 +194,9 @@
   uint64_t id;
   uint64_t next;
   uint64_t match;
-  int64_t contact_us; /* when the last message that it answered was sent */
+  int64_t
+    contact_us;  /* when the last message that it answered was sent; at first the start of the leadership */
+  bool answered; /* under this leadership */
   int64_t sent_us;
   bool awaiting; /* an append or a snapshot chunk is not answered yet */
   bool granted;
@@ -248,6 +250,7 @@
   int64_t heartbeat_due_us;
   int64_t hello_due_us;
   int64_t seed_hello_due_us;
+  int64_t started_us;
 
   oh_snapshot_t incoming; /* snapshot being received */
   GByteArray *incoming_data;
--- a/lib/core/raft_membership.c
+++ b/lib/core/raft_membership.c
@@ -8,6 +8,7 @@
   HELLO_US = 200000,
   /* Between Hellos of a replica that belongs to a cluster, to seeds that may look for it. */
   SEED_HELLO_US = 1000000,
+  STARTING_US = 5000000,
 };
 
 /* Forming the cluster. */
@@ -121,7 +122,9 @@
     send_hellos (raft);
   else if (raft->voters > 0 && raft->now_us >= raft->seed_hello_due_us)
     {
-      raft->seed_hello_due_us = raft->now_us + SEED_HELLO_US;
+      /* After a start others may have started too. */
+      raft->seed_hello_due_us
+        = raft->now_us + (raft->now_us - raft->started_us < STARTING_US ? HELLO_US : SEED_HELLO_US);
       send_hellos (raft);
     }
 }
@@ -328,6 +331,15 @@
   return peer != NULL && peer->contact_us != 0 && raft->now_us - peer->contact_us <= OH_RAFT_CONFIRMED_US;
 }
 
+/* True if the replica itself was heard lately; a new leadership counts as contact, but is none. */
+static bool
+is_live (oh_raft_t *raft, uint64_t id)
+{
+  const oh_raft_peer_t *peer = oh_raft_peer (raft, id);
+
+  return id == raft->self->id || (peer != NULL && peer->answered && in_contact (raft, id));
+}
+
 /* How long the replica has been out of contact. */
 static int64_t
 silence_us (oh_raft_t *raft, uint64_t id)
@@ -377,7 +389,7 @@
       if (!g_str_equal (replica->name, joiner->name))
         continue;
       /* Two live replicas of one name are a mistake of the operator; the present one stays. */
-      if (in_contact (raft, replica->id))
+      if (is_live (raft, replica->id))
         {
           g_ptr_array_unref (replicas);
           return;
--- a/lib/core/raft_replication.c
+++ b/lib/core/raft_replication.c
@@ -217,7 +217,10 @@
     return NULL;
   peer = oh_raft_peer (raft, message->from);
   if (peer != NULL)
-    peer->contact_us = MAX (peer->contact_us, MIN (sent_us, raft->now_us));
+    {
+      peer->contact_us = MAX (peer->contact_us, MIN (sent_us, raft->now_us));
+      peer->answered = true;
+    }
   return peer;
 }
 
