--- a/lib/adapters/link.c
+++ b/lib/adapters/link.c
@@ -8,6 +8,8 @@
   HEARTBEAT_INTERVAL_MS = 500,
   HEARTBEAT_TIMEOUT_MS
   = 2000, /* below the 3 s lease, so that a dead connection is replaced before the lease ends */
+  /* A VM without power answers nothing; the system would try again only after a second or more. */
+  CONNECT_TIMEOUT_MS = 250,
   RECONNECT_MS = 100,
   RECONNECT_MAX_MS = 200,
   QUEUE_MESSAGES = 4096,
@@ -164,6 +166,7 @@
   set_option (socket, ZMQ_LINGER, 0);
   set_option (socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS);
   set_option (socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
+  set_option (socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
   set_option (socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
   set_option (socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
   set_option (socket, ZMQ_IMMEDIATE, kind == LINK_CLIENT_UNQUEUED);
--- a/tests/test_view.c
+++ b/tests/test_view.c
@@ -1,5 +1,6 @@
 #include <glib.h>
 
+#include "base/packed.h"
 #include "core/codec.h"
 #include "core/view.h"
 
@@ -162,6 +163,51 @@
   oh_view_finish (&view);
 }
 
+/* Guards against a version whose text is missing, and packed texts that are damaged or too long. */
+static void
+test_texts (void)
+{
+  g_autoptr (GBytes) packed = oh_pack (TEXT);
+  g_autofree char *long_text = g_strnfill (OH_CONFIG_TEXT_MAX_BYTES + 1, '#');
+  g_autoptr (GBytes) packed_long = oh_pack (long_text);
+  const struct
+  {
+    const char *name;
+    bool withheld;
+    GBytes *packed;
+    size_t cut; /* bytes missing at the end */
+    uint64_t version;
+  } cases[] = {
+    { "withheld", true, NULL, 0, 0 },
+    { "cut short", false, packed, 3, 0 },
+    { "too long", false, packed_long, 0, 0 },
+    { "whole", false, packed, 0, 7 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      message_t message;
+      oh_view_t view;
+
+      oh_view_init (&view);
+      version_message (&message, 7, true, NULL);
+      message.view.text_withheld = cases[i].withheld;
+      if (cases[i].packed != NULL)
+        {
+          message.view.has_text = true;
+          message.view.packed_text.data
+            = (uint8_t *)g_bytes_get_data (cases[i].packed, &message.view.packed_text.len);
+          message.view.packed_text.len -= cases[i].cut;
+        }
+      oh_view_merge (&view, 0, &message.view);
+      if (view.version != cases[i].version)
+        g_error ("case %s: version %" G_GUINT64_FORMAT, cases[i].name, view.version);
+      g_assert_cmpuint (view.offered_version, ==, cases[i].withheld ? 7 : 0);
+      g_assert_cmpstr (view.text, ==, cases[i].version != 0 ? TEXT : "");
+      oh_view_finish (&view);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -169,5 +215,6 @@
   g_test_add_func ("/view/versions", test_versions);
   g_test_add_func ("/view/members", test_members);
   g_test_add_func ("/view/snapshot", test_snapshot);
+  g_test_add_func ("/view/texts", test_texts);
   return g_test_run ();
 }
