--- a/daemons/oriole_control.c
+++ b/daemons/oriole_control.c
@@ -28,6 +28,7 @@
   char *name;
   char *zone;
   char *listen;
+  char *advertise;
   char *data;
   oh_address_t admin;
   char *replicas;
@@ -45,6 +46,7 @@
   { "control", "name", OH_SETTING_STRING, offsetof (settings_t, name), true, NULL, 0, 0 },
   { "control", "zone", OH_SETTING_STRING, offsetof (settings_t, zone), false, "", 0, 0 },
   { "control", "listen", OH_SETTING_STRING, offsetof (settings_t, listen), true, NULL, 0, 0 },
+  { "control", "advertise", OH_SETTING_STRING, offsetof (settings_t, advertise), false, "", 0, 0 },
   { "control", "data", OH_SETTING_STRING, offsetof (settings_t, data), false, "", 0, 0 },
   { "control", "admin", OH_SETTING_ADDRESS, offsetof (settings_t, admin), false, NULL, 0, 0 },
   { "control", "replicas", OH_SETTING_STRING, offsetof (settings_t, replicas), false, "", 0, 0 },
@@ -126,6 +128,13 @@
   g_free (replica->endpoint);
 }
 
+/* Where others reach this replica. */
+static const char *
+own_endpoint (const control_t *control)
+{
+  return control->settings.advertise[0] != '\0' ? control->settings.advertise : control->settings.listen;
+}
+
 /* The address without scheme and port. */
 static char *
 seed_name (const char *endpoint)
@@ -157,7 +166,7 @@
       replica.name = g_strdup (*item);
       replica.endpoint = g_strdup (equals + 1);
       has_self |= strcmp (replica.name, control->settings.name) == 0
-                  && strcmp (replica.endpoint, control->settings.listen) == 0;
+                  && strcmp (replica.endpoint, own_endpoint (control)) == 0;
       g_array_append_val (control->initial, replica);
     }
   if (!has_self && !control->settings.join)
@@ -198,6 +207,8 @@
     return false;
   if (!endpoint_valid (settings->listen))
     return settings_error (control, path, "listen", settings->listen, "tcp://IPV4:PORT", error);
+  if (settings->advertise[0] != '\0' && !endpoint_valid (settings->advertise))
+    return settings_error (control, path, "advertise", settings->advertise, "tcp://IPV4:PORT", error);
   if (settings->seeds[0] != '\0')
     return take_seeds (control, settings->seeds, error);
   if (settings->data[0] == '\0')
@@ -342,7 +353,7 @@
   oh_link_t *link = g_hash_table_lookup (control->links, endpoint);
   oh_error_t error;
 
-  if (strcmp (endpoint, control->settings.listen) == 0)
+  if (strcmp (endpoint, own_endpoint (control)) == 0)
     return;
   if (link == NULL)
     {
@@ -718,7 +729,7 @@
   start.start.recovered = &recovered;
   start.start.initial = (const oh_raft_replica_t *)(gpointer)control->initial->data;
   start.start.n_initial = control->initial->len;
-  start.start.endpoint = control->settings.listen;
+  start.start.endpoint = own_endpoint (control);
   start.start.join = control->settings.join;
   if (control->settings.seeds[0] != '\0')
     start.start.voters = (unsigned)control->settings.tolerate * 2 + 1;
--- a/lib/adapters/link.c
+++ b/lib/adapters/link.c
@@ -10,6 +10,7 @@
   = 2000, /* below the 3 s lease, so that a dead connection is replaced before the lease ends */
   /* A VM without power answers nothing; the system would try again only after a second or more. */
   CONNECT_TIMEOUT_MS = 250,
+  HANDSHAKE_TIMEOUT_MS = 1000, /* a connection that fell silent before its first message */
   RECONNECT_MS = 100,
   RECONNECT_MAX_MS = 200,
   QUEUE_MESSAGES = 4096,
@@ -167,6 +168,7 @@
   set_option (socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS);
   set_option (socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
   set_option (socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
+  set_option (socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS);
   set_option (socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
   set_option (socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
   set_option (socket, ZMQ_IMMEDIATE, kind == LINK_CLIENT_UNQUEUED);
--- a/scripts/lib/platform_system.py
+++ b/scripts/lib/platform_system.py
@@ -10,15 +10,22 @@
 import subprocess
 import sys
 import tempfile
+import threading
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, 'standins'))
+import fault_proxy  # noqa: E402
 import platform_world as world_module  # noqa: E402
 
 Ports = collections.namedtuple('Ports', 'segments readiness control app outbound first last heartbeat_ms')
+PROXY_PORT = 7721
 PORTS = Ports(8172, 8167, 8166, 8165, 8162, 7720, 7735, 300)
 
 
+def in_thread(call):
+    threading.Thread(target=call, daemon=True).start()
+
+
 def render(template, fields):
     """As much of the platform's templates as deploy/templates uses."""
     def value(name):
@@ -38,8 +45,9 @@
 
 
 class PlatformSystem:
-    def __init__(self, build, seed=1, n_control=3, n_balancers=3):
-        self.build = build
+    def __init__(self, build, seed=1, n_control=3, n_balancers=3, keep=None):
+        self.build, self.keep = build, keep
+        self.proxies = {}
         self.folder = tempfile.mkdtemp(prefix='oriolehaven-platform-')
         self.network = f'127.{10 + os.getpid() % 200}'
         self.world = world_module.World(seed)
@@ -62,12 +70,24 @@
         for process in self.processes.values():
             process.kill()
             process.wait()
+        for proxy in self.proxies.values():
+            proxy.stop()
         self.world.finish()
         if kind is not None and os.environ.get('ORIOLEHAVEN_KEEP_LOGS'):
             print(f'logs: {self.folder}', file=sys.stderr)
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
 
+    def interpose(self):
+        """Control processes are reached through proxies that can harm their connections."""
+        for index, ip in enumerate(self.control):
+            self.proxies[ip] = fault_proxy.FaultProxy(f'control-{index}', (ip, PROXY_PORT), (ip, PORTS.first))
+
+    def keep_logs(self):
+        if self.keep is None:
+            return 'not kept, see --logs'
+        return shutil.copytree(self.folder, os.path.join(self.keep, os.path.basename(self.folder)))
+
     # Processes.
 
     def fields(self, name, ip, bootstrap):
@@ -86,6 +106,9 @@
         os.makedirs(fields['DataDir'], exist_ok=True)
         with open(os.path.join(ROOT, 'deploy', 'templates', template), encoding='utf-8') as file:
             content = render(file.read(), fields)
+        if self.proxies:
+            content = content.replace(f'port={PORTS.first}', f'port={PROXY_PORT}')
+            content = content.replace('operators=', f'advertise=tcp://{ip}:{PROXY_PORT}\noperators=')
         with open(path, 'w', encoding='utf-8') as file:
             file.write(content)
         self.commands[name] = (program, template, ip)
@@ -185,7 +208,12 @@
                 late = [at for at, _ in upstream.opened if at > upstream.draining_acknowledged + 3]
                 if late:
                     broken.append(f'DRAIN: {upstream.service} got {len(late)} flows after it was acknowledged')
-        broken += [f'DOUBLED: {request} ran {count} times' for request, count in seen.items() if count > 1]
+        for request, count in seen.items():
+            if count > 1:
+                where = [(upstream.id, upstream.ip, round(at, 3)) for upstream in self.all_upstreams()
+                         for at, ran, _ in upstream.runs if ran == request]
+                caller = next(caller for caller in self.callers if request in caller.sent)
+                broken.append(f'DOUBLED: {request} of {caller.ip}:{caller.port} ran {count} times: {where}')
         for caller in self.callers:
             broken += [f'LOST: {request} was answered and never ran' for request in caller.done if not seen[request]]
         return broken
--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -235,8 +235,8 @@
             if flow is None or flow['first'] != segment.seq:
                 flow = self.accept(segment)
             self.answer(flow)
-        elif flow is None:
-            self.give_back(raw)
+        elif flow is None or not (flow['open'] or segment.ack == (flow['sequence'] + 1) & 0xffffffff):
+            self.give_back(raw)  # a flow opens only at the upstream whose answer the caller acknowledges
         elif segment.flags & RST:
             flow['sender'].closed = True
             del self.flows[self.key(segment)]
@@ -396,6 +396,7 @@
         self.callers = {}
         self.sockets = {}
         self.stopped = False
+        self.faults = None
         threading.Thread(target=self.check, daemon=True).start()
 
     def check(self):
@@ -432,7 +433,17 @@
     def send(self, segment):
         ip = text(segment.src)
         self.listen(ip)
-        self.sockets[ip].sendto(segment.pack(), (self.choose(segment), self.port))
+        self.harm(lambda: self.sockets[ip].sendto(segment.pack(), (self.choose(segment), self.port)))
+
+    def harm(self, send):
+        """Loses, doubles and delays datagrams while faults are set: (random, lost, doubled, late), as shares."""
+        if self.faults is None:
+            send()
+            return
+        source, lost, doubled, late = self.faults
+        for _ in range(2 if source.random() < doubled else 1):
+            if source.random() >= lost:
+                self.world.after(source.uniform(0, 0.3) if source.random() < late else 0, send)
 
 
 class Operator:
