segment_balancer: search without the segment; tell records again when the zone's balancers change

Change: an agent is asked by the flow alone and gets the segment only if it needs it to tell; owners are told again after a change of the zone's balancers.

--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -489,6 +489,28 @@
   deliver_later (agent, flow, segment, bytes, length);
 }
 
+/* A search without the segment. */
+static void
+handle_ask (oh_segment_agent_t *agent, const Oh__SegmentRelay *relay, oh_address_t balancer)
+{
+  Oh__SegmentRelayKind kind = OH__SEGMENT_RELAY_KIND__SEGMENT_WANTED;
+  const oh_agent_flow_t *flow;
+  oh_flow_key_t key;
+
+  if (!oh_address_from_wire (relay->caller, &key.caller) || !oh_address_from_wire (relay->route, &key.route))
+    {
+      oh_counter_increment (&agent->counters.dropped_malformed);
+      return;
+    }
+  oh_counter_increment (&agent->counters.searches);
+  flow = g_hash_table_lookup (agent->flows, &key);
+  if (flow != NULL && flow->state == OH_AGENT_FLOW_OPEN)
+    kind = OH__SEGMENT_RELAY_KIND__SEGMENT_OWNED;
+  else if (flow != NULL ? flow->state == OH_AGENT_FLOW_ABSENT : agent->complete)
+    kind = OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT;
+  answer_search (agent, balancer, kind, OH__RESULT__RESULT_NONE, relay->search, &key, NULL, 0);
+}
+
 static void
 handle_relay (oh_segment_agent_t *agent, const uint8_t *bytes, size_t length)
 {
@@ -504,6 +526,11 @@
       oh_counter_increment (&agent->counters.dropped_bad_seal);
       return;
     }
+  if (relay->kind == OH__SEGMENT_RELAY_KIND__SEGMENT_ASK)
+    {
+      handle_ask (agent, relay, balancer);
+      return;
+    }
   if (!agent->config.format->ops->decode (agent->config.format, relay->segment.data, relay->segment.len,
                                           &segment))
     {
--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -329,16 +329,27 @@
 
 /* Segments in the middle of a flow. */
 
+/* Most agents know without the segment whether they hold its flow; the others ask for it. */
 static void
-ask (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const oh_upstream_t *upstream,
-     const uint8_t *bytes, size_t length)
+ask (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const oh_upstream_t *upstream)
 {
-  const uint32_t search = (uint32_t)flow->question << 16 | (flow->asked->len & 0xffff);
+  Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
+  Oh__Address addresses[3];
+  size_t size;
 
+  oh_address_to_wire (balancer->relay, &addresses[0]);
+  oh_address_to_wire (flow->key.caller, &addresses[1]);
+  oh_address_to_wire (flow->key.route, &addresses[2]);
+  relay.kind = OH__SEGMENT_RELAY_KIND__SEGMENT_ASK;
+  relay.search = (uint32_t)flow->question << 16 | (flow->asked->len & 0xffff);
+  relay.balancer = &addresses[0];
+  relay.caller = &addresses[1];
+  relay.route = &addresses[2];
   g_array_append_val (flow->asked, upstream->agent);
   oh_counter_increment (&balancer->counters.search_messages);
-  send_question (balancer, upstream->agent, OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH, upstream->service, search,
-                 bytes, length);
+  size = oh_segment_relay_encode (&relay, &balancer->keyring, balancer->out, sizeof balancer->out);
+  if (size > 0)
+    balancer->sink->ops->send_agent (balancer->sink, upstream->agent, balancer->out, size);
 }
 
 static bool
@@ -377,13 +388,11 @@
   const guint asked = flow->asked->len;
   GHashTableIter iter;
   gpointer value;
-  gsize length;
-  const uint8_t *bytes = g_bytes_get_data (flow->searched, &length);
 
   g_hash_table_iter_init (&iter, balancer->placement.upstreams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (!was_asked (flow, ((const oh_upstream_t *)value)->agent))
-      ask (balancer, flow, value, bytes, length);
+      ask (balancer, flow, value);
   return flow->asked->len > asked;
 }
 
@@ -419,7 +428,7 @@
   g_hash_table_iter_init (&iter, balancer->placement.upstreams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (leads_to (route, ((const oh_upstream_t *)value)->service))
-      ask (balancer, flow, value, bytes, length);
+      ask (balancer, flow, value);
   if (flow->asked->len == 0)
     search_others (balancer, flow);
   log_flow (balancer, OH_LOG_DEBUG, "flow_searched", &flow->key, "question=%u asked=%u", flow->question,
@@ -440,6 +449,19 @@
   send_reset (balancer, &flow->key, flow->last_acknowledged);
 }
 
+/* An agent that cannot tell without the segment gets it. */
+static void
+on_wanted (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, uint32_t question, oh_address_t agent)
+{
+  gsize length;
+  const uint8_t *bytes;
+
+  if (flow == NULL || flow->searched == NULL || question >> 16 != flow->question)
+    return;
+  bytes = g_bytes_get_data (flow->searched, &length);
+  send_question (balancer, agent, OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH, 0, question, bytes, length);
+}
+
 static void
 on_search_answer (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, uint32_t answered)
 {
@@ -788,6 +810,22 @@
     place_flow (balancer, flow, relay->segment.data, relay->segment.len);
 }
 
+/* The segment whose owner was searched goes to it; an agent that wanted it gets it twice, which its upstream
+ * takes as a retransmission. */
+static void
+deliver_searched (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
+{
+  gsize length;
+  const uint8_t *bytes;
+
+  if (flow->searched != NULL)
+    {
+      bytes = g_bytes_get_data (flow->searched, &length);
+      send_relay (balancer, flow->owner, OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER, 0, bytes, length);
+    }
+  end_search (flow);
+}
+
 static void
 on_owned (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, oh_address_t agent)
 {
@@ -797,7 +835,7 @@
     oh_counter_increment (&balancer->counters.found);
   flow->owned = true;
   flow->owner = agent;
-  end_search (flow);
+  deliver_searched (balancer, flow);
   end_lookup (balancer, flow);
   record_owner (balancer, flow);
 }
@@ -902,6 +940,9 @@
     case OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT:
       on_absent (balancer, flow, relay, agent);
       return;
+    case OH__SEGMENT_RELAY_KIND__SEGMENT_WANTED:
+      on_wanted (balancer, flow, relay->search, agent);
+      return;
     case OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD:
     case OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN:
     case OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER:
@@ -909,14 +950,36 @@
     case OH__SEGMENT_RELAY_KIND__SEGMENT_RECORD:
     case OH__SEGMENT_RELAY_KIND__SEGMENT_LOOKUP:
     case OH__SEGMENT_RELAY_KIND__SEGMENT_UNKNOWN:
+    case OH__SEGMENT_RELAY_KIND__SEGMENT_ASK:
     case _OH__SEGMENT_RELAY_KIND_IS_INT_SIZE:
       return;
     }
 }
 
+static bool
+same_addresses (const GArray *a, const GArray *b)
+{
+  return a->len == b->len && memcmp (a->data, b->data, a->len * sizeof (oh_address_t)) == 0;
+}
+
+/* Other balancers hold the directory now, or have lost it: the owner of each flow is told again with the
+ * flow's next segment. */
+static void
+forget_records (oh_segment_balancer_t *balancer)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, balancer->flows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((oh_balancer_flow_t *)value)->recorded = false;
+}
+
 static void
 handle_view (oh_segment_balancer_t *balancer, const oh_view_t *view)
 {
+  g_autoptr (GArray) before = balancer->peers;
+
   if (view->confirmed && view->version > balancer->routes_version)
     {
       if (balancer->routes_version == 0)
@@ -926,7 +989,7 @@
       oh_route_table_load (&balancer->routes, &view->config);
     }
   balancer->listed = view->complete;
-  g_array_set_size (balancer->peers, 0);
+  balancer->peers = g_array_new (FALSE, FALSE, sizeof (oh_address_t));
   for (guint i = 0; i < view->balancers->len; i++)
     {
       const oh_view_balancer_t *peer = g_ptr_array_index (view->balancers, i);
@@ -934,6 +997,8 @@
       if (g_strcmp0 (peer->zone, balancer->placement.zone) == 0)
         g_array_append_val (balancer->peers, peer->relay);
     }
+  if (!same_addresses (before, balancer->peers))
+    forget_records (balancer);
   oh_keyring_advance (&balancer->keyring, view->key_generation);
   oh_placement_update (&balancer->placement, oh_placement_view_new (view), balancer->now_us);
 }
--- a/lib/wire/packet.pb-c.c
+++ b/lib/wire/packet.pb-c.c
@@ -2595,7 +2595,7 @@
   oh__upstream_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue oh__segment_relay_kind__enum_values_by_number[11] =
+static const ProtobufCEnumValue oh__segment_relay_kind__enum_values_by_number[13] =
 {
   { "SEGMENT_LOAD", "OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD", 0 },
   { "SEGMENT_OPEN", "OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN", 1 },
@@ -2608,14 +2608,17 @@
   { "SEGMENT_RECORD", "OH__SEGMENT_RELAY_KIND__SEGMENT_RECORD", 8 },
   { "SEGMENT_LOOKUP", "OH__SEGMENT_RELAY_KIND__SEGMENT_LOOKUP", 9 },
   { "SEGMENT_UNKNOWN", "OH__SEGMENT_RELAY_KIND__SEGMENT_UNKNOWN", 10 },
+  { "SEGMENT_ASK", "OH__SEGMENT_RELAY_KIND__SEGMENT_ASK", 11 },
+  { "SEGMENT_WANTED", "OH__SEGMENT_RELAY_KIND__SEGMENT_WANTED", 12 },
 };
 static const ProtobufCIntRange oh__segment_relay_kind__value_ranges[] = {
-{0, 0},{0, 11}
+{0, 0},{0, 13}
 };
-static const ProtobufCEnumValueIndex oh__segment_relay_kind__enum_values_by_name[11] =
+static const ProtobufCEnumValueIndex oh__segment_relay_kind__enum_values_by_name[13] =
 {
   { "SEGMENT_ABSENT", 7 },
   { "SEGMENT_ACCEPTED", 4 },
+  { "SEGMENT_ASK", 11 },
   { "SEGMENT_DELIVER", 2 },
   { "SEGMENT_LOAD", 0 },
   { "SEGMENT_LOOKUP", 9 },
@@ -2625,6 +2628,7 @@
   { "SEGMENT_REFUSED", 5 },
   { "SEGMENT_SEARCH", 3 },
   { "SEGMENT_UNKNOWN", 10 },
+  { "SEGMENT_WANTED", 12 },
 };
 const ProtobufCEnumDescriptor oh__segment_relay_kind__descriptor =
 {
@@ -2633,9 +2637,9 @@
   "SegmentRelayKind",
   "Oh__SegmentRelayKind",
   "oh",
-  11,
+  13,
   oh__segment_relay_kind__enum_values_by_number,
-  11,
+  13,
   oh__segment_relay_kind__enum_values_by_name,
   1,
   oh__segment_relay_kind__value_ranges,
--- a/lib/wire/packet.pb-c.h
+++ b/lib/wire/packet.pb-c.h
@@ -139,7 +139,15 @@
   /*
    * balancer to balancer: nor does this one
    */
-  OH__SEGMENT_RELAY_KIND__SEGMENT_UNKNOWN = 10
+  OH__SEGMENT_RELAY_KIND__SEGMENT_UNKNOWN = 10,
+  /*
+   * balancer to agent: a search without the segment
+   */
+  OH__SEGMENT_RELAY_KIND__SEGMENT_ASK = 11,
+  /*
+   * agent to balancer: only the segment itself can tell whether the flow is here
+   */
+  OH__SEGMENT_RELAY_KIND__SEGMENT_WANTED = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(OH__SEGMENT_RELAY_KIND)
 } Oh__SegmentRelayKind;
 
--- a/tests/test_segment_agent.c
+++ b/tests/test_segment_agent.c
@@ -23,6 +23,7 @@
   STEP_OPEN,        /* text: service; a: caller; the first segment of a flow */
   STEP_DELIVER,     /* a: caller, b: acknowledged, c: length of data */
   STEP_SEARCH,      /* as DELIVER */
+  STEP_ASK,         /* a: caller; a search without the segment */
   STEP_ANSWERS,     /* a: caller; the upstream answers the first segment */
   STEP_DATA,        /* a: caller, b: flags, c: length; the upstream sends */
   STEP_RETURN,      /* a: caller, b: flags; the upstream gives a segment back */
@@ -172,6 +173,7 @@
 {
   Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
   Oh__Address balancer;
+  Oh__Address flow[2];
   uint8_t buffer[OH_RELAY_MAX_BYTES];
   size_t length;
 
@@ -180,6 +182,14 @@
   relay.balancer = &balancer;
   relay.service = service != NULL ? oh_service_id (service) : 0;
   relay.search = kind == OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH ? 0x10000 : 0;
+  if (kind == OH__SEGMENT_RELAY_KIND__SEGMENT_ASK)
+    {
+      oh_address_to_wire (caller_address (0), &flow[0]);
+      oh_address_to_wire (route_address, &flow[1]);
+      relay.caller = &flow[0];
+      relay.route = &flow[1];
+      relay.search = 0x10000;
+    }
   relay.segment = (ProtobufCBinaryData){ .len = segment.length, .data = segment.bytes };
   length = oh_segment_relay_encode (&relay, &fixture->keyring, buffer, sizeof buffer);
   handle (fixture, (oh_segment_agent_event_t){ .kind = OH_SEGMENT_AGENT_RELAY,
@@ -248,6 +258,9 @@
     case STEP_SEARCH:
       play_relay (fixture, OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH, NULL, from_caller (step, FIXTURE_ACK));
       return;
+    case STEP_ASK:
+      play_relay (fixture, OH__SEGMENT_RELAY_KIND__SEGMENT_ASK, NULL, (fixture_segment_t){ .length = 0 });
+      return;
     case STEP_ANSWERS:
       play_upstream (fixture, fixture_segment (route_address, caller_address (step->a),
                                                FIXTURE_SYN | FIXTURE_ACK, ANSWER_SEQUENCE, 7001, 0));
@@ -288,6 +301,11 @@
 #define REFUSED OH__SEGMENT_RELAY_KIND__SEGMENT_REFUSED
 #define OWNED OH__SEGMENT_RELAY_KIND__SEGMENT_OWNED
 #define ABSENT OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT
+#define WANTED OH__SEGMENT_RELAY_KIND__SEGMENT_WANTED
+#define ASKS                                                                                                 \
+  {                                                                                                          \
+    STEP_ASK, 0, 0, 0, NULL                                                                                  \
+  }
 #define OVERLOADED OH__RESULT__RESULT_NOT_RUN_OVERLOADED
 #define LEAVING OH__RESULT__RESULT_NOT_RUN_DRAINING
 #define UNANSWERED OH__RESULT__RESULT_NOT_RUN_UPSTREAM
@@ -393,6 +411,12 @@
       DELIVERED (7) } },
   { "a searched flow that is not here is delivered",
     { READY (1, 1), SEARCHES (0), DELIVERED (0), ANSWER (ABSENT, 1, 0) } },
+  { "a search without the segment is not answered, or delivers something",
+    { READY (1, 1), ASKS, ANSWER (ABSENT, 1, 0), OPENS (0), ANSWERS (0), ASKS, ANSWER (WANTED, 1, 0),
+      SAYS (0), ASKS, ANSWER (OWNED, 1, 0), DELIVERED (2) } },
+  { "a restarted agent denies a flow that it could not know, or an absent one for ever",
+    { READY (1, 7), ASKS, ANSWER (WANTED, 1, 0), SEARCHES (0), RETURNS (0, FIXTURE_ACK),
+      ANSWER (ABSENT, 1, 0), ASKS, ANSWER (ABSENT, 1, 0) } },
   { "the owner of a searched flow keeps silent",
     { READY (1, 1), OPENS (0), ANSWERS (0), SAYS (0), DELIVERED (2), SEARCHES (0), DELIVERED (1),
       ANSWER (OWNED, 1, 0) } },
--- a/tests/test_segment_balancer.c
+++ b/tests/test_segment_balancer.c
@@ -34,7 +34,8 @@
 typedef enum
 {
   STEP_END,
-  STEP_PEERS,       /* from now on views list two other balancers of the zone */
+  STEP_PEERS, /* from now on views list two other balancers of the zone */
+  STEP_NO_PEERS,
   STEP_PEER,        /* a: peer, b: kind; it sends about the flow, as owner the agent c */
   STEP_VIEW,        /* text, a: confirmed, b: complete, c: number of agents listed */
   STEP_CALLER,      /* a: flags, b: acknowledged (of a first segment: copies), c: length of data */
@@ -334,6 +335,9 @@
     case STEP_PEERS:
       fixture->peers = true;
       return;
+    case STEP_NO_PEERS:
+      fixture->peers = false;
+      return;
     case STEP_PEER:
       play_peer (fixture, step);
       return;
@@ -381,6 +385,8 @@
 #define OPEN OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN
 #define DELIVER OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER
 #define SEARCH OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH
+#define ASK OH__SEGMENT_RELAY_KIND__SEGMENT_ASK
+#define WANTED OH__SEGMENT_RELAY_KIND__SEGMENT_WANTED
 #define ACCEPTED OH__SEGMENT_RELAY_KIND__SEGMENT_ACCEPTED
 #define REFUSED OH__SEGMENT_RELAY_KIND__SEGMENT_REFUSED
 #define OWNED OH__SEGMENT_RELAY_KIND__SEGMENT_OWNED
@@ -419,6 +425,10 @@
   {                                                                                                          \
     STEP_PEERS, 0, 0, 0, NULL                                                                                \
   }
+#define NO_PEERS                                                                                             \
+  {                                                                                                          \
+    STEP_NO_PEERS, 0, 0, 0, NULL                                                                             \
+  }
 #define BY_PEER(peer, kind, agent)                                                                           \
   {                                                                                                          \
     STEP_PEER, peer, kind, agent, NULL                                                                       \
@@ -479,33 +489,35 @@
   { "a flow without a record is not searched",
     { CONFIRMED_VIEW (kiln_text),
       REQUEST,
-      SENT (SEARCH, KILN_AGENTS),
+      SENT (ASK, KILN_AGENTS),
       BY (1, OWNED),
+      SENT (DELIVER, 1),
       REQUEST,
       SENT (DELIVER, 1),
       { EXPECT_LAST, 1, 0, 0, NULL } } },
   { "a flow that an earlier configuration led elsewhere is reset (azf-bake quiet-1: FLOW)",
     { CONFIRMED_VIEW (kiln_text),
       REQUEST,
-      SENT (SEARCH, KILN_AGENTS),
+      SENT (ASK, KILN_AGENTS),
       BY (0, ABSENT),
       BY (1, ABSENT),
       BY (2, ABSENT),
       RESETS (0),
-      SENT (SEARCH, SCAN_AGENTS),
+      SENT (ASK, SCAN_AGENTS),
       BY (3, ABSENT),
       BY (4, OWNED),
       RESETS (0),
+      SENT (DELIVER, 1),
       REQUEST,
       SENT (DELIVER, 1),
       { EXPECT_LAST, 4, 0, 0, NULL } } },
   { "a flow is reset because its route changed during the search (azf-bake hunt-2ee0-19: FLOW)",
-    { CONFIRMED_VIEW (scan_text), WAIT (2000), REQUEST, SENT (SEARCH, SCAN_AGENTS),
-      CONFIRMED_VIEW (split_text), BY (3, ABSENT), BY (4, ABSENT), RESETS (0), SENT (SEARCH, KILN_AGENTS),
-      BY (1, OWNED), REQUEST, SENT (DELIVER, 1) } },
+    { CONFIRMED_VIEW (scan_text), WAIT (2000), REQUEST, SENT (ASK, SCAN_AGENTS), CONFIRMED_VIEW (split_text),
+      BY (3, ABSENT), BY (4, ABSENT), RESETS (0), SENT (ASK, KILN_AGENTS), BY (1, OWNED), SENT (DELIVER, 1),
+      REQUEST, SENT (DELIVER, 1) } },
   { "the caller of a flow that is nowhere waits for its deadline",
-    { CONFIRMED_VIEW (split_text), WAIT (2000), REQUEST, SENT (SEARCH, AGENTS), BY (0, ABSENT),
-      BY (1, ABSENT), BY (2, ABSENT), BY (3, ABSENT), RESETS (0), BY (4, ABSENT), RESETS (1) } },
+    { CONFIRMED_VIEW (split_text), WAIT (2000), REQUEST, SENT (ASK, AGENTS), BY (0, ABSENT), BY (1, ABSENT),
+      BY (2, ABSENT), BY (3, ABSENT), RESETS (0), BY (4, ABSENT), RESETS (1) } },
   { "repeated answers of one agent count as those of all",
     { CONFIRMED_VIEW (split_text), WAIT (2000), REQUEST, BY (0, ABSENT), BY (0, ABSENT), BY (0, ABSENT),
       BY (0, ABSENT), BY (0, ABSENT), RESETS (0) } },
@@ -522,10 +534,10 @@
     { CONFIRMED_VIEW (no_route_text), WAIT (2000), { STEP_PAUSE, 4000, 0, 0, NULL }, FIRST, RESETS (0) } },
   { "searches flood the agents",
     { CONFIRMED_VIEW (kiln_text), REQUEST, REQUEST, REQUEST, REQUEST, REQUEST, REQUEST,
-      SENT (SEARCH, KILN_AGENTS *OH_SEGMENT_SEARCHES_MAX) } },
+      SENT (ASK, KILN_AGENTS *OH_SEGMENT_SEARCHES_MAX) } },
   { "a restarted agent that lost the flow keeps getting its segments",
     { CONFIRMED_VIEW (kiln_text), FIRST, BY_LAST (ACCEPTED, 0), BY_LAST (OWNED, 0), REQUEST,
-      SENT (DELIVER, 1), BY_LAST (ABSENT, 0), SENT (SEARCH, KILN_AGENTS) } },
+      SENT (DELIVER, 1), BY_LAST (ABSENT, 0), SENT (ASK, KILN_AGENTS) } },
   { "upstreams that have not announced themselves yet count as missing",
     { { STEP_VIEW, 1, 0, 0, kiln_text },
       FIRST,
@@ -554,11 +566,24 @@
     { PEERS, CONFIRMED_VIEW (kiln_text), REQUEST, REQUEST, SENT (LOOKUP, 2), BY_PEER (1, RECORD, 2),
       SENT (DELIVER, 2) } },
   { "a flow that no balancer knows is not searched",
-    { PEERS, CONFIRMED_VIEW (kiln_text), REQUEST, SENT (LOOKUP, 2), BY_PEER (1, UNKNOWN, 0), SENT (SEARCH, 0),
-      BY_PEER (2, UNKNOWN, 0), SENT (SEARCH, KILN_AGENTS) } },
+    { PEERS, CONFIRMED_VIEW (kiln_text), REQUEST, SENT (LOOKUP, 2), BY_PEER (1, UNKNOWN, 0), SENT (ASK, 0),
+      BY_PEER (2, UNKNOWN, 0), SENT (ASK, KILN_AGENTS) } },
   { "a balancer that does not answer keeps a flow from being searched",
     { PEERS, CONFIRMED_VIEW (kiln_text), REQUEST, SENT (LOOKUP, 2), BY_PEER (1, UNKNOWN, 0), WAIT (100),
-      SENT (SEARCH, KILN_AGENTS) } },
+      SENT (ASK, KILN_AGENTS) } },
+  { "an agent that needs the segment to tell does not get it",
+    { CONFIRMED_VIEW (kiln_text),
+      REQUEST,
+      SENT (ASK, KILN_AGENTS),
+      BY (1, WANTED),
+      SENT (SEARCH, 1),
+      { EXPECT_LAST, 1, 0, 0, NULL },
+      BY (1, OWNED),
+      SENT (DELIVER, 1) } },
+  { "the directory is empty after its balancers were restarted (azf-bake-grown trouble-2: rolled fronts)",
+    { PEERS, CONFIRMED_VIEW (kiln_text), FIRST, BY_LAST (ACCEPTED, 0), REQUEST, SENT (RECORD, 2), REQUEST,
+      SENT (RECORD, 0), NO_PEERS, CONFIRMED_VIEW (kiln_text), PEERS, CONFIRMED_VIEW (kiln_text), REQUEST,
+      SENT (RECORD, 2) } },
   { "a record that has become wrong is kept",
     { PEERS,
       CONFIRMED_VIEW (kiln_text),
@@ -566,8 +591,9 @@
       REQUEST,
       SENT (DELIVER, 1),
       BY (2, ABSENT),
-      SENT (SEARCH, KILN_AGENTS),
+      SENT (ASK, KILN_AGENTS),
       BY (0, OWNED),
+      SENT (DELIVER, 1),
       REQUEST,
       SENT (DELIVER, 1),
       { EXPECT_LAST, 0, 0, 0, NULL } } },
