segment_agent: an agent that started with its upstream knows that it has every flow

Cause: after a loss of power an upstream's first heartbeats come before its agent listens, so that every agent tried each searched flow at its upstream.

--- a/daemons/oriole_flow_agent.c
+++ b/daemons/oriole_flow_agent.c
@@ -379,6 +379,7 @@
     .heartbeat_ms = settings->heartbeat_ms,
     .flow_timeout_ms = settings->flow_timeout_s * 1000,
     .max_flows = (unsigned)settings->max_flows,
+    .started_ms = g_get_real_time () / 1000,
   };
   bool ok;
 
--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -659,6 +659,15 @@
 
 /* Announcements and time. */
 
+/* True if the upstream and this process started at about the same time, as after a loss of power. */
+static bool
+started_together (const oh_segment_agent_t *agent, const oh_announcement_t *announcement)
+{
+  const int64_t age_ms = agent->config.started_ms - announcement->started_ms;
+
+  return age_ms < OH_SEGMENT_SAME_START_MS;
+}
+
 static void
 handle_announcement (oh_segment_agent_t *agent, const oh_announcement_t *announcement)
 {
@@ -686,7 +695,8 @@
       agent->unanswered_firsts = 0;
       /* Records of the first generation that this process sees may be missing, unless the upstream has only
        * just started. */
-      agent->complete = generation > 0 || announcement->sequence <= 1;
+      agent->complete
+        = generation > 0 || announcement->sequence <= 1 || started_together (agent, announcement);
       reset_dead_flows (agent, "upstream-replaced");
     }
   report_load (agent);
--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -31,7 +31,10 @@
   OH_SEGMENT_ADMIT_PER_SLOT = 3,    /* requests at the upstream or about to come, for each slot */
   OH_SEGMENT_ADMIT_WARMING = 2,     /* the same while the upstream is slow after its start */
   OH_SEGMENT_FRESH_MS = 300,        /* a flow that opens brings a request within this time, or is idle */
-  OH_SEGMENT_SUSPECT_FIRSTS = 2,    /* first segments in a row without an answer that make a suspect */
+  /* An upstream that started less than this before its agent has no flows of an earlier agent process: it
+   * takes longer to start one anew and to open a flow through it. */
+  OH_SEGMENT_SAME_START_MS = 500,
+  OH_SEGMENT_SUSPECT_FIRSTS = 2, /* first segments in a row without an answer that make a suspect */
   OH_SEGMENT_AGENT_LOG_BYTES = 400,
 };
 
@@ -142,6 +145,7 @@
   int64_t heartbeat_ms; /* of the upstream */
   int64_t flow_timeout_ms;
   unsigned max_flows;
+  int64_t started_ms; /* time of day at the start of the process */
 } oh_segment_agent_config_t;
 
 typedef struct
--- a/tests/test_segment_agent.c
+++ b/tests/test_segment_agent.c
@@ -13,7 +13,8 @@
   STEPS_MAX = 24,
   SLOTS = 2,
   HEARTBEAT_MS = 1000,
-  ANSWER_SEQUENCE = 5000, /* of the upstream's answer to a first segment */
+  AGENT_STARTED_MS = 10000, /* time of day; the upstreams of the cases start at 1, 2, ... but for one */
+  ANSWER_SEQUENCE = 5000,   /* of the upstream's answer to a first segment */
 };
 
 typedef enum
@@ -136,6 +137,7 @@
     .heartbeat_ms = HEARTBEAT_MS,
     .flow_timeout_ms = 60000,
     .max_flows = 20,
+    .started_ms = AGENT_STARTED_MS,
   };
 
   *fixture = (fixture_t){ .sink = { .ops = &ops }, .now_us = 10 * G_USEC_PER_SEC };
@@ -414,6 +416,10 @@
   { "a search without the segment is not answered, or delivers something",
     { READY (1, 1), ASKS, ANSWER (ABSENT, 1, 0), OPENS (0), ANSWERS (0), ASKS, ANSWER (WANTED, 1, 0),
       SAYS (0), ASKS, ANSWER (OWNED, 1, 0), DELIVERED (2) } },
+  { "after a loss of power every flow is tried at the upstream, though none can be there (azf-bake-grown "
+    "trouble-2)",
+    { READY (AGENT_STARTED_MS - 60, 3), ASKS, ANSWER (ABSENT, 1, 0), SEARCHES (0), DELIVERED (0),
+      ANSWER (ABSENT, 1, 0) } },
   { "a restarted agent denies a flow that it could not know, or an absent one for ever",
     { READY (1, 7), ASKS, ANSWER (WANTED, 1, 0), SEARCHES (0), RETURNS (0, FIXTURE_ACK),
       ANSWER (ABSENT, 1, 0), ASKS, ANSWER (ABSENT, 1, 0) } },
