segment_balancer: a budget for searches; none again for a flow that is nowhere

Change: 1,500 search messages a second for each balancer, and a flow that every agent disowned is searched again only after a second.

--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -346,6 +346,7 @@
   relay.caller = &addresses[1];
   relay.route = &addresses[2];
   g_array_append_val (flow->asked, upstream->agent);
+  balancer->search_budget--;
   oh_counter_increment (&balancer->counters.search_messages);
   size = oh_segment_relay_encode (&relay, &balancer->keyring, balancer->out, sizeof balancer->out);
   if (size > 0)
@@ -369,7 +370,21 @@
       flow->search_period_us = balancer->now_us;
       flow->searches = 0;
     }
-  return flow->searches++ < OH_SEGMENT_SEARCHES_MAX;
+  if (flow->searches++ >= OH_SEGMENT_SEARCHES_MAX)
+    return false;
+  /* Found nowhere a moment ago; the flow would be found nowhere again. */
+  if (flow->absent_us != 0 && balancer->now_us - flow->absent_us < (int64_t)OH_SEGMENT_SEARCH_AGAIN_MS * 1000)
+    return false;
+  return balancer->search_budget > 0;
+}
+
+/* What searches may send, so that they leave most of a thin link to the flows that have an owner. */
+static void
+refill_search_budget (oh_segment_balancer_t *balancer)
+{
+  const int refill = OH_SEGMENT_SEARCH_MESSAGES_PER_S * OH_SEGMENT_TICK_MS / 1000;
+
+  balancer->search_budget = MIN (balancer->search_budget + refill, OH_SEGMENT_SEARCH_MESSAGES_PER_S);
 }
 
 static bool
@@ -443,6 +458,7 @@
 
   log_flow (balancer, OH_LOG_INFO, "flow_absent", &flow->key, "asked=%u listed=%d result=%s",
             flow->asked->len, balancer->listed, certain ? "reset" : "dropped");
+  flow->absent_us = certain ? 0 : balancer->now_us;
   if (!certain)
     return;
   oh_counter_increment (&balancer->counters.resets_absent);
@@ -1016,6 +1032,7 @@
     .peers = g_array_new (FALSE, FALSE, sizeof (oh_address_t)),
     .flows = g_hash_table_new_full (oh_flow_key_hash, oh_flow_key_equal, NULL, free_flow),
     .lagged_us = G_MININT64 / 2,
+    .search_budget = OH_SEGMENT_SEARCH_MESSAGES_PER_S,
   };
   oh_list_init (&balancer->by_use);
   oh_list_init (&balancer->lookups);
@@ -1107,6 +1124,7 @@
     case OH_SEGMENT_BALANCER_TICK:
       oh_placement_expire (&balancer->placement, event->now_us);
       expire_lookups (balancer);
+      refill_search_budget (balancer);
       expire_flows (balancer);
       break;
     }
--- a/lib/core/segment_balancer.h
+++ b/lib/core/segment_balancer.h
@@ -28,10 +28,12 @@
 {
   OH_SEGMENT_OFFERS_MAX = OH_PLACEMENT_TRIED_MAX, /* agents that one flow is offered to */
   OH_SEGMENT_TICK_MS = 100,
-  OH_SEGMENT_HOLDERS = 2,      /* balancers that are told the owner of a flow */
-  OH_SEGMENT_WAITING_MAX = 4,  /* segments of one flow that wait for its owner */
-  OH_SEGMENT_LOOKUP_MS = 50,   /* for their answers, before the agents are asked */
-  OH_SEGMENT_SEARCHES_MAX = 4, /* segments of one flow that are searched within a period */
+  OH_SEGMENT_SEARCH_MESSAGES_PER_S = 1500, /* of one balancer; about 150 KB */
+  OH_SEGMENT_SEARCH_AGAIN_MS = 1000,       /* a flow that is nowhere is not searched again within this time */
+  OH_SEGMENT_HOLDERS = 2,                  /* balancers that are told the owner of a flow */
+  OH_SEGMENT_WAITING_MAX = 4,              /* segments of one flow that wait for its owner */
+  OH_SEGMENT_LOOKUP_MS = 50,               /* for their answers, before the agents are asked */
+  OH_SEGMENT_SEARCHES_MAX = 4,             /* segments of one flow that are searched within a period */
   OH_SEGMENT_SEARCH_PERIOD_MS = 100,
   OH_SEGMENT_OPENING_MS = 1400, /* a caller gives up a flow that has not opened by then */
   OH_SEGMENT_CLOSED_MS = 5000,  /* a record outlives the end of its flow by this time */
@@ -119,6 +121,7 @@
   GBytes *searched;   /* the segment whose owner is searched; NULL if none is */
   GArray *asked;      /* of oh_address_t, agents that were asked; NULL without a search */
   unsigned n_absent;
+  int64_t absent_us; /* when every agent had said so, though not all may have been asked; 0: never */
   uint64_t absent[OH_SEGMENT_ASKED_MAX / 64]; /* bit per agent asked: it does not hold the flow */
   uint32_t last_acknowledged;                 /* by the caller, in its last segment */
   int64_t search_period_us;
@@ -168,6 +171,7 @@
   oh_route_table_t routes;
   uint64_t routes_version;
   int64_t confirmed_us; /* first confirmed view */
+  int search_budget;    /* messages that searches may send now */
   bool listed;          /* the view lists every upstream that has a lease */
   GArray *peers;        /* of oh_address_t: balancers of the availability zone, this one included */
   GHashTable *flows;    /* of oh_balancer_flow_t, owned */
--- a/tests/test_segment_balancer.c
+++ b/tests/test_segment_balancer.c
@@ -530,6 +530,23 @@
       BY (3, ABSENT),
       BY (4, ABSENT),
       RESETS (0) } },
+  { "a flow that is nowhere is searched again and again (azf-bake-grown trouble-2: links full of searches)",
+    { { STEP_VIEW, 1, 0, AGENTS, split_text },
+      WAIT (2000),
+      REQUEST,
+      SENT (ASK, AGENTS),
+      BY (0, ABSENT),
+      BY (1, ABSENT),
+      BY (2, ABSENT),
+      BY (3, ABSENT),
+      BY (4, ABSENT),
+      RESETS (0),
+      WAIT (300),
+      REQUEST,
+      SENT (ASK, 0),
+      WAIT (1000),
+      REQUEST,
+      SENT (ASK, AGENTS) } },
   { "what waited while the process was paused is reset",
     { CONFIRMED_VIEW (no_route_text), WAIT (2000), { STEP_PAUSE, 4000, 0, 0, NULL }, FIRST, RESETS (0) } },
   { "searches flood the agents",
@@ -663,6 +680,31 @@
       }
 }
 
+/* Guards against searches that fill the link of a balancer to which many flows have moved. */
+static void
+test_search_budget (void)
+{
+  const step_t view = CONFIRMED_VIEW (kiln_text);
+  static fixture_t fixture;
+
+  setup (&fixture);
+  play_view (&fixture, &view);
+  fixture.core.search_budget = 10;
+  for (unsigned i = 0; i < 20; i++)
+    {
+      const oh_address_t caller = { .ipv4 = 0x64400001 + i, .port = 1000 };
+      fixture_segment_t segment
+        = fixture_segment (caller, fixture_address ("198.18.0.1:8443"), FIXTURE_ACK, 1, 1, 0);
+
+      handle (&fixture, (oh_segment_balancer_event_t){
+                          .kind = OH_SEGMENT_BALANCER_CALLER,
+                          .datagram = { .bytes = segment.bytes, .length = segment.length } });
+    }
+  g_assert_cmpuint (fixture.n_sent, <=, 10 + KILN_AGENTS);
+  g_assert_cmpuint (fixture.n_sent, >=, 10);
+  teardown (&fixture);
+}
+
 /* Guards against a table of flows that grows without bound. */
 static void
 test_bound (void)
@@ -692,6 +734,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/segment-balancer/cases", test_cases);
   g_test_add_func ("/segment-balancer/malformed", test_malformed);
+  g_test_add_func ("/segment-balancer/search-budget", test_search_budget);
   g_test_add_func ("/segment-balancer/bound", test_bound);
   return g_test_run ();
 }
