--- /dev/null
+++ b/lib/core/segment_directory.c
@@ -0,0 +1,233 @@
+#include "core/segment_directory.h"
+
+#include <xxhash.h>
+
+#include "core/segment_flows.h"
+#include "core/segment_search.h"
+
+static uint64_t
+holder_rank (uint64_t digest, oh_address_t balancer)
+{
+  const uint64_t words[] = { digest, (uint64_t)balancer.ipv4 << 16 | balancer.port };
+
+  return XXH64 (words, sizeof words, 0);
+}
+
+/* The balancers that are told the owner of a flow: those of the highest ranks. Every balancer of the
+ * availability zone selects the same ones. Returns their number. */
+static unsigned
+select_holders (const oh_segment_balancer_t *balancer, const oh_flow_key_t *key,
+                oh_address_t holders[OH_SEGMENT_HOLDERS])
+{
+  const uint64_t digest = oh_flow_key_digest (key);
+  uint64_t ranks[OH_SEGMENT_HOLDERS];
+  unsigned n = 0;
+
+  for (guint i = 0; i < balancer->peers->len; i++)
+    {
+      oh_address_t peer = g_array_index (balancer->peers, oh_address_t, i);
+      uint64_t rank = holder_rank (digest, peer);
+
+      for (unsigned j = 0; j < n; j++)
+        if (rank > ranks[j])
+          {
+            const oh_address_t lower = holders[j];
+            const uint64_t lower_rank = ranks[j];
+
+            holders[j] = peer;
+            ranks[j] = rank;
+            peer = lower;
+            rank = lower_rank;
+          }
+      if (n < OH_SEGMENT_HOLDERS)
+        {
+          holders[n] = peer;
+          ranks[n++] = rank;
+        }
+    }
+  return n;
+}
+
+static void
+send_peer (oh_segment_balancer_t *balancer, oh_address_t to, Oh__SegmentRelayKind kind,
+           const oh_flow_key_t *key, const oh_address_t *owner)
+{
+  Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
+  Oh__Address addresses[4];
+  size_t size;
+
+  oh_address_to_wire (balancer->relay, &addresses[0]);
+  oh_address_to_wire (key->caller, &addresses[1]);
+  oh_address_to_wire (key->route, &addresses[2]);
+  relay.kind = kind;
+  relay.balancer = &addresses[0];
+  relay.caller = &addresses[1];
+  relay.route = &addresses[2];
+  if (owner != NULL)
+    {
+      oh_address_to_wire (*owner, &addresses[3]);
+      relay.owner = &addresses[3];
+    }
+  size = oh_segment_relay_encode (&relay, &balancer->keyring, balancer->out, sizeof balancer->out);
+  if (size > 0)
+    balancer->sink->ops->send_agent (balancer->sink, to, balancer->out, size);
+}
+
+/* Tells the holders the owner of a flow that has just opened. */
+void
+oh_segment_directory_tell (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
+{
+  oh_address_t holders[OH_SEGMENT_HOLDERS];
+  oh_address_t owner;
+  unsigned n;
+
+  if (flow->recorded || !oh_balancer_flow_owner (flow, &owner))
+    return;
+  flow->recorded = true;
+  n = select_holders (balancer, &flow->key, holders);
+  for (unsigned i = 0; i < n; i++)
+    {
+      if (oh_address_equal (holders[i], balancer->relay))
+        continue;
+      oh_counter_increment (&balancer->counters.records);
+      send_peer (balancer, holders[i], OH__SEGMENT_RELAY_KIND__SEGMENT_RECORD, &flow->key, &owner);
+    }
+}
+
+/* Asks the holders for the owner; the segment waits for their answers. Returns false if there is nobody to
+ * ask.
+ */
+static bool
+look_up (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes, size_t length)
+{
+  oh_address_t holders[OH_SEGMENT_HOLDERS];
+  const unsigned n = select_holders (balancer, &flow->key, holders);
+
+  flow->lookups = 0;
+  flow->lookup_us = balancer->now_us;
+  for (unsigned i = 0; i < n; i++)
+    {
+      if (oh_address_equal (holders[i], balancer->relay))
+        continue;
+      flow->lookups++;
+      send_peer (balancer, holders[i], OH__SEGMENT_RELAY_KIND__SEGMENT_LOOKUP, &flow->key, NULL);
+    }
+  if (flow->lookups == 0)
+    return false;
+  oh_counter_increment (&balancer->counters.lookups);
+  oh_list_remove (&flow->by_lookup);
+  oh_list_append (&balancer->lookups, &flow->by_lookup);
+  flow->waiting = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  g_ptr_array_add (flow->waiting, g_bytes_new (bytes, length));
+  return true;
+}
+
+void
+oh_segment_directory_record (oh_segment_balancer_t *balancer, const oh_flow_key_t *key,
+                             const Oh__SegmentRelay *relay)
+{
+  oh_balancer_flow_t *flow = g_hash_table_lookup (balancer->flows, key);
+  oh_address_t owner;
+
+  if (!oh_address_from_wire (relay->owner, &owner))
+    return;
+  if (flow == NULL)
+    flow = oh_balancer_flow_add (balancer, key);
+  else if (flow->owned || oh_balancer_flow_has_open_offer (flow))
+    return; /* what this balancer saw itself counts */
+  flow->owned = true;
+  flow->owner = owner;
+  flow->recorded = true;
+}
+
+/* Another balancer asks for the owner of a flow. */
+void
+oh_segment_directory_answer (oh_segment_balancer_t *balancer, const oh_flow_key_t *key,
+                             const Oh__SegmentRelay *relay)
+{
+  const oh_balancer_flow_t *flow = g_hash_table_lookup (balancer->flows, key);
+  oh_address_t asker;
+  oh_address_t owner;
+
+  if (!oh_address_from_wire (relay->balancer, &asker))
+    return;
+  if (flow == NULL || !oh_balancer_flow_owner (flow, &owner))
+    send_peer (balancer, asker, OH__SEGMENT_RELAY_KIND__SEGMENT_UNKNOWN, key, NULL);
+  else
+    send_peer (balancer, asker, OH__SEGMENT_RELAY_KIND__SEGMENT_RECORD, key, &owner);
+}
+
+/* Sends the segments that wait for their owner. */
+void
+oh_segment_directory_end_lookup (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
+{
+  g_autoptr (GPtrArray) waiting = g_steal_pointer (&flow->waiting);
+
+  flow->lookups = 0;
+  oh_list_remove (&flow->by_lookup);
+  if (waiting == NULL)
+    return;
+  if (flow->owned)
+    oh_counter_increment (&balancer->counters.looked_up);
+  for (guint i = 0; i < waiting->len; i++)
+    {
+      gsize length;
+      const uint8_t *bytes = g_bytes_get_data (g_ptr_array_index (waiting, i), &length);
+
+      if (flow->owned)
+        oh_segment_send_relay (balancer, flow->owner, OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER, 0, bytes,
+                               length);
+      else
+        oh_segment_search_start (balancer, flow, bytes, length);
+    }
+}
+
+/* Balancers that were asked and are gone do not answer. */
+void
+oh_segment_directory_expire (oh_segment_balancer_t *balancer)
+{
+  oh_list_foreach_safe (&balancer->lookups, link, following)
+    {
+      oh_balancer_flow_t *flow = oh_list_entry (link, oh_balancer_flow_t, by_lookup);
+
+      if (balancer->now_us - flow->lookup_us < (int64_t)OH_SEGMENT_LOOKUP_MS * 1000)
+        return;
+      oh_segment_directory_end_lookup (balancer, flow);
+    }
+}
+
+void
+oh_segment_directory_unknown (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
+{
+  if (flow == NULL || flow->lookups == 0 || --flow->lookups > 0)
+    return;
+  oh_segment_directory_end_lookup (balancer, flow);
+}
+
+void
+oh_segment_directory_find (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes,
+                           size_t length)
+{
+  if (flow->waiting == NULL && flow->lookup_us == 0 && look_up (balancer, flow, bytes, length))
+    return;
+  if (flow->waiting == NULL)
+    {
+      oh_segment_search_start (balancer, flow, bytes, length);
+      return;
+    }
+  if (flow->waiting->len < OH_SEGMENT_WAITING_MAX)
+    g_ptr_array_add (flow->waiting, g_bytes_new (bytes, length));
+  else
+    oh_counter_increment (&balancer->counters.dropped_searches); /* the caller sends it again */
+}
+
+void
+oh_segment_directory_forget (oh_segment_balancer_t *balancer)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, balancer->flows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((oh_balancer_flow_t *)value)->recorded = false;
+}
