segment_balancer, segment_agent: reset dead flows as soon as all agents are listed, and list agents before their upstreams announce themselves

Ruled out: resets before the listing is known to be complete (an agent may just be missing); placing by an unconfirmed view. Change: an agent is listed from its start, without a service, for three heartbeats; balancers ask such agents with those of the route's services; the listing takes 1.0 s; flows that were found nowhere before are taken up when it is complete. Nodes try a lost replica again after 50 to 150 ms instead of 100 to 300; the first election after a start is due after 40 to 120 ms instead of 80 to 200.

--- a/daemons/oriole_flow_agent.c
+++ b/daemons/oriole_flow_agent.c
@@ -228,15 +228,14 @@
 fill_poll (Oh__Poll *poll, void *data)
 {
   agent_t *agent = data;
-  const char *service = oh_segment_agent_service (&agent->core);
 
   poll->without_text = true;
-  if (service[0] == '\0')
-    return; /* there is no upstream to announce yet */
+  if (!oh_segment_agent_is_listed (&agent->core, now_us ()))
+    return;
   oh__member__init (&agent->member);
   oh_segment_agent_load (&agent->core, now_us (), &agent->load, &agent->load_address);
   agent->member.load = &agent->load;
-  agent->member.service_name = (char *)service;
+  agent->member.service_name = (char *)oh_segment_agent_service (&agent->core);
   agent->member.zone = agent->settings.zone;
   poll->member = &agent->member;
 }
@@ -380,6 +379,7 @@
     .flow_timeout_ms = settings->flow_timeout_s * 1000,
     .max_flows = (unsigned)settings->max_flows,
     .started_ms = g_get_real_time () / 1000,
+    .started_us = now_us (),
   };
   bool ok;
 
--- a/lib/adapters/link.c
+++ b/lib/adapters/link.c
@@ -11,8 +11,8 @@
   /* A VM without power answers nothing; the system would try again only after a second or more. */
   CONNECT_TIMEOUT_MS = 250,
   HANDSHAKE_TIMEOUT_MS = 1000, /* a connection that fell silent before its first message */
-  RECONNECT_MS = 100,
-  RECONNECT_MAX_MS = 200,
+  RECONNECT_MS = 50,
+  RECONNECT_MAX_MS = 100,
   QUEUE_MESSAGES = 4096,
   MESSAGE_MAX_BYTES = 8 << 20,
 };
--- a/lib/adapters/view_client.c
+++ b/lib/adapters/view_client.c
@@ -10,8 +10,8 @@
 
 enum
 {
-  TICK_MS = 100, /* at this rate a poll is tried again that found no connection */
-  POLL_TICKS = 10,
+  TICK_MS = 50, /* at this rate a poll is tried again that found no connection */
+  POLL_TICKS = 20,
   MAX_REPLICAS = 32,
   SILENCE_US = 3 * G_USEC_PER_SEC, /* the lease of a member: what a silent replica lists is older than that */
   TEXT_WAIT_MS = 150,              /* for the text of a version that other replicas have */
--- a/lib/core/membership.h
+++ b/lib/core/membership.h
@@ -17,9 +17,10 @@
 enum
 {
   OH_LEASE_US = 3 * G_USEC_PER_SEC,
-  /* After its start a replica has heard every live node that can reach it by then: nodes announce themselves
-   * each second and try a lost connection again each 200 ms. */
-  OH_LISTING_US = 1500 * 1000,
+  /* After its start a replica has heard every live node that can reach it by then: nodes that start with it
+   * are up within half a second, announce themselves at once, and try a lost connection again within 150 ms.
+   */
+  OH_LISTING_US = 1000 * 1000,
   OH_MEMBERSHIP_REMOVALS = 1024, /* removals kept for deltas */
   OH_MEMBERSHIP_MAX_NODES = 65536,
   OH_NODE_NAME_MAX_BYTES = 63,
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -40,8 +40,8 @@
   OH_RAFT_ELECTION_MAX_US = 600000,
   /* Until a replica knows a leader after its start: all may have stopped at once, and the pre-vote protects a
    * leader that lives. */
-  OH_RAFT_FIRST_ELECTION_MIN_US = 80000,
-  OH_RAFT_FIRST_ELECTION_MAX_US = 200000,
+  OH_RAFT_FIRST_ELECTION_MIN_US = 40000,
+  OH_RAFT_FIRST_ELECTION_MAX_US = 120000,
   OH_RAFT_HEARTBEAT_US = 100000,
   OH_RAFT_CONFIRMED_US = 1000000,          /* age of quorum contact up to which a replica is confirmed */
   OH_RAFT_COMMAND_MAX_BYTES = 2304 * 1024, /* a document and a text of the greatest size */
--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -838,6 +838,16 @@
   return agent->identity.service;
 }
 
+bool
+oh_segment_agent_is_listed (const oh_segment_agent_t *agent, int64_t now_us)
+{
+  const int64_t wait_us = agent->config.heartbeat_ms * 1000 * OH_SEGMENT_UNANNOUNCED_BEATS;
+
+  if (agent->identity.generation == 0)
+    return now_us - agent->config.started_us <= wait_us;
+  return agent->identity.service[0] != '\0';
+}
+
 void
 oh_segment_agent_handle (oh_segment_agent_t *agent, const oh_segment_agent_event_t *event,
                          oh_segment_agent_sink_t *sink)
--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -34,7 +34,8 @@
   /* An upstream that started less than this before its agent has no flows of an earlier agent process: it
    * takes longer to start one anew and to open a flow through it. */
   OH_SEGMENT_SAME_START_MS = 500,
-  OH_SEGMENT_SUSPECT_FIRSTS = 2, /* first segments in a row without an answer that make a suspect */
+  OH_SEGMENT_UNANNOUNCED_BEATS = 3, /* heartbeats after which an upstream that has not been heard is gone */
+  OH_SEGMENT_SUSPECT_FIRSTS = 2,    /* first segments in a row without an answer that make a suspect */
   OH_SEGMENT_AGENT_LOG_BYTES = 400,
 };
 
@@ -146,6 +147,7 @@
   int64_t flow_timeout_ms;
   unsigned max_flows;
   int64_t started_ms; /* time of day at the start of the process */
+  int64_t started_us; /* the same on the clock of the events */
 } oh_segment_agent_config_t;
 
 typedef struct
@@ -185,5 +187,11 @@
 /* Fills the load report for the control replicas; address is written into *relay. */
 void oh_segment_agent_load (oh_segment_agent_t *agent, int64_t now_us, Oh__Load *load, Oh__Address *relay);
 
-/* Name of the service that the upstream announced, "" before its first announcement or after it left. */
+/* Name of the service that the upstream announced, "" before its first announcement. */
 const char *oh_segment_agent_service (const oh_segment_agent_t *agent);
+
+/*
+ * True if the agent takes part in the deployment: its upstream has announced itself, or may do so soon. Until
+ * it does, the agent is listed without a service, so that balancers search their flows here.
+ */
+bool oh_segment_agent_is_listed (const oh_segment_agent_t *agent, int64_t now_us);
--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -247,6 +247,7 @@
 handle_view (oh_segment_balancer_t *balancer, const oh_view_t *view)
 {
   g_autoptr (GArray) before = balancer->peers;
+  const bool newly_listed = view->complete && !balancer->listed;
 
   if (view->confirmed && view->version > balancer->routes_version)
     {
@@ -269,6 +270,8 @@
     oh_segment_directory_forget (balancer);
   oh_keyring_advance (&balancer->keyring, view->key_generation);
   oh_placement_update (&balancer->placement, oh_placement_view_new (view), balancer->now_us);
+  if (newly_listed)
+    oh_segment_search_resume (balancer);
 }
 
 void
--- a/lib/core/segment_search.c
+++ b/lib/core/segment_search.c
@@ -37,6 +37,13 @@
   return false;
 }
 
+/* An agent whose upstream has not announced itself since the agent started may hold flows of any service. */
+static bool
+may_hold (const oh_route_t *route, const oh_upstream_t *upstream)
+{
+  return leads_to (route, upstream->service) || upstream->service == oh_service_id ("");
+}
+
 static bool
 may_search (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
 {
@@ -118,7 +125,7 @@
   flow->searched = g_bytes_new (bytes, length);
   g_hash_table_iter_init (&iter, balancer->placement.upstreams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (leads_to (route, ((const oh_upstream_t *)value)->service))
+    if (may_hold (route, value))
       ask (balancer, flow, value);
   if (flow->asked->len == 0)
     search_others (balancer, flow);
@@ -189,3 +196,23 @@
     }
   oh_segment_search_end (flow);
 }
+
+void
+oh_segment_search_resume (oh_segment_balancer_t *balancer)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, balancer->flows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      oh_balancer_flow_t *flow = value;
+
+      if (flow->absent_us == 0 || flow->asked == NULL || flow->owned
+          || oh_balancer_flow_has_open_offer (flow))
+        continue;
+      flow->absent_us = 0;
+      if (!search_others (balancer, flow))
+        end_absent_flow (balancer, flow);
+    }
+}
--- a/lib/core/segment_search.h
+++ b/lib/core/segment_search.h
@@ -26,3 +26,6 @@
 
 /* Called with every tick. */
 void oh_segment_search_refill (oh_segment_balancer_t *balancer);
+
+/* Every agent is listed now: goes on with the flows that all agents listed earlier have disowned. */
+void oh_segment_search_resume (oh_segment_balancer_t *balancer);
--- a/lib/core/upstream_identity.c
+++ b/lib/core/upstream_identity.c
@@ -10,6 +10,7 @@
 {
   *identity = (oh_upstream_identity_t){
     .state = OH_ANNOUNCED_LEFT,
+    .service_id = oh_service_id (""),
     .silence_us = heartbeat_ms * 1000 * OH_UPSTREAM_SILENT_BEATS,
   };
 }
--- a/tests/test_segment_agent.c
+++ b/tests/test_segment_agent.c
@@ -12,6 +12,7 @@
 {
   STEPS_MAX = 24,
   SLOTS = 2,
+  START_US = 10 * G_USEC_PER_SEC,
   HEARTBEAT_MS = 1000,
   AGENT_STARTED_MS = 10000, /* time of day; the upstreams of the cases start at 1, 2, ... but for one */
   ANSWER_SEQUENCE = 5000,   /* of the upstream's answer to a first segment */
@@ -138,9 +139,10 @@
     .flow_timeout_ms = 60000,
     .max_flows = 20,
     .started_ms = AGENT_STARTED_MS,
+    .started_us = START_US,
   };
 
-  *fixture = (fixture_t){ .sink = { .ops = &ops }, .now_us = 10 * G_USEC_PER_SEC };
+  *fixture = (fixture_t){ .sink = { .ops = &ops }, .now_us = START_US };
   fixture_keyring (&fixture->keyring);
   oh_segment_agent_init (&fixture->core, &config, &fixture->keyring);
 }
@@ -488,11 +490,40 @@
   teardown (&fixture);
 }
 
+/* Guards against flows of a live upstream that are reset because its agent was restarted and is not listed
+ * until the upstream's next announcement, and against an agent that stays listed although its upstream is
+ * gone. */
+static void
+test_listed (void)
+{
+  const int64_t wait_us = (int64_t)HEARTBEAT_MS * 1000 * OH_SEGMENT_UNANNOUNCED_BEATS;
+  const oh_announcement_t announcement
+    = { .id = "i-1", .service = "kiln-log", .slots = SLOTS, .started_ms = 1, .sequence = 1 };
+  fixture_t fixture;
+  Oh__Load load;
+  Oh__Address relay;
+
+  setup (&fixture);
+  g_assert_true (oh_segment_agent_is_listed (&fixture.core, START_US));
+  g_assert_cmpstr (oh_segment_agent_service (&fixture.core), ==, "");
+  oh_segment_agent_load (&fixture.core, START_US, &load, &relay);
+  g_assert_cmpuint (load.service, ==, oh_service_id (""));
+  g_assert_cmpuint (load.slots, ==, 0);
+  g_assert_true (oh_segment_agent_is_listed (&fixture.core, START_US + wait_us));
+  g_assert_false (oh_segment_agent_is_listed (&fixture.core, START_US + wait_us + 1));
+  handle (&fixture,
+          (oh_segment_agent_event_t){ .kind = OH_SEGMENT_AGENT_ANNOUNCED, .announcement = &announcement });
+  g_assert_true (oh_segment_agent_is_listed (&fixture.core, START_US + 10 * wait_us));
+  g_assert_cmpstr (oh_segment_agent_service (&fixture.core), ==, "kiln-log");
+  teardown (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/segment-agent/cases", test_cases);
   g_test_add_func ("/segment-agent/bound", test_bound);
+  g_test_add_func ("/segment-agent/listed", test_listed);
   return g_test_run ();
 }
--- a/tests/test_segment_balancer.c
+++ b/tests/test_segment_balancer.c
@@ -36,6 +36,7 @@
   STEP_END,
   STEP_PEERS, /* from now on views list two other balancers of the zone */
   STEP_NO_PEERS,
+  STEP_NO_UPSTREAM, /* from now on views list the last agent before its upstream has announced itself */
   STEP_PEER,        /* a: peer, b: kind; it sends about the flow, as owner the agent c */
   STEP_VIEW,        /* text, a: confirmed, b: complete, c: number of agents listed */
   STEP_CALLER,      /* a: flags, b: acknowledged (of a first segment: copies), c: length of data */
@@ -73,6 +74,7 @@
   uint64_t view_version;
   uint64_t sequence; /* of load reports */
   bool peers;        /* views list two other balancers */
+  bool no_upstream;  /* the last agent does not know its service */
 } fixture_t;
 
 static oh_address_t
@@ -167,6 +169,12 @@
   load->agent = address;
 }
 
+static const char *
+announced_service (const fixture_t *fixture, int agent)
+{
+  return fixture->no_upstream && agent == AGENTS - 1 ? "" : agent_service (agent);
+}
+
 static oh_address_t
 peer_address (int peer)
 {
@@ -215,7 +223,8 @@
       oh__member__init (&members[i]);
       fill_load (fixture, i, names[i], &loads[i], &addresses[i]);
       members[i].load = &loads[i];
-      members[i].service_name = (char *)agent_service (i);
+      members[i].service_name = (char *)announced_service (fixture, i);
+      loads[i].service = oh_service_id (members[i].service_name);
       members[i].zone = (char *)"a";
       pointers[i] = &members[i];
     }
@@ -338,6 +347,9 @@
     case STEP_NO_PEERS:
       fixture->peers = false;
       return;
+    case STEP_NO_UPSTREAM:
+      fixture->no_upstream = true;
+      return;
     case STEP_PEER:
       play_peer (fixture, step);
       return;
@@ -425,6 +437,10 @@
   {                                                                                                          \
     STEP_PEERS, 0, 0, 0, NULL                                                                                \
   }
+#define AGENT_WITHOUT_UPSTREAM                                                                               \
+  {                                                                                                          \
+    STEP_NO_UPSTREAM, 0, 0, 0, NULL                                                                          \
+  }
 #define NO_PEERS                                                                                             \
   {                                                                                                          \
     STEP_NO_PEERS, 0, 0, 0, NULL                                                                             \
@@ -547,6 +563,48 @@
       WAIT (1000),
       REQUEST,
       SENT (ASK, AGENTS) } },
+  { "callers of dead flows wait on although all agents are listed by now (scs-ops trouble-1: 1.4 s after "
+    "power)",
+    { { STEP_VIEW, 1, 0, KILN_AGENTS, split_text },
+      REQUEST,
+      SENT (ASK, KILN_AGENTS),
+      BY (0, ABSENT),
+      BY (1, ABSENT),
+      BY (2, ABSENT),
+      RESETS (0),
+      { STEP_VIEW, 1, 1, AGENTS, split_text },
+      RESETS (0),
+      SENT (ASK, SCAN_AGENTS),
+      BY (3, ABSENT),
+      RESETS (0),
+      BY (4, ABSENT),
+      RESETS (1) } },
+  { "a dead flow whose agents had all been asked is not reset when they turn out to be all",
+    { { STEP_VIEW, 1, 0, AGENTS, split_text },
+      REQUEST,
+      BY (0, ABSENT),
+      BY (1, ABSENT),
+      BY (2, ABSENT),
+      BY (3, ABSENT),
+      BY (4, ABSENT),
+      RESETS (0),
+      { STEP_VIEW, 1, 1, AGENTS, split_text },
+      RESETS (1),
+      WAIT (100),
+      { STEP_VIEW, 1, 1, AGENTS, split_text },
+      RESETS (0) } },
+  { "a flow that was found after all is reset when all agents are listed",
+    { { STEP_VIEW, 1, 0, KILN_AGENTS, kiln_text },
+      REQUEST,
+      BY (0, ABSENT),
+      BY (1, ABSENT),
+      BY (2, ABSENT),
+      FIRST,
+      { STEP_VIEW, 1, 1, KILN_AGENTS, kiln_text },
+      RESETS (0) } },
+  { "an agent that restarted beside a live upstream is asked last (its announcement names no service yet)",
+    { AGENT_WITHOUT_UPSTREAM, CONFIRMED_VIEW (kiln_text), REQUEST, SENT (ASK, KILN_AGENTS + 1),
+      BY (AGENTS - 1, OWNED), SENT (DELIVER, 1) } },
   { "what waited while the process was paused is reset",
     { CONFIRMED_VIEW (no_route_text), WAIT (2000), { STEP_PAUSE, 4000, 0, 0, NULL }, FIRST, RESETS (0) } },
   { "searches flood the agents",
