--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -85,6 +85,8 @@
   close_flow (agent, flow);
   end_opening (agent, flow);
   oh_list_remove (&flow->by_use);
+  if (g_hash_table_lookup (agent->by_digest, &flow->digest) == flow)
+    g_hash_table_remove (agent->by_digest, &flow->digest);
   g_hash_table_remove (agent->flows, &flow->key);
 }
 
@@ -120,7 +122,9 @@
   oh_list_init (&flow->opening);
   oh_list_init (&flow->fresh);
   flow->state = OH_AGENT_FLOW_ABSENT;
+  flow->digest = oh_flow_key_digest (key);
   g_hash_table_insert (agent->flows, &flow->key, flow);
+  g_hash_table_replace (agent->by_digest, &flow->digest, flow);
   set_state (agent, flow, state);
   use_flow (agent, flow);
   return flow;
@@ -489,26 +493,41 @@
   deliver_later (agent, flow, segment, bytes, length);
 }
 
-/* A search without the segment. */
+/* Answers which of the flows are here, as far as that can be told without a segment. */
 static void
-handle_ask (oh_segment_agent_t *agent, const Oh__SegmentRelay *relay, oh_address_t balancer)
+handle_ask (oh_segment_agent_t *agent, const Oh__SegmentRelay *question, oh_address_t balancer)
 {
-  Oh__SegmentRelayKind kind = OH__SEGMENT_RELAY_KIND__SEGMENT_WANTED;
-  const oh_agent_flow_t *flow;
-  oh_flow_key_t key;
+  uint8_t held[OH_SEGMENT_ASK_FLOWS_MAX / 8] = { 0 };
+  uint8_t wanted[OH_SEGMENT_ASK_FLOWS_MAX / 8] = { 0 };
+  const size_t bytes = (question->n_flows + 7) / 8;
+  Oh__SegmentRelay answer = OH__SEGMENT_RELAY__INIT;
+  Oh__Address self;
+  size_t size;
 
-  if (!oh_address_from_wire (relay->caller, &key.caller) || !oh_address_from_wire (relay->route, &key.route))
+  if (question->n_flows > OH_SEGMENT_ASK_FLOWS_MAX)
     {
       oh_counter_increment (&agent->counters.dropped_malformed);
       return;
     }
-  oh_counter_increment (&agent->counters.searches);
-  flow = g_hash_table_lookup (agent->flows, &key);
-  if (flow != NULL && flow->state == OH_AGENT_FLOW_OPEN)
-    kind = OH__SEGMENT_RELAY_KIND__SEGMENT_OWNED;
-  else if (flow != NULL ? flow->state == OH_AGENT_FLOW_ABSENT : agent->complete)
-    kind = OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT;
-  answer_search (agent, balancer, kind, OH__RESULT__RESULT_NONE, relay->search, &key, NULL, 0);
+  for (size_t i = 0; i < question->n_flows; i++)
+    {
+      const oh_agent_flow_t *flow = g_hash_table_lookup (agent->by_digest, &question->flows[i]);
+      const uint8_t bit = (uint8_t)(1 << i % 8);
+
+      oh_counter_increment (&agent->counters.searches);
+      if (flow != NULL && flow->state == OH_AGENT_FLOW_OPEN)
+        held[i / 8] |= bit;
+      else if (flow != NULL ? flow->state != OH_AGENT_FLOW_ABSENT : !agent->complete)
+        wanted[i / 8] |= bit;
+    }
+  oh_address_to_wire (agent->config.relay, &self);
+  answer.kind = OH__SEGMENT_RELAY_KIND__SEGMENT_ANSWER;
+  answer.search = question->search;
+  answer.owner = &self;
+  answer.held = (ProtobufCBinaryData){ .data = held, .len = bytes };
+  answer.wanted = (ProtobufCBinaryData){ .data = wanted, .len = bytes };
+  size = oh_segment_relay_encode (&answer, &agent->keyring, agent->out, sizeof agent->out);
+  agent->sink->ops->send_balancer (agent->sink, balancer, agent->out, size);
 }
 
 static void
@@ -780,6 +799,7 @@
     .config = *config,
     .keyring = *keyring,
     .flows = g_hash_table_new_full (oh_flow_key_hash, oh_flow_key_equal, NULL, g_free),
+    .by_digest = g_hash_table_new (g_int64_hash, g_int64_equal),
   };
   oh_list_init (&agent->by_use);
   oh_list_init (&agent->opening);
@@ -791,6 +811,7 @@
 void
 oh_segment_agent_finish (oh_segment_agent_t *agent)
 {
+  g_hash_table_unref (agent->by_digest);
   g_hash_table_unref (agent->flows);
   oh_keyring_finish (&agent->keyring);
 }
@@ -812,7 +833,7 @@
     { &own->refused, "firsts_refused_total", "First segments refused" },
     { &own->unanswered, "firsts_unanswered_total", "First segments that the upstream left unanswered" },
     { &own->probes, "probes_total", "Segments delivered to learn whether the upstream holds the flow" },
-    { &own->searches, "searches_total", "Searched segments received" },
+    { &own->searches, "searches_total", "Flows that balancers asked for, and searched segments received" },
     { &own->absent, "segments_absent_total", "Segments of flows that are not here" },
     { &own->resets, "resets_total", "Resets of flows whose upstream is gone" },
     { &own->dropped_malformed, "dropped_malformed_total", "Datagrams that are no segments" },
--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -36,6 +36,7 @@
   OH_SEGMENT_SAME_START_MS = 500,
   OH_SEGMENT_UNANNOUNCED_BEATS = 3, /* heartbeats after which an upstream that has not been heard is gone */
   OH_SEGMENT_SUSPECT_FIRSTS = 2,    /* first segments in a row without an answer that make a suspect */
+  OH_SEGMENT_ASK_FLOWS_MAX = 128,   /* flows that one question names */
   OH_SEGMENT_AGENT_LOG_BYTES = 400,
 };
 
@@ -94,6 +95,7 @@
 typedef struct
 {
   oh_flow_key_t key;
+  uint64_t digest; /* of the key */
   oh_agent_flow_state_t state;
   unsigned generation; /* of the upstream that holds it */
   oh_address_t balancer;
@@ -123,7 +125,7 @@
   oh_counter_t refused;    /* first segments */
   oh_counter_t unanswered; /* first segments that the upstream left unanswered */
   oh_counter_t probes;     /* segments delivered to learn whether the upstream holds the flow */
-  oh_counter_t searches;   /* searched segments received */
+  oh_counter_t searches;   /* flows that balancers asked for */
   oh_counter_t absent;     /* segments of flows that are not here */
   oh_counter_t resets;     /* of flows whose upstream is gone */
   oh_counter_t dropped_malformed;
@@ -155,10 +157,11 @@
   oh_segment_agent_config_t config;
   oh_keyring_t keyring;
   oh_upstream_identity_t identity;
-  bool complete;     /* no flow of the upstream was opened before this process had its records */
-  GHashTable *flows; /* of oh_agent_flow_t, owned */
-  oh_list_t by_use;  /* least recently used first */
-  oh_list_t opening; /* flows whose first segment is not answered, oldest first */
+  bool complete;         /* no flow of the upstream was opened before this process had its records */
+  GHashTable *flows;     /* of oh_agent_flow_t, owned */
+  GHashTable *by_digest; /* the same, by the digest of the key */
+  oh_list_t by_use;      /* least recently used first */
+  oh_list_t opening;     /* flows whose first segment is not answered, oldest first */
   unsigned n_opening;
   oh_list_t fresh; /* flows that have brought no request yet, oldest first */
   unsigned n_fresh;
--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -107,20 +107,6 @@
     oh_segment_place (balancer, flow, relay->segment.data, relay->segment.len);
 }
 
-static void
-on_owned (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, oh_address_t agent)
-{
-  if (flow == NULL || (flow->owned && oh_address_equal (flow->owner, agent)))
-    return;
-  if (!oh_balancer_flow_has_open_offer (flow))
-    oh_counter_increment (&balancer->counters.found);
-  flow->owned = true;
-  flow->owner = agent;
-  oh_segment_search_deliver (balancer, flow);
-  oh_segment_directory_end_lookup (balancer, flow);
-  oh_segment_directory_tell (balancer, flow);
-}
-
 static void
 on_absent (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const Oh__SegmentRelay *relay,
            oh_address_t agent)
@@ -131,15 +117,18 @@
     return;
   if (relay->search != 0)
     {
-      oh_segment_search_absent (balancer, flow, relay->search);
+      oh_segment_search_absent (balancer, flow, relay->search, agent);
       return;
     }
   if (offer != NULL)
     offer->state = OH_OFFER_REFUSED;
   if (flow->owned && oh_address_equal (flow->owner, agent))
     flow->owned = flow->recorded = false;
-  if (!flow->owned && !oh_balancer_flow_has_open_offer (flow))
-    oh_segment_search_start (balancer, flow, relay->segment.data, relay->segment.len);
+  if (flow->owned || oh_balancer_flow_has_open_offer (flow))
+    return;
+  flow->question = 0;
+  oh_balancer_flow_keep (balancer, flow, relay->segment.data, relay->segment.len);
+  oh_segment_search_start (balancer, flow);
 }
 
 static bool
@@ -196,6 +185,14 @@
   oh_flow_key_t key;
   oh_balancer_flow_t *flow;
 
+  if (relay != NULL && relay->kind == OH__SEGMENT_RELAY_KIND__SEGMENT_ANSWER)
+    {
+      if (oh_address_from_wire (relay->owner, &agent))
+        oh_segment_search_answer (balancer, relay, agent);
+      else
+        oh_counter_increment (&balancer->counters.dropped_malformed);
+      return;
+    }
   if (relay != NULL && handle_peer (balancer, relay))
     return;
   if (relay == NULL || relay->load == NULL || !oh_address_from_wire (relay->load->agent, &agent))
@@ -216,14 +213,12 @@
       on_refused (balancer, flow, relay, agent);
       return;
     case OH__SEGMENT_RELAY_KIND__SEGMENT_OWNED:
-      on_owned (balancer, flow, agent);
+      if (flow != NULL)
+        oh_segment_search_owned (balancer, flow, agent);
       return;
     case OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT:
       on_absent (balancer, flow, relay, agent);
       return;
-    case OH__SEGMENT_RELAY_KIND__SEGMENT_WANTED:
-      oh_segment_search_wanted (balancer, flow, relay->search, agent);
-      return;
     case OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD:
     case OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN:
     case OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER:
@@ -232,6 +227,7 @@
     case OH__SEGMENT_RELAY_KIND__SEGMENT_LOOKUP:
     case OH__SEGMENT_RELAY_KIND__SEGMENT_UNKNOWN:
     case OH__SEGMENT_RELAY_KIND__SEGMENT_ASK:
+    case OH__SEGMENT_RELAY_KIND__SEGMENT_ANSWER:
     case _OH__SEGMENT_RELAY_KIND_IS_INT_SIZE:
       return;
     }
@@ -288,6 +284,7 @@
     .flows = g_hash_table_new_full (oh_flow_key_hash, oh_flow_key_equal, NULL, oh_balancer_flow_free),
     .lagged_us = G_MININT64 / 2,
     .search_budget = OH_SEGMENT_SEARCH_MESSAGES_PER_S,
+    .unasked = g_array_new (FALSE, FALSE, sizeof (oh_flow_key_t)),
   };
   oh_list_init (&balancer->by_use);
   oh_list_init (&balancer->lookups);
@@ -301,6 +298,9 @@
 {
   g_hash_table_unref (balancer->flows);
   g_array_unref (balancer->peers);
+  g_array_unref (balancer->unasked);
+  for (size_t i = 0; i < G_N_ELEMENTS (balancer->questions); i++)
+    oh_segment_question_clear (&balancer->questions[i]);
   oh_route_table_finish (&balancer->routes);
   oh_placement_finish (&balancer->placement);
   oh_keyring_finish (&balancer->keyring);
@@ -320,7 +320,8 @@
     { &own->forwarded, "segments_forwarded_total",
       "Segments sent to an agent that was offered the flow or owns it" },
     { &own->searched, "segments_searched_total", "Segments whose owner was not known" },
-    { &own->search_messages, "search_messages_total", "Messages sent to agents to find owners" },
+    { &own->search_messages, "search_messages_total",
+      "Questions sent to agents to find owners, each about one flow or more" },
     { &own->found, "flows_found_total", "Flows whose owner answered a search" },
     { &own->placed, "flows_placed_total", "Offers of flows to agents" },
     { &own->placed_again, "flows_placed_again_total", "Offers after a refusal or a repetition" },
@@ -379,7 +380,7 @@
     case OH_SEGMENT_BALANCER_TICK:
       oh_placement_expire (&balancer->placement, event->now_us);
       oh_segment_directory_expire (balancer);
-      oh_segment_search_refill (balancer);
+      oh_segment_search_tick (balancer);
       oh_balancer_flow_expire (balancer);
       break;
     }
--- a/lib/core/segment_balancer.h
+++ b/lib/core/segment_balancer.h
@@ -18,8 +18,8 @@
  *
  * The owner of each open flow is also told to two balancers of the availability zone that a hash of the flow
  * selects, so that a balancer without a record (it has just started, or the fabric moved the flow) finds it
- * with one message. If they do not know it either, the flow is searched: the segment goes to every agent that
- * could own it, and the owner answers.
+ * with one message. If they do not know it either, the flow is searched: every agent is asked for it. One
+ * question names many flows while there are many to search.
  *
  * A state machine without I/O. What an action points to is valid during the call.
  */
@@ -33,11 +33,12 @@
   OH_SEGMENT_HOLDERS = 2,                  /* balancers that are told the owner of a flow */
   OH_SEGMENT_WAITING_MAX = 4,              /* segments of one flow that wait for its owner */
   OH_SEGMENT_LOOKUP_MS = 50,               /* for their answers, before the agents are asked */
-  OH_SEGMENT_SEARCHES_MAX = 4,             /* segments of one flow that are searched within a period */
-  OH_SEGMENT_SEARCH_PERIOD_MS = 100,
-  OH_SEGMENT_OPENING_MS = 1400, /* a caller gives up a flow that has not opened by then */
-  OH_SEGMENT_CLOSED_MS = 5000,  /* a record outlives the end of its flow by this time */
-  OH_SEGMENT_COPIES = 2,        /* of a first segment that a caller sends after the first */
+  OH_SEGMENT_ASK_AGAIN_MS = 100,           /* after a question that not all agents have answered */
+  OH_SEGMENT_QUESTION_FLOWS = 100,         /* flows that one question names; fits a datagram */
+  OH_SEGMENT_QUESTIONS = 64,               /* last questions that are remembered */
+  OH_SEGMENT_OPENING_MS = 1400,            /* a caller gives up a flow that has not opened by then */
+  OH_SEGMENT_CLOSED_MS = 5000,             /* a record outlives the end of its flow by this time */
+  OH_SEGMENT_COPIES = 2,                   /* of a first segment that a caller sends after the first */
   OH_SEGMENT_LISTING_MS = 3000, /* after the start, upstreams may not have announced themselves yet */
   OH_SEGMENT_ASKED_MAX = 128,   /* agents of a search up to which a flow can be found to be nowhere */
   OH_SEGMENT_LAG_MS = 300,      /* after a longer pause nothing is reset: what was waiting is old */
@@ -112,25 +113,32 @@
   oh_offer_t offers[OH_SEGMENT_OFFERS_MAX];
   unsigned copies;    /* of the first segment, after the first */
   bool overloaded;    /* an agent refused the flow only because it has too much to do */
-  unsigned searches;  /* in the present period */
   bool recorded;      /* its owner was told to the balancers that the hash selects */
   unsigned lookups;   /* balancers that were asked and have not answered */
   int64_t lookup_us;  /* when they were asked; 0: never */
-  GPtrArray *waiting; /* of GBytes: segments that wait for their answers; NULL if none does */
-  uint16_t question;  /* number of the last search */
-  GBytes *searched;   /* the segment whose owner is searched; NULL if none is */
-  GArray *asked;      /* of oh_address_t, agents that were asked; NULL without a search */
-  unsigned n_absent;
-  int64_t absent_us; /* when every agent had said so, though not all may have been asked; 0: never */
-  uint64_t absent[OH_SEGMENT_ASKED_MAX / 64]; /* bit per agent asked: it does not hold the flow */
-  uint32_t last_acknowledged;                 /* by the caller, in its last segment */
-  int64_t search_period_us;
+  GPtrArray *waiting; /* of GBytes: segments that wait for the owner to be found; NULL if none does */
+  bool unasked;       /* the next question names the flow */
+  uint32_t question;  /* the last one that named it; 0: none */
+  int64_t asked_us;   /* when it was sent */
+  unsigned n_absent;  /* agents that do not hold the flow, of those that the question went to */
+  uint64_t absent[OH_SEGMENT_ASKED_MAX / 64]; /* bit for each of these agents */
+  int64_t absent_us;          /* when every agent had said so, though not all may have been asked; 0: never */
+  uint32_t last_acknowledged; /* by the caller, in its last segment */
   int64_t opened_us;
   int64_t used_us;
   oh_list_t by_use;
   oh_list_t by_lookup; /* in the list of flows whose lookup is not answered */
 } oh_balancer_flow_t;
 
+/* Which of these flows do you hold? */
+typedef struct
+{
+  uint32_t number;        /* 0: none */
+  GArray *agents;         /* of oh_address_t: those that were asked; NULL without a number */
+  uint64_t agents_digest; /* the same for the same set of agents */
+  GArray *flows;          /* of oh_flow_key_t, at most OH_SEGMENT_QUESTION_FLOWS */
+} oh_segment_question_t;
+
 typedef struct
 {
   oh_counter_t segments;        /* from callers */
@@ -172,11 +180,14 @@
   uint64_t routes_version;
   int64_t confirmed_us; /* first confirmed view */
   int search_budget;    /* messages that searches may send now */
-  bool listed;          /* the view lists every upstream that has a lease */
-  GArray *peers;        /* of oh_address_t: balancers of the availability zone, this one included */
-  GHashTable *flows;    /* of oh_balancer_flow_t, owned */
-  oh_list_t by_use;     /* least recently used first */
-  oh_list_t lookups;    /* flows whose lookup is not answered, oldest first */
+  GArray *unasked;      /* of oh_flow_key_t: flows that the next questions name */
+  uint32_t n_questions;
+  oh_segment_question_t questions[OH_SEGMENT_QUESTIONS]; /* by number, modulo their number */
+  bool listed;                                           /* the view lists every upstream that has a lease */
+  GArray *peers;     /* of oh_address_t: balancers of the availability zone, this one included */
+  GHashTable *flows; /* of oh_balancer_flow_t, owned */
+  oh_list_t by_use;  /* least recently used first */
+  oh_list_t lookups; /* flows whose lookup is not answered, oldest first */
   oh_segment_balancer_counters_t counters;
   oh_histogram_t offer_seconds;
   int64_t handled_us; /* last event */
--- a/lib/core/segment_directory.c
+++ b/lib/core/segment_directory.c
@@ -94,11 +94,9 @@
     }
 }
 
-/* Asks the holders for the owner; the segment waits for their answers. Returns false if there is nobody to
- * ask.
- */
+/* Asks the holders for the owner. Returns false if there is nobody to ask. */
 static bool
-look_up (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes, size_t length)
+look_up (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
 {
   oh_address_t holders[OH_SEGMENT_HOLDERS];
   const unsigned n = select_holders (balancer, &flow->key, holders);
@@ -117,8 +115,6 @@
   oh_counter_increment (&balancer->counters.lookups);
   oh_list_remove (&flow->by_lookup);
   oh_list_append (&balancer->lookups, &flow->by_lookup);
-  flow->waiting = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
-  g_ptr_array_add (flow->waiting, g_bytes_new (bytes, length));
   return true;
 }
 
@@ -157,29 +153,18 @@
     send_peer (balancer, asker, OH__SEGMENT_RELAY_KIND__SEGMENT_RECORD, key, &owner);
 }
 
-/* Sends the segments that wait for their owner. */
 void
 oh_segment_directory_end_lookup (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
 {
-  g_autoptr (GPtrArray) waiting = g_steal_pointer (&flow->waiting);
-
   flow->lookups = 0;
   oh_list_remove (&flow->by_lookup);
-  if (waiting == NULL)
-    return;
-  if (flow->owned)
-    oh_counter_increment (&balancer->counters.looked_up);
-  for (guint i = 0; i < waiting->len; i++)
+  if (!flow->owned)
     {
-      gsize length;
-      const uint8_t *bytes = g_bytes_get_data (g_ptr_array_index (waiting, i), &length);
-
-      if (flow->owned)
-        oh_segment_send_relay (balancer, flow->owner, OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER, 0, bytes,
-                               length);
-      else
-        oh_segment_search_start (balancer, flow, bytes, length);
+      oh_segment_search_start (balancer, flow);
+      return;
     }
+  oh_counter_increment (&balancer->counters.looked_up);
+  oh_balancer_flow_deliver_waiting (balancer, flow);
 }
 
 /* Balancers that were asked and are gone do not answer. */
@@ -208,17 +193,10 @@
 oh_segment_directory_find (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes,
                            size_t length)
 {
-  if (flow->waiting == NULL && flow->lookup_us == 0 && look_up (balancer, flow, bytes, length))
+  oh_balancer_flow_keep (balancer, flow, bytes, length);
+  if (flow->lookups > 0 || (flow->lookup_us == 0 && look_up (balancer, flow)))
     return;
-  if (flow->waiting == NULL)
-    {
-      oh_segment_search_start (balancer, flow, bytes, length);
-      return;
-    }
-  if (flow->waiting->len < OH_SEGMENT_WAITING_MAX)
-    g_ptr_array_add (flow->waiting, g_bytes_new (bytes, length));
-  else
-    oh_counter_increment (&balancer->counters.dropped_searches); /* the caller sends it again */
+  oh_segment_search_start (balancer, flow);
 }
 
 void
--- a/lib/core/segment_directory.h
+++ b/lib/core/segment_directory.h
@@ -25,7 +25,7 @@
 /* A holder does not know the owner. flow may be NULL. */
 void oh_segment_directory_unknown (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow);
 
-/* Sends the segments that wait for an answer to the owner, or searches it if no holder knew it. */
+/* Sends the segments that wait to the owner, or searches it if no holder knew it. */
 void oh_segment_directory_end_lookup (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow);
 
 /* Ends lookups that took too long. */
--- a/lib/core/segment_flows.c
+++ b/lib/core/segment_flows.c
@@ -2,8 +2,6 @@
 
 #include <stdarg.h>
 
-#include "core/segment_search.h"
-
 void
 oh_balancer_flow_log (const oh_segment_balancer_t *balancer, oh_log_level_t level, const char *event,
                       const oh_flow_key_t *key, const char *format, ...)
@@ -24,13 +22,6 @@
   balancer->sink->ops->log (balancer->sink, level, event, pairs);
 }
 
-void
-oh_segment_search_end (oh_balancer_flow_t *flow)
-{
-  g_clear_pointer (&flow->searched, g_bytes_unref);
-  g_clear_pointer (&flow->asked, g_array_unref);
-}
-
 void
 oh_balancer_flow_free (gpointer data)
 {
@@ -38,7 +29,6 @@
 
   oh_list_remove (&flow->by_use);
   oh_list_remove (&flow->by_lookup);
-  oh_segment_search_end (flow);
   g_clear_pointer (&flow->waiting, g_ptr_array_unref);
   g_free (flow);
 }
@@ -162,3 +152,30 @@
 {
   return balancer->now_us - balancer->lagged_us >= (int64_t)OH_SEGMENT_OPENING_MS * 1000;
 }
+
+void
+oh_balancer_flow_keep (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes,
+                       size_t length)
+{
+  if (flow->waiting == NULL)
+    flow->waiting = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  if (flow->waiting->len < OH_SEGMENT_WAITING_MAX)
+    g_ptr_array_add (flow->waiting, g_bytes_new (bytes, length));
+  else
+    oh_counter_increment (&balancer->counters.dropped_searches); /* the caller sends it again */
+}
+
+void
+oh_balancer_flow_deliver_waiting (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
+{
+  g_autoptr (GPtrArray) waiting = g_steal_pointer (&flow->waiting);
+
+  for (guint i = 0; waiting != NULL && i < waiting->len; i++)
+    {
+      gsize length;
+      const uint8_t *bytes = g_bytes_get_data (g_ptr_array_index (waiting, i), &length);
+
+      oh_segment_send_relay (balancer, flow->owner, OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER, 0, bytes,
+                             length);
+    }
+}
--- a/lib/core/segment_flows.h
+++ b/lib/core/segment_flows.h
@@ -25,6 +25,14 @@
 /* The agent that holds the flow, as far as this balancer knows. Returns false if it does not. */
 bool oh_balancer_flow_owner (const oh_balancer_flow_t *flow, oh_address_t *owner);
 
+/* Keeps a segment until the flow's owner is known. */
+void oh_balancer_flow_keep (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes,
+                            size_t length);
+
+/* Sends what was kept to the owner; an agent that got one of them during a search gets it twice, which its
+ * upstream takes as a retransmission. */
+void oh_balancer_flow_deliver_waiting (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow);
+
 /* service: 0 unless the agent is to check it. */
 void oh_segment_send_relay (oh_segment_balancer_t *balancer, oh_address_t agent, Oh__SegmentRelayKind kind,
                             uint64_t service, const uint8_t *bytes, size_t length);
--- a/lib/wire/packet.pb-c.c
+++ b/lib/wire/packet.pb-c.c
@@ -2223,7 +2223,7 @@
   (ProtobufCMessageInit) oh__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__segment_relay__field_descriptors[10] =
+static const ProtobufCFieldDescriptor oh__segment_relay__field_descriptors[13] =
 {
   {
     "kind",
@@ -2345,10 +2345,48 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "flows",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Oh__SegmentRelay, n_flows),
+    offsetof(Oh__SegmentRelay, flows),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Oh__SegmentRelay, held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Oh__SegmentRelay, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__segment_relay__field_indices_by_name[] = {
   1,   /* field[1] = balancer */
   6,   /* field[6] = caller */
+  10,   /* field[10] = flows */
+  11,   /* field[11] = held */
   0,   /* field[0] = kind */
   5,   /* field[5] = load */
   9,   /* field[9] = owner */
@@ -2357,11 +2395,12 @@
   8,   /* field[8] = search */
   3,   /* field[3] = segment */
   2,   /* field[2] = service */
+  12,   /* field[12] = wanted */
 };
 static const ProtobufCIntRange oh__segment_relay__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor oh__segment_relay__descriptor =
 {
@@ -2371,7 +2410,7 @@
   "Oh__SegmentRelay",
   "oh",
   sizeof(Oh__SegmentRelay),
-  10,
+  13,
   oh__segment_relay__field_descriptors,
   oh__segment_relay__field_indices_by_name,
   1,  oh__segment_relay__number_ranges,
@@ -2609,15 +2648,16 @@
   { "SEGMENT_LOOKUP", "OH__SEGMENT_RELAY_KIND__SEGMENT_LOOKUP", 9 },
   { "SEGMENT_UNKNOWN", "OH__SEGMENT_RELAY_KIND__SEGMENT_UNKNOWN", 10 },
   { "SEGMENT_ASK", "OH__SEGMENT_RELAY_KIND__SEGMENT_ASK", 11 },
-  { "SEGMENT_WANTED", "OH__SEGMENT_RELAY_KIND__SEGMENT_WANTED", 12 },
+  { "SEGMENT_ANSWER", "OH__SEGMENT_RELAY_KIND__SEGMENT_ANSWER", 13 },
 };
 static const ProtobufCIntRange oh__segment_relay_kind__value_ranges[] = {
-{0, 0},{0, 13}
+{0, 0},{13, 12},{0, 13}
 };
 static const ProtobufCEnumValueIndex oh__segment_relay_kind__enum_values_by_name[13] =
 {
   { "SEGMENT_ABSENT", 7 },
   { "SEGMENT_ACCEPTED", 4 },
+  { "SEGMENT_ANSWER", 12 },
   { "SEGMENT_ASK", 11 },
   { "SEGMENT_DELIVER", 2 },
   { "SEGMENT_LOAD", 0 },
@@ -2628,7 +2668,6 @@
   { "SEGMENT_REFUSED", 5 },
   { "SEGMENT_SEARCH", 3 },
   { "SEGMENT_UNKNOWN", 10 },
-  { "SEGMENT_WANTED", 12 },
 };
 const ProtobufCEnumDescriptor oh__segment_relay_kind__descriptor =
 {
@@ -2641,7 +2680,7 @@
   oh__segment_relay_kind__enum_values_by_number,
   13,
   oh__segment_relay_kind__enum_values_by_name,
-  1,
+  2,
   oh__segment_relay_kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
--- a/lib/wire/packet.pb-c.h
+++ b/lib/wire/packet.pb-c.h
@@ -141,13 +141,13 @@
    */
   OH__SEGMENT_RELAY_KIND__SEGMENT_UNKNOWN = 10,
   /*
-   * balancer to agent: a search without the segment
+   * balancer to agent: which of these flows does it hold
    */
   OH__SEGMENT_RELAY_KIND__SEGMENT_ASK = 11,
   /*
-   * agent to balancer: only the segment itself can tell whether the flow is here
+   * agent to balancer: the answer
    */
-  OH__SEGMENT_RELAY_KIND__SEGMENT_WANTED = 12
+  OH__SEGMENT_RELAY_KIND__SEGMENT_ANSWER = 13
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(OH__SEGMENT_RELAY_KIND)
 } Oh__SegmentRelayKind;
 
@@ -496,17 +496,30 @@
   Oh__Address *caller;
   Oh__Address *route;
   /*
-   * SEARCH, and ABSENT as its answer: names the question, 0 for none
+   * ASK and ANSWER, SEARCH and ABSENT as its answer: names the question, 0 for none
    */
   uint32_t search;
   /*
-   * RECORD: the agent that holds the flow
+   * RECORD: the agent that holds the flow; ANSWER: the agent that answers
    */
   Oh__Address *owner;
+  /*
+   * ASK: digests of flows
+   */
+  size_t n_flows;
+  uint64_t *flows;
+  /*
+   * ANSWER: one bit a flow of the question, the lowest first
+   */
+  ProtobufCBinaryData held;
+  /*
+   * ANSWER: the same; only the segment itself can tell whether the flow is here
+   */
+  ProtobufCBinaryData wanted;
 };
 #define OH__SEGMENT_RELAY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__segment_relay__descriptor) \
-    , OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD, NULL, 0, {0,NULL}, OH__RESULT__RESULT_NONE, NULL, NULL, NULL, 0, NULL }
+    , OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD, NULL, 0, {0,NULL}, OH__RESULT__RESULT_NONE, NULL, NULL, NULL, 0, NULL, 0,NULL, {0,NULL}, {0,NULL} }
 
 
 struct  Oh__Relay
--- a/tests/segment_fixture.h
+++ b/tests/segment_fixture.h
@@ -41,6 +41,10 @@
   uint32_t search;
   oh_segment_t segment; /* zero if the message carries none */
   size_t length;        /* of the carried segment */
+  size_t n_flows;       /* that a question names */
+  size_t n_held_bytes;  /* of an answer */
+  uint8_t held;         /* bits of the first eight flows */
+  uint8_t wanted;
 } fixture_message_t;
 
 static inline void
@@ -102,6 +106,10 @@
   message.service = relay->service;
   message.search = relay->search;
   message.length = relay->segment.len;
+  message.n_flows = relay->n_flows;
+  message.n_held_bytes = relay->held.len;
+  message.held = relay->held.len > 0 ? relay->held.data[0] : 0;
+  message.wanted = relay->wanted.len > 0 ? relay->wanted.data[0] : 0;
   if (relay->segment.len > 0)
     g_assert_true (format->ops->decode (format, relay->segment.data, relay->segment.len, &message.segment));
   return message;
