--- a/daemons/oriole_balancer.c
+++ b/daemons/oriole_balancer.c
@@ -56,6 +56,7 @@
   Oh__Address relay;
   GMainLoop *loop;
   bool leaving;
+  oh_daemon_program_t program;
 } balancer_t;
 
 static void
@@ -130,8 +131,9 @@
 }
 
 static bool
-run (balancer_t *balancer, oh_log_level_t level, oh_error_t *error)
+run (void *data, oh_error_t *error)
 {
+  balancer_t *balancer = data;
   const settings_t *settings = &balancer->settings;
   bool ok;
 
@@ -139,7 +141,7 @@
     return false;
   balancer->loop = g_main_loop_new (NULL, FALSE);
   oh_balancer_core_init (&balancer->core, settings->zone, oh_packet_loop_relay_address (&balancer->packets),
-                         &balancer->keyring, oh_system_random (), level);
+                         &balancer->keyring, oh_system_random (), balancer->program.level);
   oh_counters_init (&balancer->counters);
   oh_packet_loop_add_counters (&balancer->packets, &balancer->counters);
   oh_balancer_core_add_counters (&balancer->core, &balancer->counters);
@@ -155,37 +157,18 @@
 main (int argc, char **argv)
 {
   static balancer_t balancer;
-  const oh_daemon_settings_t common = {
-    .key_file = &balancer.settings.key_file,
-    .log_level = &balancer.settings.log_level,
-    .replicas = &balancer.settings.replicas,
+
+  balancer.program = (oh_daemon_program_t){
+    .doc = "Forwards datagrams of callers to the agents that own their flows, and places new flows.",
+    .table = table,
+    .n_table = G_N_ELEMENTS (table),
+    .settings = &balancer.settings,
+    .common = { .key_file = &balancer.settings.key_file,
+                .log_level = &balancer.settings.log_level,
+                .replicas = &balancer.settings.replicas },
+    .keyring = &balancer.keyring,
+    .run = run,
   };
-  oh_daemon_arguments_t arguments = { 0 };
-  oh_error_t error = { .domain = OH_ERROR_NONE };
-  oh_log_level_t level;
-  int status = EXIT_SUCCESS;
-
-  oh_daemon_parse_arguments (
-    argc, argv, "Forwards datagrams of callers to the agents that own their flows, and places new flows.",
-    &arguments);
-  if (!oh_daemon_load (arguments.settings_path, table, G_N_ELEMENTS (table), &balancer.settings, &common,
-                       &balancer.keyring, &level, &error))
-    {
-      fprintf (stderr, "oriole-balancer: %s\n", error.message);
-      status = OH_EXIT_SETTINGS;
-    }
-  else if (!arguments.check)
-    {
-      oh_log_start (level, STDOUT_FILENO);
-      if (!run (&balancer, level, &error))
-        {
-          oh_log_error ("failed", "domain=%s code=%d message=\"%s\"", oh_error_domain_name (error.domain),
-                        (int)error.code, error.message);
-          status = EXIT_FAILURE;
-        }
-      oh_log_stop ();
-    }
-  oh_keyring_finish (&balancer.keyring);
-  oh_settings_clear (table, G_N_ELEMENTS (table), &balancer.settings);
-  return status;
+
+  return oh_daemon_main (argc, argv, &balancer.program, &balancer);
 }
--- a/daemons/oriole_flow_agent.c
+++ b/daemons/oriole_flow_agent.c
@@ -25,8 +25,7 @@
 
 enum
 {
-  BATCH_DATAGRAMS = 64, /* other sources of the loop get their turn after this many */
-  STOP_MS = 200,        /* from the report that no new flow is taken to the exit of a live upstream's agent */
+  STOP_MS = 200, /* from the report that no new flow is taken to the exit of a live upstream's agent */
 };
 
 const char *argp_program_version = "oriole-flow-agent 0.1.0";
@@ -76,7 +75,7 @@
 {
   oh_segment_agent_sink_t sink; /* first member */
   settings_t settings;
-  const char *settings_path;
+  oh_daemon_program_t program;
   oh_keyring_t keyring; /* of the view client; the core has its own copy */
   oh_counters_t counters;
   oh_segment_agent_t core;
@@ -163,36 +162,32 @@
 /* Sources of events. */
 
 static void
-receive_all (agent_t *agent, int fd, oh_segment_agent_event_kind_t kind)
+handle_relay_datagram (void *data, uint8_t *bytes, size_t length)
 {
-  uint8_t buffer[OH_RELAY_MAX_BYTES];
-
-  for (unsigned i = 0; i < BATCH_DATAGRAMS; i++)
-    {
-      const ssize_t length = oh_udp_receive (fd, NULL, buffer, sizeof buffer);
-
-      if (length < 0)
-        return;
-      /* The full length is reported of a datagram that did not fit. */
-      if ((size_t)length <= sizeof buffer)
-        handle (agent, (oh_segment_agent_event_t){
-                         .kind = kind, .datagram = { .bytes = buffer, .length = (size_t)length } });
-    }
+  handle (data, (oh_segment_agent_event_t){ .kind = OH_SEGMENT_AGENT_RELAY,
+                                            .datagram = { .bytes = bytes, .length = length } });
 }
 
 static gboolean
 on_relay_datagram (gint fd, GIOCondition condition, gpointer data)
 {
   (void)condition;
-  receive_all (data, fd, OH_SEGMENT_AGENT_RELAY);
+  oh_udp_receive_some (fd, handle_relay_datagram, data);
   return G_SOURCE_CONTINUE;
 }
 
+static void
+handle_upstream_datagram (void *data, uint8_t *bytes, size_t length)
+{
+  handle (data, (oh_segment_agent_event_t){ .kind = OH_SEGMENT_AGENT_UPSTREAM,
+                                            .datagram = { .bytes = bytes, .length = length } });
+}
+
 static gboolean
 on_upstream_datagram (gint fd, GIOCondition condition, gpointer data)
 {
   (void)condition;
-  receive_all (data, fd, OH_SEGMENT_AGENT_UPSTREAM);
+  oh_udp_receive_some (fd, handle_upstream_datagram, data);
   return G_SOURCE_CONTINUE;
 }
 
@@ -275,21 +270,9 @@
 on_settings_changed (void *data)
 {
   agent_t *agent = data;
-  settings_t changed;
-  oh_error_t error;
-  g_autofree char *endpoints = NULL;
+  settings_t changed = { 0 };
 
-  if (!oh_settings_load (agent->settings_path, table, G_N_ELEMENTS (table), &changed, &error))
-    {
-      oh_log_error ("settings_rejected", "reason=\"%s\"", error.message);
-      return;
-    }
-  endpoints = oh_daemon_seed_endpoints (agent->settings_path, changed.seeds, changed.port, &error);
-  if (endpoints == NULL || !oh_view_client_set_replicas (agent->view_client, endpoints, &error))
-    oh_log_error ("settings_rejected", "reason=\"%s\"", error.message);
-  else
-    oh_log_info ("reloaded", "seeds=%s", changed.seeds);
-  oh_settings_clear (table, G_N_ELEMENTS (table), &changed);
+  oh_daemon_reload_seeds (&agent->program, &changed, &changed.seeds, &changed.port, agent->view_client);
 }
 
 /* Life of the process. */
@@ -314,7 +297,7 @@
   static const oh_view_client_callbacks_t callbacks = { .changed = on_view, .fill_poll = fill_poll };
   const settings_t *settings = &agent->settings;
   g_autofree char *endpoints
-    = oh_daemon_seed_endpoints (agent->settings_path, settings->seeds, settings->port, error);
+    = oh_daemon_seed_endpoints (agent->program.settings_path, settings->seeds, settings->port, error);
 
   if (endpoints == NULL || !open_sockets (agent, error))
     return false;
@@ -358,8 +341,9 @@
 }
 
 static bool
-run (agent_t *agent, oh_error_t *error)
+run (void *data, oh_error_t *error)
 {
+  agent_t *agent = data;
   static const oh_segment_agent_sink_ops_t ops = {
     .send_upstream = send_upstream,
     .send_caller = send_caller,
@@ -397,7 +381,7 @@
       g_timeout_add (OH_SEGMENT_AGENT_TICK_MS, on_tick, agent);
       g_unix_signal_add (SIGTERM, on_stop_signal, agent);
       g_unix_signal_add (SIGINT, on_stop_signal, agent);
-      oh_settings_watch_init (&agent->watch, agent->settings_path, on_settings_changed, agent);
+      oh_settings_watch_init (&agent->watch, agent->program.settings_path, on_settings_changed, agent);
       oh_log_info ("started", "name=%s zone=%s", settings->name, settings->zone);
       g_main_loop_run (agent->loop);
       oh_log_info ("stopped", "name=%s", settings->name);
@@ -415,36 +399,15 @@
 main (int argc, char **argv)
 {
   static agent_t agent;
-  const oh_daemon_settings_t common = {
-    .key_file = &agent.settings.key_file,
-    .log_level = &agent.settings.log_level,
+
+  agent.program = (oh_daemon_program_t){
+    .doc = "Stands between balancers and one upstream for callers without the caller library.",
+    .table = table,
+    .n_table = G_N_ELEMENTS (table),
+    .settings = &agent.settings,
+    .common = { .key_file = &agent.settings.key_file, .log_level = &agent.settings.log_level },
+    .keyring = &agent.keyring,
+    .run = run,
   };
-  oh_daemon_arguments_t arguments = { 0 };
-  oh_error_t error = { .domain = OH_ERROR_NONE };
-  oh_log_level_t level;
-  int status = EXIT_SUCCESS;
-
-  oh_daemon_parse_arguments (
-    argc, argv, "Stands between balancers and one upstream for callers without the caller library.",
-    &arguments);
-  agent.settings_path = arguments.settings_path;
-  if (!oh_daemon_load (arguments.settings_path, table, G_N_ELEMENTS (table), &agent.settings, &common,
-                       &agent.keyring, &level, &error))
-    {
-      fprintf (stderr, "oriole-flow-agent: %s\n", error.message);
-      status = OH_EXIT_SETTINGS;
-    }
-  else if (!arguments.check)
-    {
-      oh_log_start (level, STDOUT_FILENO);
-      if (!run (&agent, &error))
-        {
-          oh_log_error ("start_failed", "reason=\"%s\"", error.message);
-          status = EXIT_FAILURE;
-        }
-      oh_log_stop ();
-    }
-  oh_keyring_finish (&agent.keyring);
-  oh_settings_clear (table, G_N_ELEMENTS (table), &agent.settings);
-  return status;
+  return oh_daemon_main (argc, argv, &agent.program, &agent);
 }
--- a/daemons/oriole_flow_balancer.c
+++ b/daemons/oriole_flow_balancer.c
@@ -23,11 +23,6 @@
 /* Balancer for flows whose ends do not speak the caller protocol. One task owns both sockets and all state.
  */
 
-enum
-{
-  BATCH_DATAGRAMS = 64, /* other sources of the loop get their turn after this many */
-};
-
 const char *argp_program_version = "oriole-flow-balancer 0.1.0";
 
 typedef struct
@@ -71,7 +66,7 @@
 {
   oh_segment_balancer_sink_t sink; /* first member */
   settings_t settings;
-  const char *settings_path;
+  oh_daemon_program_t program;
   oh_keyring_t keyring; /* of the view client; the core has its own copy */
   oh_counters_t counters;
   oh_segment_balancer_t core;
@@ -132,36 +127,32 @@
 /* Sources of events. */
 
 static void
-receive_all (balancer_t *balancer, int fd, oh_segment_balancer_event_kind_t kind)
+handle_caller_datagram (void *data, uint8_t *bytes, size_t length)
 {
-  uint8_t buffer[OH_RELAY_MAX_BYTES];
-
-  for (unsigned i = 0; i < BATCH_DATAGRAMS; i++)
-    {
-      const ssize_t length = oh_udp_receive (fd, NULL, buffer, sizeof buffer);
-
-      if (length < 0)
-        return;
-      /* The full length is reported of a datagram that did not fit. */
-      if ((size_t)length <= sizeof buffer)
-        handle (balancer, (oh_segment_balancer_event_t){
-                            .kind = kind, .datagram = { .bytes = buffer, .length = (size_t)length } });
-    }
+  handle (data, (oh_segment_balancer_event_t){ .kind = OH_SEGMENT_BALANCER_CALLER,
+                                               .datagram = { .bytes = bytes, .length = length } });
 }
 
 static gboolean
 on_caller_datagram (gint fd, GIOCondition condition, gpointer data)
 {
   (void)condition;
-  receive_all (data, fd, OH_SEGMENT_BALANCER_CALLER);
+  oh_udp_receive_some (fd, handle_caller_datagram, data);
   return G_SOURCE_CONTINUE;
 }
 
+static void
+handle_relay_datagram (void *data, uint8_t *bytes, size_t length)
+{
+  handle (data, (oh_segment_balancer_event_t){ .kind = OH_SEGMENT_BALANCER_RELAY,
+                                               .datagram = { .bytes = bytes, .length = length } });
+}
+
 static gboolean
 on_relay_datagram (gint fd, GIOCondition condition, gpointer data)
 {
   (void)condition;
-  receive_all (data, fd, OH_SEGMENT_BALANCER_RELAY);
+  oh_udp_receive_some (fd, handle_relay_datagram, data);
   return G_SOURCE_CONTINUE;
 }
 
@@ -232,21 +223,9 @@
 on_settings_changed (void *data)
 {
   balancer_t *balancer = data;
-  settings_t changed;
-  oh_error_t error;
-  g_autofree char *endpoints = NULL;
+  settings_t changed = { 0 };
 
-  if (!oh_settings_load (balancer->settings_path, table, G_N_ELEMENTS (table), &changed, &error))
-    {
-      oh_log_error ("settings_rejected", "reason=\"%s\"", error.message);
-      return;
-    }
-  endpoints = oh_daemon_seed_endpoints (balancer->settings_path, changed.seeds, changed.port, &error);
-  if (endpoints == NULL || !oh_view_client_set_replicas (balancer->view_client, endpoints, &error))
-    oh_log_error ("settings_rejected", "reason=\"%s\"", error.message);
-  else
-    oh_log_info ("reloaded", "seeds=%s", changed.seeds);
-  oh_settings_clear (table, G_N_ELEMENTS (table), &changed);
+  oh_daemon_reload_seeds (&balancer->program, &changed, &changed.seeds, &changed.port, balancer->view_client);
 }
 
 /* Life of the process. */
@@ -271,7 +250,7 @@
   static const oh_view_client_callbacks_t callbacks = { .changed = on_view, .fill_poll = fill_poll };
   const settings_t *settings = &balancer->settings;
   g_autofree char *endpoints
-    = oh_daemon_seed_endpoints (balancer->settings_path, settings->seeds, settings->port, error);
+    = oh_daemon_seed_endpoints (balancer->program.settings_path, settings->seeds, settings->port, error);
 
   if (endpoints == NULL || !open_sockets (balancer, error))
     return false;
@@ -306,8 +285,9 @@
 }
 
 static bool
-run (balancer_t *balancer, oh_error_t *error)
+run (void *data, oh_error_t *error)
 {
+  balancer_t *balancer = data;
   static const oh_segment_balancer_sink_ops_t ops = {
     .send_agent = send_agent,
     .send_caller = send_caller,
@@ -339,7 +319,8 @@
       g_timeout_add (OH_SEGMENT_TICK_MS, on_tick, balancer);
       g_unix_signal_add (SIGTERM, on_stop_signal, balancer);
       g_unix_signal_add (SIGINT, on_stop_signal, balancer);
-      oh_settings_watch_init (&balancer->watch, balancer->settings_path, on_settings_changed, balancer);
+      oh_settings_watch_init (&balancer->watch, balancer->program.settings_path, on_settings_changed,
+                              balancer);
       oh_log_info ("started", "name=%s zone=%s", settings->name, settings->zone);
       g_main_loop_run (balancer->loop);
       oh_log_info ("stopped", "name=%s", settings->name);
@@ -357,35 +338,15 @@
 main (int argc, char **argv)
 {
   static balancer_t balancer;
-  const oh_daemon_settings_t common = {
-    .key_file = &balancer.settings.key_file,
-    .log_level = &balancer.settings.log_level,
+
+  balancer.program = (oh_daemon_program_t){
+    .doc = "Places and forwards flows of callers without the caller library.",
+    .table = table,
+    .n_table = G_N_ELEMENTS (table),
+    .settings = &balancer.settings,
+    .common = { .key_file = &balancer.settings.key_file, .log_level = &balancer.settings.log_level },
+    .keyring = &balancer.keyring,
+    .run = run,
   };
-  oh_daemon_arguments_t arguments = { 0 };
-  oh_error_t error = { .domain = OH_ERROR_NONE };
-  oh_log_level_t level;
-  int status = EXIT_SUCCESS;
-
-  oh_daemon_parse_arguments (argc, argv, "Places and forwards flows of callers without the caller library.",
-                             &arguments);
-  balancer.settings_path = arguments.settings_path;
-  if (!oh_daemon_load (arguments.settings_path, table, G_N_ELEMENTS (table), &balancer.settings, &common,
-                       &balancer.keyring, &level, &error))
-    {
-      fprintf (stderr, "oriole-flow-balancer: %s\n", error.message);
-      status = OH_EXIT_SETTINGS;
-    }
-  else if (!arguments.check)
-    {
-      oh_log_start (level, STDOUT_FILENO);
-      if (!run (&balancer, &error))
-        {
-          oh_log_error ("start_failed", "reason=\"%s\"", error.message);
-          status = EXIT_FAILURE;
-        }
-      oh_log_stop ();
-    }
-  oh_keyring_finish (&balancer.keyring);
-  oh_settings_clear (table, G_N_ELEMENTS (table), &balancer.settings);
-  return status;
+  return oh_daemon_main (argc, argv, &balancer.program, &balancer);
 }
--- a/lib/adapters/daemon.c
+++ b/lib/adapters/daemon.c
@@ -1,9 +1,16 @@
+#define OH_LOG_MODULE "daemon"
+#include "base/log.h"
+
 #include "adapters/daemon.h"
 
 #include <argp.h>
+#include <errno.h>
 #include <glib.h>
 #include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 static error_t
 parse_option (int key, char *value, struct argp_state *state)
@@ -105,3 +112,54 @@
     return false;
   return oh_keyring_load (keyring, *common->key_file, error);
 }
+
+int
+oh_daemon_main (int argc, char **argv, oh_daemon_program_t *program, void *data)
+{
+  oh_daemon_arguments_t arguments = { 0 };
+  oh_error_t error = { .domain = OH_ERROR_NONE };
+  int status = EXIT_SUCCESS;
+
+  oh_daemon_parse_arguments (argc, argv, program->doc, &arguments);
+  program->settings_path = arguments.settings_path;
+  if (!oh_daemon_load (arguments.settings_path, program->table, program->n_table, program->settings,
+                       &program->common, program->keyring, &program->level, &error))
+    {
+      fprintf (stderr, "%s: %s\n", program_invocation_short_name, error.message);
+      status = OH_EXIT_SETTINGS;
+    }
+  else if (!arguments.check)
+    {
+      oh_log_start (program->level, STDOUT_FILENO);
+      if (!program->run (data, &error))
+        {
+          oh_log_error ("start_failed", "domain=%s code=%d reason=\"%s\"",
+                        oh_error_domain_name (error.domain), (int)error.code, error.message);
+          status = EXIT_FAILURE;
+        }
+      oh_log_stop ();
+    }
+  oh_keyring_finish (program->keyring);
+  oh_settings_clear (program->table, program->n_table, program->settings);
+  return status;
+}
+
+void
+oh_daemon_reload_seeds (const oh_daemon_program_t *program, void *scratch, char **seeds, const int64_t *port,
+                        oh_view_client_t *view_client)
+{
+  oh_error_t error;
+  g_autofree char *endpoints = NULL;
+
+  if (!oh_settings_load (program->settings_path, program->table, program->n_table, scratch, &error))
+    {
+      oh_log_error ("settings_rejected", "reason=\"%s\"", error.message);
+      return;
+    }
+  endpoints = oh_daemon_seed_endpoints (program->settings_path, *seeds, *port, &error);
+  if (endpoints == NULL || !oh_view_client_set_replicas (view_client, endpoints, &error))
+    oh_log_error ("settings_rejected", "reason=\"%s\"", error.message);
+  else
+    oh_log_info ("reloaded", "seeds=%s", *seeds);
+  oh_settings_clear (program->table, program->n_table, scratch);
+}
--- a/lib/adapters/udp.c
+++ b/lib/adapters/udp.c
@@ -85,3 +85,20 @@
     *from = from_sockaddr (&sockaddr);
   return length;
 }
+
+void
+oh_udp_receive_some (int fd, oh_udp_received_t received, void *data)
+{
+  uint8_t buffer[OH_UDP_MAX_BYTES];
+
+  for (unsigned i = 0; i < OH_UDP_BATCH; i++)
+    {
+      const ssize_t length = oh_udp_receive (fd, NULL, buffer, sizeof buffer);
+
+      if (length < 0)
+        return;
+      /* The full length is reported of a datagram that did not fit. */
+      if ((size_t)length <= sizeof buffer)
+        received (data, buffer, (size_t)length);
+    }
+}
--- a/lib/core/segment.c
+++ b/lib/core/segment.c
@@ -1,5 +1,6 @@
 #include "core/segment.h"
 
+#include <glib.h>
 #include <xxhash.h>
 
 uint64_t
@@ -28,3 +29,15 @@
 
   return oh_address_equal (left->caller, right->caller) && oh_address_equal (left->route, right->route);
 }
+
+const char *
+oh_flow_key_pairs (const oh_flow_key_t *key, char *pairs, size_t size, const char *format, va_list arguments)
+{
+  char caller[OH_ADDRESS_TEXT_BYTES];
+  char route[OH_ADDRESS_TEXT_BYTES];
+  const int length = g_snprintf (pairs, size, "caller=%s route=%s ", oh_address_format (key->caller, caller),
+                                 oh_address_format (key->route, route));
+
+  g_vsnprintf (pairs + length, size - (size_t)length, format, arguments);
+  return pairs;
+}
--- a/lib/core/segment.h
+++ b/lib/core/segment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <stdarg.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -61,6 +62,10 @@
   const oh_segment_format_ops_t *ops;
 };
 
+/* "caller=... route=... ", then what the format gives; cut to the size. Returns pairs. */
+const char *oh_flow_key_pairs (const oh_flow_key_t *key, char *pairs, size_t size, const char *format,
+                               va_list arguments);
+
 /* For GHashTable. */
 unsigned oh_flow_key_hash (const void *key);
 int oh_flow_key_equal (const void *a, const void *b);
--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -10,20 +10,15 @@
   log_flow (const oh_segment_agent_t *agent, oh_log_level_t level, const char *event,
             const oh_flow_key_t *key, const char *format, ...)
 {
-  char caller[OH_ADDRESS_TEXT_BYTES];
-  char route[OH_ADDRESS_TEXT_BYTES];
   char pairs[OH_SEGMENT_AGENT_LOG_BYTES];
-  int length;
-  va_list args;
+  va_list arguments;
 
   if (!oh_log_enabled (level))
     return;
-  length = g_snprintf (pairs, sizeof pairs, "caller=%s route=%s ", oh_address_format (key->caller, caller),
-                       oh_address_format (key->route, route));
-  va_start (args, format);
-  g_vsnprintf (pairs + length, sizeof pairs - (size_t)length, format, args);
-  va_end (args);
-  agent->sink->ops->log (agent->sink, level, event, pairs);
+  va_start (arguments, format);
+  agent->sink->ops->log (agent->sink, level, event,
+                         oh_flow_key_pairs (key, pairs, sizeof pairs, format, arguments));
+  va_end (arguments);
 }
 
 /* Records. */
--- a/lib/core/segment_directory.c
+++ b/lib/core/segment_directory.c
@@ -229,5 +229,11 @@
 
   g_hash_table_iter_init (&iter, balancer->flows);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((oh_balancer_flow_t *)value)->recorded = false;
+    {
+      oh_balancer_flow_t *flow = value;
+
+      flow->recorded = false;
+      if (flow->lookups == 0)
+        flow->lookup_us = 0;
+    }
 }
--- a/lib/core/segment_directory.h
+++ b/lib/core/segment_directory.h
@@ -32,5 +32,5 @@
 void oh_segment_directory_expire (oh_segment_balancer_t *balancer);
 
 /* Other balancers are the holders now, or have lost their records: the owner of each flow is told again with
- * the flow's next segment. */
+ * the flow's next segment, or asked for there. */
 void oh_segment_directory_forget (oh_segment_balancer_t *balancer);
--- a/lib/core/segment_search.c
+++ b/lib/core/segment_search.c
@@ -236,8 +236,10 @@
   gsize length;
   const uint8_t *bytes;
 
-  if (flow->waiting == NULL)
+  if (flow->waiting == NULL || balancer->search_budget <= 0)
     return; /* the next segment asks again */
+  balancer->search_budget--;
+  oh_counter_increment (&balancer->counters.search_messages);
   bytes = g_bytes_get_data (g_ptr_array_index (flow->waiting, flow->waiting->len - 1), &length);
   oh_segment_send_question (balancer, agent, OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH, 0, flow->question, bytes,
                             length);
--- a/tests/test_segment_balancer.c
+++ b/tests/test_segment_balancer.c
@@ -702,6 +702,10 @@
   { "a balancer that does not answer keeps a flow from being searched",
     { PEERS, CONFIRMED_VIEW (kiln_text), REQUEST, SENT (LOOKUP, 2), BY_PEER (1, UNKNOWN, 0), WAIT (100),
       SENT (ASK, AGENTS) } },
+  { "a lookup before the holders had announced themselves is the last one (azf-bake-grown trouble-3: 14 s of "
+    "searches after all processes were killed)",
+    { CONFIRMED_VIEW (kiln_text), REQUEST, SENT (ASK, AGENTS), PEERS, CONFIRMED_VIEW (kiln_text), WAIT (100),
+      REQUEST, SENT (LOOKUP, 2), BY_PEER (1, RECORD, 2), SENT (DELIVER, 2), REQUEST, SENT (DELIVER, 1) } },
   { "an agent that needs the segment to tell does not get it",
     { CONFIRMED_VIEW (kiln_text),
       REQUEST,
@@ -867,6 +871,10 @@
   g_assert_cmpint (fixture.sent[AGENTS + 1].kind, ==, SEARCH);
   g_assert_true (oh_address_equal (fixture.sent[AGENTS + 1].segment.from, numbered_caller (WANTED)));
   g_assert_cmpuint (fixture.resets, ==, FLOWS - 2);
+  /* What agents want counts, too. */
+  fixture.core.search_budget = 0;
+  play_search_answer (&fixture, AGENTS - 1, question, none, wanted, BYTES);
+  g_assert_cmpuint (fixture.n_sent, ==, AGENTS + 2);
   teardown (&fixture);
 }
 
