--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -630,6 +630,22 @@
           &flow->key, NULL, 0);
 }
 
+/*
+ * The upstream resets a flow that it was only tried with. The flow may live at another upstream, so its
+ * caller must not hear of it.
+ */
+static void
+handle_reset_probe (oh_segment_agent_t *agent, oh_agent_flow_t *flow)
+{
+  const bool probed = flow->state == OH_AGENT_FLOW_PROBED;
+
+  log_flow (agent, OH_LOG_INFO, "probe_reset", &flow->key, "generation=%u search=%u", flow->generation,
+            flow->search);
+  set_state (agent, flow, OH_AGENT_FLOW_ABSENT);
+  if (probed)
+    absent (agent, &flow->key, flow->balancer, flow->search, NULL, 0);
+}
+
 static void
 handle_from_upstream (oh_segment_agent_t *agent, uint8_t *bytes, size_t length)
 {
@@ -649,6 +665,12 @@
     }
   key = (oh_flow_key_t){ .caller = segment.to, .route = segment.from };
   flow = g_hash_table_lookup (agent->flows, &key);
+  if (flow != NULL && segment.rst
+      && (flow->state == OH_AGENT_FLOW_PROBED || flow->state == OH_AGENT_FLOW_ABSENT))
+    {
+      handle_reset_probe (agent, flow);
+      return;
+    }
   if (flow == NULL || flow->generation != agent->identity.generation)
     flow = add_flow (agent, &key, segment.syn ? OH_AGENT_FLOW_OPENING : OH_AGENT_FLOW_OPEN);
   use_flow (agent, flow);
--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -127,7 +127,8 @@
   if (flow->owned || oh_balancer_flow_has_open_offer (flow))
     return;
   flow->question = 0;
-  oh_balancer_flow_keep (balancer, flow, relay->segment.data, relay->segment.len);
+  if (relay->segment.len > 0)
+    oh_balancer_flow_keep (balancer, flow, relay->segment.data, relay->segment.len);
   oh_segment_search_start (balancer, flow);
 }
 
