control: log what each read of the configuration was decided by

An answered read left no line, and neither lines nor metrics told whether committed entries were not applied, so that the three hypotheses of docs/incidents/config-stale-read.md could not be told apart.

--- a/daemons/oriole_control.c
+++ b/daemons/oriole_control.c
@@ -93,6 +93,7 @@
   oh_counter_t term;
   oh_counter_t version;
   oh_counter_t applied_index;
+  oh_counter_t commit_index;
   oh_counter_t nodes;
   oh_counter_t publish_latency; /* registers publish_seconds */
   oh_counter_t persist_latency; /* registers persist_seconds */
@@ -299,8 +300,11 @@
       break;
     }
   oh_log_info ("publication_answered",
-               "request=%" G_GUINT64_FORMAT " status=%d version=%" G_GUINT64_FORMAT " detail=\"%s\"", request,
-               (int)status, reply->version, reply->detail);
+               "request=%" G_GUINT64_FORMAT " status=%d version=%" G_GUINT64_FORMAT
+               " role=%s applied=%" G_GUINT64_FORMAT " commit=%" G_GUINT64_FORMAT " detail=\"%s\"",
+               request, (int)status, reply->version, oh_raft_role_name (oh_raft_role (&control->core.raft)),
+               oh_raft_applied_index (&control->core.raft), oh_raft_commit_index (&control->core.raft),
+               reply->detail);
   oh_operator_http_answer (control->operator_http, request, status, leader.ipv4, reply->detail);
   arrived_us = g_hash_table_lookup (control->publication_arrivals, &request);
   if (arrived_us != NULL)
@@ -551,15 +555,41 @@
   handle_event (control, &event);
 }
 
+/* Logs the outcome of a read with everything that decided it. reason is NULL for a read that is answered. */
+static void
+log_read (const oh_control_core_t *core, int64_t now_us, const char *reason)
+{
+  const oh_control_confirmation_t based_on = oh_control_core_confirmation (core, now_us);
+  g_autofree char *pairs = NULL;
+
+  if (!oh_log_enabled (OH_LOG_INFO))
+    return;
+  pairs = g_strdup_printf (
+    "number=%" G_GUINT64_FORMAT " version=%" G_GUINT64_FORMAT " role=%s term=%" G_GUINT64_FORMAT
+    " applied=%" G_GUINT64_FORMAT " commit=%" G_GUINT64_FORMAT " quorum_age_ms=%" G_GINT64_FORMAT
+    " leader_age_ms=%" G_GINT64_FORMAT,
+    core->state.published_number, core->state.version, oh_raft_role_name (oh_raft_role (&core->raft)),
+    oh_raft_term (&core->raft), oh_raft_applied_index (&core->raft), oh_raft_commit_index (&core->raft),
+    based_on.quorum_age_ms, based_on.leader_age_ms);
+  if (reason == NULL)
+    oh_log_limited (OH_LOG_MODULE, OH_LOG_INFO, "read_answered", "%s", pairs);
+  else
+    oh_log_limited (OH_LOG_MODULE, OH_LOG_INFO, "read_refused", "reason=%s %s", reason, pairs);
+}
+
 static GBytes *
 on_read (void *data)
 {
   const control_t *control = data;
+  const int64_t now_us = oh_clock_now_us (oh_system_clock ());
+  const char *reason = NULL;
 
-  if (!oh_control_core_confirmed (&control->core, oh_clock_now_us (oh_system_clock ()))
-      || control->core.state.document == NULL)
-    return NULL;
-  return g_bytes_ref (control->core.state.document);
+  if (!oh_control_core_confirmed (&control->core, now_us))
+    reason = "not-current";
+  else if (control->core.state.document == NULL)
+    reason = "no-document";
+  log_read (&control->core, now_us, reason);
+  return reason == NULL ? g_bytes_ref (control->core.state.document) : NULL;
 }
 
 static bool
@@ -601,6 +631,7 @@
   oh_counter_set (&control->term, oh_raft_term (&core->raft));
   oh_counter_set (&control->version, core->state.version);
   oh_counter_set (&control->applied_index, oh_raft_applied_index (&core->raft));
+  oh_counter_set (&control->commit_index, oh_raft_commit_index (&core->raft));
   oh_counter_set (&control->nodes, g_hash_table_size (core->membership.nodes[0])
                                      + g_hash_table_size (core->membership.nodes[1]));
   return G_SOURCE_CONTINUE;
@@ -651,6 +682,7 @@
     { &control->term, "term" },
     { &control->version, "version" },
     { &control->applied_index, "applied_index" },
+    { &control->commit_index, "commit_index" },
     { &control->nodes, "nodes" },
   };
 
--- a/lib/core/control_core.c
+++ b/lib/core/control_core.c
@@ -909,3 +909,15 @@
   return now_us - core->confirmation_query_us <= OH_CONTROL_CONFIRMATION_MAX_AGE_US
          && core->state.version >= core->confirmation_version;
 }
+
+oh_control_confirmation_t
+oh_control_core_confirmation (const oh_control_core_t *core, int64_t now_us)
+{
+  const int64_t quorum_age_us = oh_raft_quorum_age_us (&core->raft, now_us);
+  const bool queried = oh_raft_role (&core->raft) != OH_RAFT_LEADER && core->confirmation_query_us >= 0;
+
+  return (oh_control_confirmation_t){
+    .quorum_age_ms = quorum_age_us == INT64_MAX ? -1 : quorum_age_us / 1000,
+    .leader_age_ms = queried ? (now_us - core->confirmation_query_us) / 1000 : -1,
+  };
+}
--- a/lib/core/control_core.h
+++ b/lib/core/control_core.h
@@ -152,3 +152,12 @@
 
 /* True if views sent at now_us are marked confirmed. */
 bool oh_control_core_confirmed (const oh_control_core_t *core, int64_t now_us);
+
+/* What oh_control_core_confirmed decides by, for logs; -1: never, or not needed in the replica's role. */
+typedef struct
+{
+  int64_t quorum_age_ms; /* since the leader's contact with a quorum */
+  int64_t leader_age_ms; /* since the query that the leader last replied to was sent */
+} oh_control_confirmation_t;
+
+oh_control_confirmation_t oh_control_core_confirmation (const oh_control_core_t *core, int64_t now_us);
--- a/lib/core/raft.c
+++ b/lib/core/raft.c
@@ -572,18 +572,26 @@
   return replicas;
 }
 
+int64_t
+oh_raft_quorum_age_us (const oh_raft_t *raft, int64_t now_us)
+{
+  if (raft->role == OH_RAFT_LEADER)
+    return now_us - oh_raft_quorum_contact_us (raft, now_us);
+  return raft->confirmed_us != 0 ? now_us - raft->confirmed_us : INT64_MAX;
+}
+
 bool
 oh_raft_confirmed (const oh_raft_t *raft, int64_t now_us)
 {
+  const bool recent_quorum = oh_raft_quorum_age_us (raft, now_us) <= OH_RAFT_CONFIRMED_US;
+
   switch (raft->role)
     {
     case OH_RAFT_LEADER:
-      return raft->applied >= raft->term_start_index
-             && now_us - oh_raft_quorum_contact_us (raft, now_us) <= OH_RAFT_CONFIRMED_US;
+      return recent_quorum && raft->applied >= raft->term_start_index;
     case OH_RAFT_FOLLOWER:
     case OH_RAFT_CANDIDATE:
-      return raft->confirmed_us != 0 && now_us - raft->confirmed_us <= OH_RAFT_CONFIRMED_US
-             && raft->applied >= raft->confirmed_commit;
+      return recent_quorum && raft->applied >= raft->confirmed_commit;
     case OH_RAFT_UNFORMED:
     case OH_RAFT_FAILED:
       break;
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -317,6 +317,10 @@
 /* Latest committed replica set, of oh_raft_replica_t *; free with g_ptr_array_unref. */
 GPtrArray *oh_raft_committed_replicas (const oh_raft_t *raft);
 
+/* Time since the contact with a quorum that oh_raft_confirmed relies on: the leader's own, otherwise the one
+ * that the leader reported. INT64_MAX if there was none. */
+int64_t oh_raft_quorum_age_us (const oh_raft_t *raft, int64_t now_us);
+
 /*
  * True if the applied state was current within the last OH_RAFT_CONFIRMED_US: this replica is the leader, has
  * applied an entry of its term and was in contact with a quorum within that time, or it is a follower that
