--- a/tests/test_control_core.c
+++ b/tests/test_control_core.c
@@ -5,11 +5,13 @@
 #include "core/codec.h"
 #include "core/control_core.h"
 
-/* Tests of the control core: three replicas on a simulated clock and network. */
+/* Tests of the control core: three voters, and an observer in some tests, on a simulated clock and network.
+ */
 
 enum
 {
-  REPLICAS = 3,
+  VOTERS = 3,
+  REPLICAS = 4, /* the last is an observer, which is not started in every test */
   STEP_US = 10000,
   SECOND = G_USEC_PER_SEC,
 };
@@ -32,6 +34,7 @@
   char endpoint[16];
   bool stopped;         /* handles no events; messages queue up */
   bool inbound_dropped; /* messages to it are dropped */
+  bool disk_stalled;    /* persist requests stay outstanding */
   GQueue inbox;         /* of message_t * */
   GQueue synced;        /* ids of outstanding persist requests, as pointers */
   int64_t timer_us;
@@ -45,6 +48,7 @@
 typedef struct
 {
   replica_t replicas[REPLICAS];
+  unsigned n_replicas; /* that were started */
   int64_t now_us;
 } cluster_t;
 
@@ -198,7 +202,7 @@
 
   while (handle_next_message (replica))
     ;
-  while (!g_queue_is_empty (&replica->synced))
+  while (!replica->disk_stalled && !g_queue_is_empty (&replica->synced))
     {
       oh_control_event_t synced = { .kind = OH_CONTROL_SYNCED };
 
@@ -220,7 +224,7 @@
   for (int64_t end_us = cluster.now_us + duration_us; cluster.now_us < end_us;)
     {
       cluster.now_us += STEP_US;
-      for (unsigned i = 0; i < REPLICAS; i++)
+      for (unsigned i = 0; i < cluster.n_replicas; i++)
         if (!cluster.replicas[i].stopped)
           step_replica (&cluster.replicas[i]);
     }
@@ -231,7 +235,7 @@
 {
   for (unsigned i = 0; i < 500; i++)
     {
-      for (unsigned j = 0; j < REPLICAS; j++)
+      for (unsigned j = 0; j < VOTERS; j++)
         {
           replica_t *replica = &cluster.replicas[j];
 
@@ -285,7 +289,7 @@
 }
 
 static void
-start_cluster (void)
+init_replica (replica_t *replica, unsigned number)
 {
   static const oh_control_sink_ops_t ops = {
     .reply = on_reply,
@@ -297,44 +301,63 @@
     .log = on_log,
     .failed = on_failed,
   };
-  oh_raft_replica_t initial[REPLICAS] = { 0 };
 
-  cluster = (cluster_t){ .now_us = SECOND };
-  for (unsigned i = 0; i < REPLICAS; i++)
-    {
-      replica_t *replica = &cluster.replicas[i];
+  replica->sink.ops = &ops;
+  replica->timer_us = G_MAXINT64;
+  replica->name[0] = (char)('a' + number);
+  g_snprintf (replica->endpoint, sizeof replica->endpoint, "tcp://%s", replica->name);
+  oh_seeded_random_init (&replica->random, 11 + number);
+  replica->recovered.name = g_strdup (replica->name);
+  replica->recovered.id = 100 + number;
+  replica->recovered.entries = g_ptr_array_new ();
+  oh_control_core_init (&replica->core, replica->name, 1 + number, &replica->random.base, cluster.now_us);
+}
 
-      replica->sink.ops = &ops;
-      replica->timer_us = G_MAXINT64;
-      replica->name[0] = (char)('a' + i);
-      g_snprintf (replica->endpoint, sizeof replica->endpoint, "tcp://%s", replica->name);
-      initial[i].name = replica->name;
-      initial[i].endpoint = replica->endpoint;
-      oh_seeded_random_init (&replica->random, 11 + i);
-      replica->recovered.name = g_strdup (replica->name);
-      replica->recovered.id = 100 + i;
-      replica->recovered.entries = g_ptr_array_new ();
-      oh_control_core_init (&replica->core, replica->name, 1 + i, &replica->random.base, cluster.now_us);
+/* Starts the voters as a fixed set, or with_observer as a set that the leader maintains, with an observer. */
+static void
+start_cluster_with (bool with_observer)
+{
+  oh_raft_replica_t initial[VOTERS] = { 0 };
+
+  cluster = (cluster_t){ .n_replicas = with_observer ? REPLICAS : VOTERS, .now_us = SECOND };
+  for (unsigned i = 0; i < cluster.n_replicas; i++)
+    init_replica (&cluster.replicas[i], i);
+  for (unsigned i = 0; i < VOTERS; i++)
+    {
+      initial[i].name = cluster.replicas[i].name;
+      initial[i].endpoint = cluster.replicas[i].endpoint;
     }
-  for (unsigned i = 0; i < REPLICAS; i++)
+  for (unsigned i = 0; i < cluster.n_replicas; i++)
     {
       replica_t *replica = &cluster.replicas[i];
       oh_control_event_t start = { .kind = OH_CONTROL_START };
 
       start.start.recovered = &replica->recovered;
       start.start.initial = initial;
-      start.start.n_initial = REPLICAS;
+      start.start.n_initial = VOTERS;
       start.start.endpoint = replica->endpoint;
+      if (with_observer)
+        {
+          start.start.target_voters = VOTERS;
+          start.start.may_bootstrap = true;
+          start.start.observer = i >= VOTERS;
+        }
       handle (replica, &start);
     }
   find_leader ();
   run_for (SECOND);
 }
 
+static void
+start_cluster (void)
+{
+  start_cluster_with (false);
+}
+
 static void
 stop_cluster (void)
 {
-  for (unsigned i = 0; i < REPLICAS; i++)
+  for (unsigned i = 0; i < cluster.n_replicas; i++)
     {
       replica_t *replica = &cluster.replicas[i];
 
@@ -354,13 +377,13 @@
 
   start_cluster ();
   leader = find_leader ();
-  for (unsigned i = 0; i < REPLICAS; i++)
+  for (unsigned i = 0; i < VOTERS; i++)
     cluster.replicas[i].stopped = &cluster.replicas[i] != leader;
   send_apply (leader, 1, 0);
   run_for (SECOND / 5);
   g_assert_cmpuint (leader->n_replies, ==, 0);
   g_assert_cmpuint (leader->core.state.version, ==, 0);
-  for (unsigned i = 0; i < REPLICAS; i++)
+  for (unsigned i = 0; i < VOTERS; i++)
     cluster.replicas[i].stopped = false;
   run_for (SECOND / 5);
   g_assert_cmpuint (leader->n_replies, ==, 1);
@@ -440,6 +463,79 @@
   stop_cluster ();
 }
 
+/* Guards against a leader whose disk hangs and that confirms a version older than an accepted one: the other
+ * voters have committed the change, and a follower has answered the resent one. */
+static void
+test_stalled_leader_unconfirmed (void)
+{
+  replica_t *leader;
+  replica_t *follower;
+
+  start_cluster ();
+  leader = find_leader ();
+  follower = find_follower ();
+  leader->disk_stalled = true;
+  send_apply (leader, 1, 0);
+  run_for (SECOND);
+  g_assert_cmpuint (leader->n_replies, ==, 0);
+  send_apply (follower, 1, 0);
+  g_assert_cmpint (follower->status, ==, OH__CHANGE_STATUS__CHANGE_ACCEPTED);
+  for (unsigned i = 0; i < 5; i++)
+    {
+      poll_view (leader);
+      g_assert_cmpuint (leader->view_version, ==, 0);
+      g_assert_false (leader->view_confirmed);
+      run_for (SECOND);
+    }
+  /* The replicas that have the change are confirmed by the leader's contact with a quorum all the while. */
+  poll_view (follower);
+  g_assert_cmpuint (follower->view_version, ==, 1);
+  g_assert_true (follower->view_confirmed);
+  leader->disk_stalled = false;
+  run_for (SECOND);
+  poll_view (leader);
+  g_assert_cmpuint (leader->view_version, ==, 1);
+  g_assert_true (leader->view_confirmed);
+  stop_cluster ();
+}
+
+/* Guards against an observer that confirms an outdated version because the leader, whose disk hangs, replies
+ * with the version that it has applied instead of what it has committed. */
+static void
+test_stalled_leader_observer (void)
+{
+  replica_t *observer = &cluster.replicas[VOTERS];
+  oh_control_event_t tick = { .kind = OH_CONTROL_TICK };
+  replica_t *leader;
+
+  start_cluster_with (true);
+  run_for (2 * SECOND);
+  leader = find_leader ();
+  poll_view (observer);
+  g_assert_true (observer->view_confirmed);
+
+  /* Append requests from before the change queue up; later ones are lost. */
+  observer->stopped = true;
+  run_for (SECOND / 2);
+  observer->inbound_dropped = true;
+  leader->disk_stalled = true;
+  send_apply (leader, 1, 0);
+  run_for (SECOND / 2);
+  send_apply (find_follower (), 1, 0);
+  g_assert_cmpint (find_follower ()->status, ==, OH__CHANGE_STATUS__CHANGE_ACCEPTED);
+
+  observer->inbound_dropped = false;
+  handle (observer, &tick);
+  while (handle_next_message (leader))
+    ;
+  while (handle_next_message (observer))
+    {
+      poll_view (observer);
+      g_assert_true (observer->view_version == 1 || !observer->view_confirmed);
+    }
+  stop_cluster ();
+}
+
 int
 main (int argc, char **argv)
 {
@@ -447,5 +543,7 @@
   g_test_add_func ("/control-core/answer-after-commit", test_answer_after_commit);
   g_test_add_func ("/control-core/unreachable-leader", test_unreachable_leader);
   g_test_add_func ("/control-core/stale-heartbeats", test_stale_heartbeats);
+  g_test_add_func ("/control-core/stalled-leader-unconfirmed", test_stalled_leader_unconfirmed);
+  g_test_add_func ("/control-core/stalled-leader-observer", test_stalled_leader_observer);
   return g_test_run ();
 }
