raft, control: a leader vouches for what it committed, not for what it applied

Callers of the operators' interface saw an older version than the confirmed one: "version 7 had been acked over 3000 ms before a read was sent; version 3 is read by front-depot-a-1".

Cause: only entries that the own disk has synced are applied. While a leader's disk hangs it goes on committing with the other voters, which apply the entries and acknowledge the operator's resend, but oh_raft_confirmed asked the leader only for recent contact with a quorum and for an applied entry of its term. Its reply to a follower's query held the applied version, too. Class: a promise about committed state that is derived from applied state.

Change: oh_raft_read_index gives the leader's commit index while its contact with a quorum is recent and an entry of its term is committed. The leader is confirmed when it has applied that index; its reply to a query carries the index (new field commit), and a follower compares it with its own applied index. Whatever any replica has acknowledged has an index at most the leader's commit index, since a follower learns of a commit from the leader only; so the index covers it. Followers stay confirmed while the leader's disk hangs. A reply without the field (a leader of an earlier release) confirms nothing; field version stays for followers of earlier releases.

Reads at the stalled leader get 503 meanwhile.

--- a/lib/core/control_core.c
+++ b/lib/core/control_core.c
@@ -485,8 +485,7 @@
   Oh__Control message = OH__CONTROL__INIT;
   Oh__CurrentReply reply = OH__CURRENT_REPLY__INIT;
 
-  if (oh_raft_role (&core->raft) != OH_RAFT_LEADER
-      || !oh_raft_confirmed (&core->raft, core->now_us + OH_CONTROL_CONFIRMATION_MAX_AGE_US))
+  if (!oh_raft_read_index (&core->raft, core->now_us + OH_CONTROL_CONFIRMATION_MAX_AGE_US, &reply.commit))
     return;
   reply.sent_us = query->sent_us;
   reply.term = oh_raft_term (&core->raft);
@@ -500,11 +499,12 @@
 static void
 handle_current_reply (oh_control_core_t *core, const Oh__CurrentReply *reply)
 {
-  if (reply->term != oh_raft_term (&core->raft) || reply->sent_us > core->now_us
+  /* Leaders of earlier releases send no commit index. */
+  if (reply->term != oh_raft_term (&core->raft) || reply->commit == 0 || reply->sent_us > core->now_us
       || reply->sent_us <= core->confirmation_query_us)
     return;
   core->confirmation_query_us = reply->sent_us;
-  core->confirmation_version = reply->version;
+  core->confirmation_index = reply->commit;
 }
 
 static void
@@ -907,7 +907,7 @@
   if (oh_raft_role (&core->raft) == OH_RAFT_LEADER)
     return true;
   return now_us - core->confirmation_query_us <= OH_CONTROL_CONFIRMATION_MAX_AGE_US
-         && core->state.version >= core->confirmation_version;
+         && oh_raft_applied_index (&core->raft) >= core->confirmation_index;
 }
 
 oh_control_confirmation_t
--- a/lib/core/control_core.h
+++ b/lib/core/control_core.h
@@ -14,11 +14,11 @@
  * Protocol logic of one control replica, without I/O: handles one event at a time and reports actions to a
  * sink. It replies to polls from nodes and to requests from operators, drives Raft, and pushes views.
  *
- * A view is marked confirmed while this replica leads with a quorum, or while a reply from the leader shows
- * that this replica is up to date: the query was sent at most OH_CONTROL_CONFIRMATION_MAX_AGE_US ago, and the
- * version in the reply has been applied here. The age is measured from the sending of the query on this
- * replica's own clock, so a message delayed while the process was stopped or the path was cut confirms
- * nothing.
+ * A view is marked confirmed while this replica leads with a quorum and has applied all that it has
+ * committed, or while a reply from the leader shows that this replica is up to date: the query was sent at
+ * most OH_CONTROL_CONFIRMATION_MAX_AGE_US ago, and the commit index in the reply has been applied here. The
+ * age is measured from the sending of the query on this replica's own clock, so a message delayed while the
+ * process was stopped or the path was cut confirms nothing.
  */
 
 enum
@@ -129,7 +129,7 @@
   uint64_t packed_version;
   uint64_t next_tag;
   int64_t confirmation_query_us; /* when the last query that the leader replied to was sent */
-  uint64_t confirmation_version; /* in the leader's reply to it */
+  uint64_t confirmation_index;   /* commit index in the leader's reply to it */
 
   /* State covered by the last views; a difference causes the next push. */
   uint64_t pushed_version;
--- a/lib/core/raft.c
+++ b/lib/core/raft.c
@@ -580,18 +580,30 @@
   return raft->confirmed_us != 0 ? now_us - raft->confirmed_us : INT64_MAX;
 }
 
+bool
+oh_raft_read_index (const oh_raft_t *raft, int64_t now_us, uint64_t *index)
+{
+  /* Entries of earlier terms are known to be committed only once one of this term is. */
+  if (raft->role != OH_RAFT_LEADER || raft->commit < raft->term_start_index
+      || oh_raft_quorum_age_us (raft, now_us) > OH_RAFT_CONFIRMED_US)
+    return false;
+  *index = raft->commit;
+  return true;
+}
+
 bool
 oh_raft_confirmed (const oh_raft_t *raft, int64_t now_us)
 {
-  const bool recent_quorum = oh_raft_quorum_age_us (raft, now_us) <= OH_RAFT_CONFIRMED_US;
+  uint64_t read_index;
 
   switch (raft->role)
     {
     case OH_RAFT_LEADER:
-      return recent_quorum && raft->applied >= raft->term_start_index;
+      return oh_raft_read_index (raft, now_us, &read_index) && raft->applied >= read_index;
     case OH_RAFT_FOLLOWER:
     case OH_RAFT_CANDIDATE:
-      return recent_quorum && raft->applied >= raft->confirmed_commit;
+      return oh_raft_quorum_age_us (raft, now_us) <= OH_RAFT_CONFIRMED_US
+             && raft->applied >= raft->confirmed_commit;
     case OH_RAFT_UNFORMED:
     case OH_RAFT_FAILED:
       break;
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -322,8 +322,16 @@
 int64_t oh_raft_quorum_age_us (const oh_raft_t *raft, int64_t now_us);
 
 /*
- * True if the applied state was current within the last OH_RAFT_CONFIRMED_US: this replica is the leader, has
- * applied an entry of its term and was in contact with a quorum within that time, or it is a follower that
- * has applied everything that such a leader had committed at such a contact.
+ * Leader only: sets *index to the last committed index and returns true if no other replica can have
+ * committed a later entry before the contact with a quorum, which is at most OH_RAFT_CONFIRMED_US old. A
+ * replica that has applied the index is current as of that contact. The leader itself may not have: it
+ * commits entries that the other voters have synced, and applies them only when its own disk has.
+ */
+bool oh_raft_read_index (const oh_raft_t *raft, int64_t now_us, uint64_t *index);
+
+/*
+ * True if the applied state was current within the last OH_RAFT_CONFIRMED_US: this replica is the leader and
+ * has applied its read index, or it is a follower that has applied everything that a leader had committed at
+ * such a contact with a quorum.
  */
 bool oh_raft_confirmed (const oh_raft_t *raft, int64_t now_us);
--- a/lib/wire/control.pb-c.c
+++ b/lib/wire/control.pb-c.c
@@ -1720,7 +1720,7 @@
   (ProtobufCMessageInit) oh__current_query__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__current_reply__field_descriptors[3] =
+static const ProtobufCFieldDescriptor oh__current_reply__field_descriptors[4] =
 {
   {
     "sent_us",
@@ -1758,8 +1758,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "commit",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Oh__CurrentReply, commit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__current_reply__field_indices_by_name[] = {
+  3,   /* field[3] = commit */
   0,   /* field[0] = sent_us */
   1,   /* field[1] = term */
   2,   /* field[2] = version */
@@ -1767,7 +1780,7 @@
 static const ProtobufCIntRange oh__current_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor oh__current_reply__descriptor =
 {
@@ -1777,7 +1790,7 @@
   "Oh__CurrentReply",
   "oh",
   sizeof(Oh__CurrentReply),
-  3,
+  4,
   oh__current_reply__field_descriptors,
   oh__current_reply__field_indices_by_name,
   1,  oh__current_reply__number_ranges,
--- a/lib/wire/control.pb-c.h
+++ b/lib/wire/control.pb-c.h
@@ -347,13 +347,17 @@
   int64_t sent_us;
   uint64_t term;
   /*
-   * version in effect at the leader when it answered
+   * version applied at the leader when it answered; earlier releases compare it with their own
    */
   uint64_t version;
+  /*
+   * index of the last entry that the leader had committed, applied by it or not
+   */
+  uint64_t commit;
 };
 #define OH__CURRENT_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__current_reply__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/tests/test_control_core.c
+++ b/tests/test_control_core.c
@@ -507,10 +507,12 @@
   replica_t *observer = &cluster.replicas[VOTERS];
   oh_control_event_t tick = { .kind = OH_CONTROL_TICK };
   replica_t *leader;
+  replica_t *follower;
 
   start_cluster_with (true);
   run_for (2 * SECOND);
   leader = find_leader ();
+  follower = find_follower ();
   poll_view (observer);
   g_assert_true (observer->view_confirmed);
 
@@ -521,8 +523,8 @@
   leader->disk_stalled = true;
   send_apply (leader, 1, 0);
   run_for (SECOND / 2);
-  send_apply (find_follower (), 1, 0);
-  g_assert_cmpint (find_follower ()->status, ==, OH__CHANGE_STATUS__CHANGE_ACCEPTED);
+  send_apply (follower, 1, 0);
+  g_assert_cmpint (follower->status, ==, OH__CHANGE_STATUS__CHANGE_ACCEPTED);
 
   observer->inbound_dropped = false;
   handle (observer, &tick);
