file_storage: sync what was recovered before it counts as durable

A process that is killed between the write and the sync of a record, or between a rename and the sync of the folder, leaves them in the page cache. The next process recovered them and acknowledged entries and votes as durable without a sync. If the power then failed before the next write, an entry that a quorum had acknowledged could be lost, or a replica could vote twice in a term.

Change: oh_file_storage_open syncs the log and the folder once all is loaded. It costs two syncs at a start.

Test: /file-storage/unsynced-recovery takes the place of fsync in the test program, leaves a record unsynced, opens the folder again and cuts the file to its synced length.

--- a/lib/adapters/file_storage.c
+++ b/lib/adapters/file_storage.c
@@ -467,11 +467,24 @@
   set_log_file (storage, fd, valid_length);
   /* The process may have ended after it wrote the snapshot of a request and before it rewrote the log. */
   storage->rewrite_pending = storage->state.snapshot.index > 0;
-  if (valid_length < length && (ftruncate (fd, (off_t)valid_length) != 0 || fsync (fd) != 0))
+  if (valid_length < length && ftruncate (fd, (off_t)valid_length) != 0)
     return set_system_error (error, "remove the incomplete last record", "log");
   return true;
 }
 
+/* Makes the recovered state durable. The process that wrote it may have been killed before its sync, so that
+ * a power failure could still undo the last record or rename. Snapshot and identity are synced before they
+ * are renamed. */
+static bool
+sync_recovered_state (const oh_file_storage_t *storage, oh_error_t *error)
+{
+  if (fsync (storage->log_fd) != 0)
+    return set_system_error (error, "sync", "log");
+  if (fsync (storage->folder_fd) != 0)
+    return set_system_error (error, "sync", storage->path);
+  return true;
+}
+
 static bool
 open_folder (oh_file_storage_t *storage, oh_error_t *error)
 {
@@ -514,7 +527,8 @@
   storage->lock_fd = -1;
   storage->log_fd = -1;
   if (!open_folder (storage, error) || !load_identity (storage, name, random, error)
-      || !load_snapshot (storage, error) || !load_log (storage, error))
+      || !load_snapshot (storage, error) || !load_log (storage, error)
+      || !sync_recovered_state (storage, error))
     {
       oh_file_storage_close (&storage->base);
       return NULL;
--- a/tests/test_file_storage.c
+++ b/tests/test_file_storage.c
@@ -2,6 +2,8 @@
 #include <signal.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
+#include <sys/syscall.h>
 #include <unistd.h>
 
 #include "adapters/file_storage.h"
@@ -9,6 +11,28 @@
 #include "base/seeded_random.h"
 #include "core/raft_replicas.h"
 
+/* Lengths up to which files were synced, by inode number; replaces what a power failure leaves. */
+static GHashTable *synced_lengths;
+static unsigned folder_syncs;
+/* Models a process that is killed before the sync of what it wrote. */
+static bool killed_before_sync;
+
+/* Takes the place of the C library's function in this program. */
+int
+fsync (int fd)
+{
+  struct stat info;
+
+  if (killed_before_sync)
+    return 0;
+  g_assert_cmpint (fstat (fd, &info), ==, 0);
+  if (S_ISDIR (info.st_mode))
+    folder_syncs++;
+  else if (synced_lengths != NULL)
+    g_hash_table_insert (synced_lengths, GSIZE_TO_POINTER (info.st_ino), GSIZE_TO_POINTER (info.st_size));
+  return (int)syscall (SYS_fsync, fd);
+}
+
 typedef struct
 {
   char *path;
@@ -385,6 +409,47 @@
     }
 }
 
+/* Removes from the log file what was not synced. */
+static void
+lose_power (const fixture_t *f)
+{
+  g_autofree char *path = file_path (f, "log");
+  struct stat info;
+
+  g_assert_cmpint (stat (path, &info), ==, 0);
+  g_assert_cmpint (truncate (path, (off_t)GPOINTER_TO_SIZE (
+                                     g_hash_table_lookup (synced_lengths, GSIZE_TO_POINTER (info.st_ino)))),
+                   ==, 0);
+}
+
+/* Guards against recovered entries and votes that a power failure removes: the process that wrote them was
+ * killed before it synced them, and the next one acknowledged them as durable. */
+static void
+test_unsynced_recovery (void)
+{
+  fixture_t f;
+
+  synced_lengths = g_hash_table_new (NULL, NULL);
+  setup (&f);
+  g_assert_true (persist (&f, 1, 3, 1, 100));
+  killed_before_sync = true;
+  g_assert_true (persist (&f, 4, 2, 2, 100));
+  g_clear_pointer (&f.storage, oh_file_storage_close);
+  killed_before_sync = false;
+
+  folder_syncs = 0;
+  g_assert_true (reopen (&f));
+  assert_state (&f, 0, 5, 2, 2);
+  g_clear_pointer (&f.storage, oh_file_storage_close);
+  lose_power (&f);
+  /* A rename may not have been synced either. */
+  g_assert_cmpuint (folder_syncs, >, 0);
+  g_assert_true (reopen (&f));
+  assert_state (&f, 0, 5, 2, 2);
+  teardown (&f);
+  g_clear_pointer (&synced_lengths, g_hash_table_unref);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -398,5 +463,6 @@
   g_test_add_func ("/file-storage/missing-files", test_missing_files);
   g_test_add_func ("/file-storage/full-disk", test_full_disk);
   g_test_add_func ("/file-storage/snapshots", test_snapshots);
+  g_test_add_func ("/file-storage/unsynced-recovery", test_unsynced_recovery);
   return g_test_run ();
 }
