segment_placing: repeat an offer only to a service that the route still leads to

What callers would see: a flow opened over a route that had been dropped, or at the service of the older configuration, after other flows through the same balancer had followed the newer one.

Cause: a retransmitted SYN was sent again to the agents that had not replied, with the service of the first offer, even if the configuration had changed in between and the route was gone or led elsewhere. New offers follow the present routes already. An agent that has accepted still gets the retransmission: the flow is opening there. Class: an old decision carried out after the configuration that allowed it has been replaced.

--- a/lib/core/segment_placing.c
+++ b/lib/core/segment_placing.c
@@ -118,6 +118,22 @@
                          length);
 }
 
+/* True if new flows of the route may go to the service. */
+static bool
+route_leads_to (const oh_segment_balancer_t *balancer, oh_address_t address, uint64_t service)
+{
+  const oh_route_t *route = oh_route_table_find (&balancer->routes, address);
+
+  for (guint i = 0; route != NULL && i < route->targets->len; i++)
+    {
+      const oh_route_target_t *target = &g_array_index (route->targets, oh_route_target_t, i);
+
+      if (target->service == service && target->weight > 0)
+        return true;
+    }
+  return false;
+}
+
 static void
 repeat_offer (oh_segment_balancer_t *balancer, const oh_offer_t *offer, const uint8_t *bytes, size_t length)
 {
@@ -126,7 +142,7 @@
 }
 
 /* A retransmission of a SYN that this balancer has placed: goes to the agent that accepted it, to another
- * agent if none has, or again to those that have not replied. */
+ * agent if none has, or again to those that have not replied, unless the route has changed since. */
 static void
 handle_retransmitted_syn (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes,
                           size_t length)
@@ -148,7 +164,8 @@
   if (flow->n_offers < OH_SEGMENT_OFFERS_MAX)
     oh_segment_place (balancer, flow, bytes, length);
   for (unsigned i = 0; i < n_offers && flow->n_offers == n_offers; i++)
-    if (flow->offers[i].state == OH_OFFER_SENT)
+    if (flow->offers[i].state == OH_OFFER_SENT
+        && route_leads_to (balancer, flow->key.route, flow->offers[i].service))
       repeat_offer (balancer, &flow->offers[i], bytes, length);
 }
 
