tests: confirmed replicas under random faults, in the control core and in the Raft simulation

The random tests checked what is committed, and not what a replica vouches for. New: - /control-core/confirmed-under-faults: three voters and an observer under frozen processes, one-way cuts and hanging disks, while an operator sends each publication again until some replica accepts it. No replica may be confirmed with an older number than was accepted a second ago, nor go back. 150 seeds, OH_CONTROL_SEEDS for more. - raft_sim: at each event, a confirmed replica holds what any replica had applied a second and one message delay ago; /raft/random also lets disks hang for 5 s.

--- a/tests/raft_sim.c
+++ b/tests/raft_sim.c
@@ -115,6 +115,7 @@
       return;
     }
   g_assert_cmpuint (entry->index, ==, sim->terms->len + 1);
+  g_array_append_val (sim->applied_us, sim->now_us);
   g_array_append_val (sim->terms, entry->term);
   g_array_append_val (sim->digests, node->digest);
 }
@@ -218,6 +219,26 @@
     }
 }
 
+/* A confirmed replica holds what any replica had applied OH_RAFT_CONFIRMED_US ago, plus the delay of the
+ * leader's message. */
+static void
+check_confirmed (sim_t *sim)
+{
+  const int64_t age_us = OH_RAFT_CONFIRMED_US + sim->delay_us + SIM_MS;
+  uint64_t required = sim->applied_us->len;
+
+  while (required > 0 && sim->now_us - g_array_index (sim->applied_us, int64_t, required - 1) <= age_us)
+    required--;
+  for (unsigned i = 0; i < SIM_NODES_MAX; i++)
+    {
+      const sim_node_t *node = &sim->nodes[i];
+
+      if (node->alive && node->applied < required && oh_raft_confirmed (&node->raft, sim->now_us))
+        g_error ("seed %u, at %" PRId64 " us: %s is confirmed at %" PRIu64 ", but %" PRIu64 " was applied",
+                 sim->seed, sim->now_us, node->name, node->applied, required);
+    }
+}
+
 void
 sim_check_logs (sim_t *sim)
 {
@@ -379,6 +400,7 @@
     .messages = g_ptr_array_new_with_free_func (message_free),
     .terms = g_array_new (FALSE, FALSE, sizeof (uint64_t)),
     .digests = g_array_new (FALSE, FALSE, sizeof (uint64_t)),
+    .applied_us = g_array_new (FALSE, FALSE, sizeof (int64_t)),
     .leaders = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free),
   };
   oh_seeded_random_init (&sim->random, seed);
@@ -407,6 +429,7 @@
   g_ptr_array_unref (sim->messages);
   g_array_unref (sim->terms);
   g_array_unref (sim->digests);
+  g_array_unref (sim->applied_us);
   g_hash_table_unref (sim->leaders);
   oh_seeded_random_finish (&sim->random);
 }
@@ -458,6 +481,7 @@
         }
     }
   sim->now_us = MAX (sim->now_us, due_us);
+  check_confirmed (sim);
   if (timer != NULL)
     {
       timer->timer_us = INT64_MAX;
--- a/tests/raft_sim.h
+++ b/tests/raft_sim.h
@@ -6,8 +6,8 @@
 /*
  * Simulation of raft replicas in one process, with a virtual clock, seeded network faults, and disks that
  * lose what was not synced. It checks whenever a replica reports a change of its role that a term has one
- * leader and that a new leader holds every applied entry, and at each apply that no two replicas apply
- * different entries at an index.
+ * leader and that a new leader holds every applied entry, at each apply that no two replicas apply
+ * different entries at an index, and at each event that no replica is confirmed with an outdated state.
  */
 
 enum
@@ -65,6 +65,7 @@
   GPtrArray *messages;
   GArray *terms;       /* of uint64_t: terms of the applied entries, by index */
   GArray *digests;     /* of uint64_t: digest after each applied entry */
+  GArray *applied_us;  /* of int64_t: when a replica first applied each entry */
   GHashTable *leaders; /* term to replica id */
   uint64_t next_command;
 };
--- a/tests/test_control_core.c
+++ b/tests/test_control_core.c
@@ -40,6 +40,7 @@
   int64_t timer_us;
   uint64_t view_version; /* of the last view sent */
   bool view_confirmed;
+  uint64_t highest_number; /* published number that it has shown */
   Oh__ChangeStatus status; /* of the last change reply */
   uint64_t status_version;
   unsigned n_replies;
@@ -49,6 +50,7 @@
 {
   replica_t replicas[REPLICAS];
   unsigned n_replicas; /* that were started */
+  GArray *accepted_us; /* when each published number, from 1, was first accepted */
   int64_t now_us;
 } cluster_t;
 
@@ -82,6 +84,19 @@
     }
 }
 
+/* The id of a publication of these tests is its number. */
+static void
+record_accepted (const Oh__ChangeReply *reply)
+{
+  uint64_t number;
+
+  if (cluster.accepted_us == NULL || reply->status != OH__CHANGE_STATUS__CHANGE_ACCEPTED)
+    return;
+  memcpy (&number, reply->id.data, sizeof number);
+  if (number == cluster.accepted_us->len + 1)
+    g_array_append_val (cluster.accepted_us, cluster.now_us);
+}
+
 static void
 on_reply (oh_control_sink_t *sink, GBytes *route, oh_key_purpose_t purpose, const Oh__Control *message)
 {
@@ -99,6 +114,7 @@
       replica->status = message->change_reply->status;
       replica->status_version = message->change_reply->version;
       replica->n_replies++;
+      record_accepted (message->change_reply);
     }
   else
     enqueue_message (replica, g_bytes_get_data (route, NULL), message);
@@ -538,6 +554,127 @@
   stop_cluster ();
 }
 
+static void
+send_publish (replica_t *replica, uint64_t number)
+{
+  Oh__Control message = OH__CONTROL__INIT;
+  Oh__Change change = OH__CHANGE__INIT;
+  uint8_t id[OH_CHANGE_ID_BYTES] = { 0 };
+
+  memcpy (id, &number, sizeof number);
+  change.id.data = id;
+  change.id.len = sizeof id;
+  change.kind = OH__CHANGE_KIND__CHANGE_PUBLISH;
+  change.number = number;
+  change.text = (char *)TEXT;
+  message.body_case = OH__CONTROL__BODY_CHANGE;
+  message.change = &change;
+  deliver (replica, "operator", &message, OH_CONTROL_OPERATOR_MESSAGE);
+}
+
+/* Fails if a replica shows an older number than before, or is confirmed with an older one than was accepted
+ * OH_RAFT_CONFIRMED_US ago. */
+static void
+check_confirmed (uint32_t seed)
+{
+  uint64_t required = cluster.accepted_us->len;
+
+  while (required > 0
+         && cluster.now_us - g_array_index (cluster.accepted_us, int64_t, required - 1)
+              <= OH_RAFT_CONFIRMED_US)
+    required--;
+  for (unsigned i = 0; i < cluster.n_replicas; i++)
+    {
+      replica_t *replica = &cluster.replicas[i];
+      const uint64_t number = replica->core.state.published_number;
+
+      g_assert_cmpuint (number, >=, replica->highest_number);
+      replica->highest_number = number;
+      if (!replica->stopped && number < required
+          && oh_control_core_confirmed (&replica->core, cluster.now_us))
+        g_error ("seed %u, at %.2f s: replica %s is confirmed with number %u, but %u was accepted", seed,
+                 (double)cluster.now_us / SECOND, replica->name, (unsigned)number, (unsigned)required);
+    }
+}
+
+/* Switches one fault of one replica on or off. */
+static void
+toggle_fault (oh_seeded_random_t *random)
+{
+  replica_t *replica = &cluster.replicas[oh_random_below (&random->base, cluster.n_replicas)];
+
+  switch (oh_random_below (&random->base, 3))
+    {
+    case 0:
+      replica->stopped = !replica->stopped;
+      break;
+    case 1:
+      replica->inbound_dropped = !replica->inbound_dropped;
+      break;
+    default:
+      replica->disk_stalled = !replica->disk_stalled;
+      break;
+    }
+}
+
+static void
+clear_faults (void)
+{
+  for (unsigned i = 0; i < cluster.n_replicas; i++)
+    {
+      cluster.replicas[i].stopped = false;
+      cluster.replicas[i].inbound_dropped = false;
+      cluster.replicas[i].disk_stalled = false;
+    }
+}
+
+/* Guards against a replica that is confirmed with an older configuration than an accepted one, under frozen
+ * processes, one-way cuts and disks that hang, overlapping in any way, while the operator sends each change
+ * again until some replica accepts it. */
+static void
+test_confirmed_under_faults (void)
+{
+  enum
+  {
+    ROUNDS = 300, /* of 100 ms */
+  };
+  const char *count = g_getenv ("OH_CONTROL_SEEDS");
+  const uint32_t seeds = count != NULL ? (uint32_t)g_ascii_strtoull (count, NULL, 10) : 150;
+  uint64_t accepted = 0;
+
+  for (uint32_t seed = 0; seed < seeds; seed++)
+    {
+      oh_seeded_random_t random;
+
+      oh_seeded_random_init (&random, seed);
+      start_cluster_with (true);
+      cluster.accepted_us = g_array_new (FALSE, FALSE, sizeof (int64_t));
+      for (unsigned round = 0; round < ROUNDS; round++)
+        {
+          replica_t *replica = &cluster.replicas[oh_random_below (&random.base, cluster.n_replicas)];
+
+          if (oh_random_below (&random.base, 8) == 0)
+            toggle_fault (&random);
+          if (oh_random_below (&random.base, 40) == 0)
+            clear_faults ();
+          check_confirmed (seed);
+          if (!replica->stopped)
+            send_publish (replica, cluster.accepted_us->len + 1);
+          for (unsigned i = 0; i < 10; i++)
+            {
+              run_for (STEP_US);
+              check_confirmed (seed);
+            }
+        }
+      accepted += cluster.accepted_us->len;
+      g_array_unref (cluster.accepted_us);
+      stop_cluster ();
+      oh_seeded_random_finish (&random);
+    }
+  /* Otherwise the faults have kept the cluster from doing anything. */
+  g_assert_cmpuint (accepted, >, (uint64_t)20 * seeds);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -547,5 +684,6 @@
   g_test_add_func ("/control-core/stale-heartbeats", test_stale_heartbeats);
   g_test_add_func ("/control-core/stalled-leader-unconfirmed", test_stalled_leader_unconfirmed);
   g_test_add_func ("/control-core/stalled-leader-observer", test_stalled_leader_observer);
+  g_test_add_func ("/control-core/confirmed-under-faults", test_confirmed_under_faults);
   return g_test_run ();
 }
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -576,7 +576,7 @@
   sim_node_t *node = &sim->nodes[g_rand_int_range (rand, 0, 4)];
   sim_node_t *leader = sim_leader (sim);
 
-  switch (g_rand_int_range (rand, 0, 12))
+  switch (g_rand_int_range (rand, 0, 13))
     {
     case 0:
     case 1:
@@ -606,6 +606,9 @@
       if (leader != NULL && may_lose_disk (sim))
         sim_change (sim, leader, OH_RAFT_REMOVE_REPLICA, 3);
       break;
+    case 8:
+      node->sync_us = 5 * SIM_S;
+      break;
     default:
       node->isolated = false;
       node->disk_full = false;
@@ -615,9 +618,9 @@
     }
 }
 
-/* Checks the safety invariants (one leader per term, leader completeness, log matching, one entry per index)
- * and recovery under random faults: loss, duplication, reordering, crashes, lost and full disks, partitions
- * and membership changes. */
+/* Checks the safety invariants (one leader per term, leader completeness, log matching, one entry per index,
+ * confirmed replicas up to date) and recovery under random faults: loss, duplication, reordering, crashes,
+ * lost, full, slow and hanging disks, partitions and membership changes. */
 static void
 test_random (void)
 {
