raft: promote the learner before the lost voter is demoted

What operators would see: after a control VM had been silent for 3 s (frozen, cut off, hanging disk) and another lost its disk at that moment, no read and no change was answered any more, although all VMs but for the one disk were back: nothing is lost on disk, and yet it is never read back.

Cause: a silent voter was demoted first, so that the three voters were two until a learner was promoted; and since a set is in effect from its append, one lost disk left a leader that needed the vote of a replica that no longer exists, while the silent one, back with its disk, could not help. Class: a repair that lowers the number of losses that are survived below the promised one.

Change: with a lost voter and a caught-up learner the learner is promoted, then the voter that has been silent longest is demoted. The four voters in between need three, which are in contact, and survive one lost disk once the silent voter is back. If the learner stops between the two steps as well, service waits for one of them; before, it went on without any reserve. The next change follows as soon as the one before is committed and no longer waits for a heartbeat, which shortens the steps from up to 100 ms to a round trip and a sync. A voter whose disk is known to be lost is removed before its successor is promoted, as before: it counts as a loss already.

Tests: /raft/random-voters (four disks and two observers, crashes of one and all, partitions, disks that hang, a disk lost at a time, also beside a crash of all others). Two older tests looked at the number of voters at the moment of the promotion; wait_voter_demoted takes the place of that check: never fewer than three, four while the replacement lasts, three within 500 ms.

--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -25,8 +25,9 @@
  * operator adds it (OH_RAFT_ADD_REPLICA).
  *
  * With target_voters > 0 the leader manages the set itself: it adds every replica that sends Hello, as a
- * learner or observer, promotes a caught-up learner while there are too few voters, and demotes a voter that
- * has been out of contact for OH_RAFT_VOTER_TIMEOUT_US when a learner can take its place. Such a cluster is
+ * learner or observer, promotes a caught-up learner while there are too few voters, and replaces a voter that
+ * has been out of contact for OH_RAFT_VOTER_TIMEOUT_US by a caught-up learner: the learner becomes a voter
+ * first, then the lost voter becomes a learner. Such a cluster is
  * bootstrapped by one replica, on the first start of the deployment: by the first of the initial set if it
  * has a disk, otherwise by the first replica with a disk that sends it Hello. All others join. Commands are
  * refused until the set has a second voter, for OH_RAFT_SECOND_VOTER_WAIT_US at most.
--- a/lib/core/raft_membership.c
+++ b/lib/core/raft_membership.c
@@ -534,45 +534,62 @@
   return replica->role == OH__REPLICA_ROLE__REPLICA_LEARNER && caught_up (raft, replica->id);
 }
 
+/* The voter other than this replica that has been out of contact longest; NULL if there is no other. */
+static oh_raft_replica_t *
+find_longest_silent_voter (oh_raft_t *raft, const GPtrArray *replicas)
+{
+  oh_raft_replica_t *found = NULL;
+
+  for (unsigned i = 0; i < replicas->len; i++)
+    {
+      oh_raft_replica_t *replica = replicas->pdata[i];
+
+      if (replica->role == OH__REPLICA_ROLE__REPLICA_VOTER && replica->id != raft->self->id
+          && (found == NULL || contact_age_us (raft, replica->id) > contact_age_us (raft, found->id)))
+        found = replica;
+    }
+  return found;
+}
+
+static oh_raft_replica_t *
+find_caught_up_learner (oh_raft_t *raft, const GPtrArray *replicas)
+{
+  for (unsigned i = 0; i < replicas->len; i++)
+    if (is_caught_up_learner (raft, replicas->pdata[i]))
+      return replicas->pdata[i];
+  return NULL;
+}
+
 /*
- * Appends the next change towards target_voters voters: promotes a learner while voters are missing,
- * otherwise demotes a lost voter that a learner can replace. The lost voter is demoted before the learner is
- * promoted, so that the quorum of the set in between consists of live replicas.
+ * Appends the next change towards target_voters voters: promotes a learner while voters are missing or one of
+ * them is lost, and demotes the voter that has been silent longest while there are too many. A lost voter is
+ * demoted only after the learner that takes its place is a voter. The other way round, the smaller set in
+ * between would not survive the loss of a disk, although the silent voter still has its own.
  */
 static void
 maintain_voter_count (oh_raft_t *raft)
 {
   const unsigned voters = oh_raft_replicas_count (raft->replicas, OH__REPLICA_ROLE__REPLICA_VOTER);
   g_autoptr (GPtrArray) replicas = oh_raft_replicas_copy (raft->replicas);
-  oh_raft_replica_t *learner = NULL;
-  oh_raft_replica_t *lost = NULL;
+  oh_raft_replica_t *learner = find_caught_up_learner (raft, replicas);
+  oh_raft_replica_t *silent = find_longest_silent_voter (raft, replicas);
+  const bool lost = silent != NULL && contact_age_us (raft, silent->id) > OH_RAFT_VOTER_TIMEOUT_US;
 
   if (check_change_allowed (raft) != OH_RAFT_PROPOSED)
     return;
-  for (unsigned i = 0; i < replicas->len; i++)
-    {
-      oh_raft_replica_t *replica = replicas->pdata[i];
-
-      if (is_caught_up_learner (raft, replica))
-        learner = replica;
-      else if (replica->role == OH__REPLICA_ROLE__REPLICA_VOTER
-               && contact_age_us (raft, replica->id) > OH_RAFT_VOTER_TIMEOUT_US
-               && (lost == NULL || contact_age_us (raft, replica->id) > contact_age_us (raft, lost->id)))
-        lost = replica;
-    }
-  if (learner == NULL || (voters >= raft->target_voters && lost == NULL))
-    return;
-  if (voters >= raft->target_voters)
+  if (voters > raft->target_voters && silent != NULL)
     {
-      oh_raft_log_line (raft, "raft-demote", "name=%s replica=%016" PRIx64 " silent_ms=%" PRId64, lost->name,
-                        lost->id, contact_age_us (raft, lost->id) / 1000);
-      lost->role = OH__REPLICA_ROLE__REPLICA_LEARNER;
+      oh_raft_log_line (raft, "raft-demote", "name=%s replica=%016" PRIx64 " silent_ms=%" PRId64,
+                        silent->name, silent->id, contact_age_us (raft, silent->id) / 1000);
+      silent->role = OH__REPLICA_ROLE__REPLICA_LEARNER;
     }
-  else
+  else if (learner != NULL && (voters < raft->target_voters || (voters == raft->target_voters && lost)))
     {
       oh_raft_log_line (raft, "raft-promote", "name=%s learner=%016" PRIx64, learner->name, learner->id);
       learner->role = OH__REPLICA_ROLE__REPLICA_VOTER;
     }
+  else
+    return;
   append_replica_set (raft, g_steal_pointer (&replicas));
 }
 
--- a/lib/core/raft_replication.c
+++ b/lib/core/raft_replication.c
@@ -192,6 +192,8 @@
    * replace it. */
   if (match <= raft->commit || !oh_raft_log_term (&raft->log, match, &term) || term != raft->hard.term)
     return;
+  /* The next change of the replica set, if one is due, need not wait for a heartbeat. */
+  raft->adjust_voters_pending |= raft->replicas_index > raft->commit && raft->replicas_index <= match;
   raft->commit = match;
   oh_raft_apply_committed (raft);
   raft->broadcast_pending = true;
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -362,6 +362,18 @@
     }
 }
 
+/* Waits until three voters are left of the four while a lost one is being replaced; there are never fewer. */
+static void
+wait_voter_demoted (sim_t *sim)
+{
+  for (unsigned i = 0; i < 50 && count_voters (sim) != 3; i++)
+    {
+      g_assert_cmpuint (count_voters (sim), ==, 4);
+      sim_run (sim, 10 * SIM_MS);
+    }
+  g_assert_cmpuint (count_voters (sim), ==, 3);
+}
+
 /* Guards against a lost voter that is not replaced, a learner that is promoted beyond target_voters, and
  * committed entries that are lost in these changes. */
 static void
@@ -387,7 +399,7 @@
 
       sim_crash (&sim, lost);
       sim_wait_role (&sim, 3, OH__REPLICA_ROLE__REPLICA_VOTER, OH_RAFT_VOTER_TIMEOUT_US + 3 * SIM_S);
-      g_assert_cmpuint (count_voters (&sim), ==, 3);
+      wait_voter_demoted (&sim);
       index = sim_commit (&sim, SIM_S);
 
       /* A second voter is lost with its disk; the first one has returned as a learner and takes its place. */
@@ -423,6 +435,7 @@
       sim_run (&sim, SIM_S);
       sim_start (&sim, 4);
       sim_wait_role (&sim, 4, OH__REPLICA_ROLE__REPLICA_VOTER, OH_RAFT_VOTER_TIMEOUT_US + 3 * SIM_S);
+      wait_voter_demoted (&sim);
       sim_wait_applied (&sim, 4, index, SIM_S);
       sim_crash (&sim, (seed + 1) % 3);
       sim_commit (&sim, 3 * SIM_S);
@@ -672,6 +685,131 @@
     }
 }
 
+/* Disks are lost one at a time: the next one only once, since the last one, all replicas have been without a
+ * fault for this time. Any other faults may overlap with the loss of a disk. */
+enum
+{
+  REPAIR_US = 4 * SIM_S,
+};
+
+static void
+crash_all (sim_t *sim)
+{
+  for (unsigned i = 0; i < SIM_NODES_MAX; i++)
+    sim_crash (sim, i);
+}
+
+/* One fault of a replica of a cluster that maintains its voters itself. Returns true if it makes a replica
+ * unavailable. */
+static bool
+random_voter_fault (sim_t *sim, GRand *rand, bool *repaired)
+{
+  sim_node_t *node = &sim->nodes[g_rand_int_range (rand, 0, SIM_NODES_MAX)];
+
+  switch (g_rand_int_range (rand, 0, 9))
+    {
+    case 0:
+      sim_crash (sim, node->slot);
+      return true;
+    case 1:
+      node->isolated = true;
+      return true;
+    case 2:
+      node->sync_us = 5 * SIM_S;
+      return true;
+    case 3:
+      if (!*repaired || node->observer)
+        return false;
+      *repaired = false;
+      sim_lose_disk (sim, node->slot);
+      if (g_rand_boolean (rand))
+        crash_all (sim);
+      sim_start (sim, node->slot);
+      return true;
+    case 4:
+      crash_all (sim);
+      return true;
+    default:
+      return false;
+    }
+}
+
+static void
+heal (sim_t *sim)
+{
+  for (unsigned i = 0; i < SIM_NODES_MAX; i++)
+    {
+      sim->nodes[i].isolated = false;
+      sim->nodes[i].sync_us = 0;
+      /* A request that hangs is done, too. */
+      sim->nodes[i].request_due_us = MIN (sim->nodes[i].request_due_us, sim->now_us + SIM_MS);
+      if (!sim->nodes[i].alive)
+        sim_start (sim, i);
+    }
+}
+
+/* Checks the safety invariants and recovery of a cluster that maintains its voters, with spare disks and
+ * observers: crashes of one and of all, partitions, hanging disks, and disks lost one at a time. */
+static void
+test_random_voters (void)
+{
+  const char *first = g_getenv ("OH_RAFT_SEED");
+  const char *count = g_getenv ("OH_RAFT_SEEDS");
+  const uint32_t start = first != NULL ? (uint32_t)g_ascii_strtoull (first, NULL, 10) : 0;
+  const uint32_t n = count != NULL ? (uint32_t)g_ascii_strtoull (count, NULL, 10) : 300;
+
+  for (uint32_t seed = start; seed < start + n; seed++)
+    {
+      GRand *rand = g_rand_new_with_seed (seed);
+      int64_t calm_since_us; /* INT64_MAX / 2: a replica has a fault */
+      bool repaired = true;  /* since a disk was lost */
+      sim_t sim;
+      uint64_t index;
+
+      g_test_message ("seed %u", seed);
+      sim_init_voters (&sim, seed, 3, 3);
+      sim.loss_percent = seed % 3 * 3;
+      sim.compact_entries = 5 + seed % 30;
+      for (unsigned i = 0; i < SIM_NODES_MAX; i++)
+        {
+          sim.nodes[i].observer = i == 5 || (i == 4 && seed % 2 == 0);
+          sim.nodes[i].join = false;
+          sim_start (&sim, i);
+        }
+      sim_wait_leader (&sim, 5 * SIM_S);
+      sim_run (&sim, 5 * SIM_S);
+      calm_since_us = sim.now_us;
+      for (unsigned i = 0; i < 80; i++)
+        {
+          const sim_node_t *leader = sim_leader (&sim);
+
+          repaired = repaired || sim.now_us - calm_since_us > REPAIR_US;
+          if (random_voter_fault (&sim, rand, &repaired))
+            calm_since_us = INT64_MAX / 2;
+          else if (g_rand_int_range (rand, 0, 3) == 0)
+            {
+              heal (&sim);
+              if (calm_since_us == INT64_MAX / 2)
+                calm_since_us = sim.now_us;
+            }
+          if (leader != NULL && leader->alive)
+            sim_propose (&sim, &sim.nodes[leader->slot]);
+          sim_run (&sim, g_rand_int_range (rand, 1, 1500) * SIM_MS);
+          sim_check_logs (&sim);
+        }
+      sim.loss_percent = 0;
+      heal (&sim);
+      index = sim_commit (&sim, 20 * SIM_S);
+      sim_run (&sim, 10 * SIM_S);
+      g_assert_cmpuint (count_voters (&sim), ==, 3);
+      for (unsigned i = 0; i < SIM_NODES_MAX; i++)
+        sim_wait_applied (&sim, i, index, 5 * SIM_S);
+      sim_check_logs (&sim);
+      sim_finish (&sim);
+      g_rand_free (rand);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -694,5 +832,6 @@
   g_test_add_func ("/raft/failed-disk", test_failed_disk);
   g_test_add_func ("/raft/slow-disk", test_slow_disk);
   g_test_add_func ("/raft/random", test_random);
+  g_test_add_func ("/raft/random-voters", test_random_voters);
   return g_test_run ();
 }
