--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -79,6 +79,51 @@
     }
 }
 
+/* Guards against accepting a document that was cut short, and texts that are no JSON but that a lenient
+ * parser reads. */
+static void
+test_unreadable_documents (void)
+{
+  static const char complete[] = DOCUMENT (VALID_ROUTE);
+  static const struct
+  {
+    const char *name;
+    const char *before;
+    const char *after;
+  } cases[] = {
+    { "text after the document", "", "x" },
+    { "bracket after the document", "", "}" },
+    { "second document", "", complete },
+    { "comma after the document", "", "," },
+    { "assignment", "var a = ", ";" },
+    { "assignment without a semicolon", "var a = ", "" },
+    { "comment of one line", "// a\n", "" },
+    { "comment after the document", "", " // a" },
+    { "comment of several lines", "/* a */", "" },
+    { "array around the document", "[", "]" },
+    { "shell comment", "# a\n", "" },
+    { "invalid UTF-8", "{\"\xff\":1,\"a\":", "}" },
+  };
+
+  for (size_t length = 0; length < strlen (complete); length++)
+    {
+      g_autoptr (GBytes) document = g_bytes_new (complete, length);
+      oh_publication_t publication;
+
+      if (oh_publication_parse (&publication, document, NULL))
+        g_error ("accepted after %zu of %zu bytes", length, strlen (complete));
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *text = g_strconcat (cases[i].before, complete, cases[i].after, NULL);
+      g_autoptr (GBytes) document = g_bytes_new (text, strlen (text));
+      oh_publication_t publication;
+
+      if (oh_publication_parse (&publication, document, NULL))
+        g_error ("accepted with %s", cases[i].name);
+    }
+}
+
 /* Guards against rejecting a document of 250 KiB with over 1000 routes; operators publish such documents. */
 static void
 test_large_document (void)
@@ -158,6 +203,8 @@
     { "empty", "", false },
     { "not JSON", "\xff\xfe", false },
     { "not an object", "7", false },
+    { "two objects", HEARTBEAT ("") HEARTBEAT (""), false },
+    { "comment", "/* a */" HEARTBEAT (""), false },
     { "no start time", "{\"Service\":\"a\",\"State\":\"ready\"}", false },
     { "start time of another type", "{\"born\":\"5\",\"Service\":\"a\",\"State\":\"ready\"}", false },
     { "start time that is not an integer", "{\"born\":5.5,\"Service\":\"a\",\"State\":\"ready\"}", false },
@@ -235,6 +282,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/platform/documents", test_documents);
+  g_test_add_func ("/platform/unreadable-documents", test_unreadable_documents);
   g_test_add_func ("/platform/large-document", test_large_document);
   g_test_add_func ("/platform/weights", test_weights);
   g_test_add_func ("/platform/heartbeats", test_heartbeats);
