raft: a late heartbeat does not lower the confirmed commit index

A follower kept the commit index of the last heartbeat, and of an older one that came late over another connection (after a reconnect) the lower index. With an entry that it knew to be committed and had not synced it then took its older state for current, as far as Raft goes; the answer of the leader to its own query still had to agree, so that no read could be shown to be wrong. Commit indexes only grow, so the highest counts.

--- a/lib/core/raft_replication.c
+++ b/lib/core/raft_replication.c
@@ -385,7 +385,8 @@
   if (!request->has_quorum || request->quorum_age_us < 0 || request->quorum_age_us > OH_RAFT_CONFIRMED_US)
     return;
   raft->confirmed_us = MAX (raft->confirmed_us, raft->now_us - request->quorum_age_us);
-  raft->confirmed_commit = request->commit;
+  /* An older request may arrive late over another connection. */
+  raft->confirmed_commit = MAX (raft->confirmed_commit, request->commit);
 }
 
 bool
--- a/tests/test_raft_rules.c
+++ b/tests/test_raft_rules.c
@@ -245,6 +245,7 @@
   entry.term = entry_term;
   request.n_entries = entry_term > 0;
   request.commit = entry_term > 0 ? 0 : previous_index;
+  request.has_quorum = entry_term == 0;
   request.entries = entries;
   receive (
     core, from, term,
@@ -657,6 +658,28 @@
     }
 }
 
+/* Guards against a follower that an older heartbeat, which arrives late over another connection, confirms
+ * without an entry that it knows to be committed and has not synced. */
+static void
+test_reordered_heartbeats (void)
+{
+  core_t core;
+
+  setup (&core, 3, 1, "1");
+  receive_append (&core, SELF + 1, 1, 2, 1, 0);
+  g_assert_true (oh_raft_confirmed (&core.raft, core.now_us));
+  receive_append (&core, SELF + 1, 1, 2, 1, 1);
+  receive_append (&core, SELF + 1, 1, 3, 1, 0);
+  g_assert_cmpuint (oh_raft_commit_index (&core.raft), ==, 3);
+  g_assert_cmpuint (oh_raft_applied_index (&core.raft), ==, 2);
+  g_assert_false (oh_raft_confirmed (&core.raft, core.now_us));
+  receive_append (&core, SELF + 1, 1, 2, 1, 0);
+  g_assert_false (oh_raft_confirmed (&core.raft, core.now_us));
+  answer_storage (&core, OH_RAFT_SYNCED);
+  g_assert_true (oh_raft_confirmed (&core.raft, core.now_us));
+  teardown (&core);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -672,5 +695,6 @@
   g_test_add_func ("/raft-rules/change-needs-commit", test_change_needs_commit);
   g_test_add_func ("/raft-rules/foreign-messages", test_foreign_messages);
   g_test_add_func ("/raft-rules/cluster-formation", test_cluster_formation);
+  g_test_add_func ("/raft-rules/reordered-heartbeats", test_reordered_heartbeats);
   return g_test_run ();
 }
