raft, oriole-control: reloading seeds that are known drops no replica; bad seeds are logged

A reload of the settings with a full list of known replicas dropped its first one for each seed, also for those that were in the list already, so that each reload left one fewer to send Hello to. A reloaded list of seeds that cannot be read was dropped without a log line.

Test: /raft-rules/known-seeds-reloaded; on the code before, line 699: (15 == 16).

--- a/daemons/oriole_control.c
+++ b/daemons/oriole_control.c
@@ -708,7 +708,11 @@
       oh_log_error ("settings_rejected", "reason=\"%s\"", error.message);
       return;
     }
-  if (changed.seeds[0] != '\0' && load_seeds (control, changed.seeds, &error))
+  if (changed.seeds[0] == '\0')
+    oh_log_info ("reloaded", "seeds=");
+  else if (!load_seeds (control, changed.seeds, &error))
+    oh_log_error ("settings_rejected", "reason=\"%s\"", error.message);
+  else
     {
       oh_control_event_t event = {
         .kind = OH_CONTROL_SEEDS,
--- a/lib/core/raft_membership.c
+++ b/lib/core/raft_membership.c
@@ -53,6 +53,8 @@
 {
   for (size_t i = 0; i < n_seeds; i++)
     {
+      if (find_by_name (raft->known_replicas, seeds[i].name) != NULL)
+        continue;
       /* A full list drops its first replica; members of the cluster are known from the replica set, too. */
       if (raft->known_replicas->len >= OH_RAFT_REPLICAS_MAX)
         g_ptr_array_remove_index (raft->known_replicas, 0);
--- a/tests/test_raft_rules.c
+++ b/tests/test_raft_rules.c
@@ -680,6 +680,28 @@
   teardown (&core);
 }
 
+/* Guards against a reload of known seeds that drops other replicas from a full list, to which Hello is sent.
+ */
+static void
+test_known_seeds_reloaded (void)
+{
+  oh_raft_replica_t seeds[OH_RAFT_REPLICAS_MAX] = { 0 };
+  core_t core;
+
+  setup (&core, 0, 0, "");
+  for (unsigned i = 0; i < OH_RAFT_REPLICAS_MAX; i++)
+    {
+      seeds[i].name = g_strdup_printf ("r%u", i);
+      seeds[i].endpoint = (char *)"tcp://127.0.0.1:9000";
+    }
+  for (unsigned round = 0; round < 3; round++)
+    handle (&core, (oh_raft_event_t){ .kind = OH_RAFT_SEEDS, .seeds = { seeds, OH_RAFT_REPLICAS_MAX } });
+  g_assert_cmpuint (core.raft.known_replicas->len, ==, OH_RAFT_REPLICAS_MAX);
+  for (unsigned i = 0; i < OH_RAFT_REPLICAS_MAX; i++)
+    g_free (seeds[i].name);
+  teardown (&core);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -696,5 +718,6 @@
   g_test_add_func ("/raft-rules/foreign-messages", test_foreign_messages);
   g_test_add_func ("/raft-rules/cluster-formation", test_cluster_formation);
   g_test_add_func ("/raft-rules/reordered-heartbeats", test_reordered_heartbeats);
+  g_test_add_func ("/raft-rules/known-seeds-reloaded", test_known_seeds_reloaded);
   return g_test_run ();
 }
