oriole-control: settings in a module of their own

The daemon had 862 lines, of which a quarter read its settings. control_settings.c has them now, with load and finish on the caller's memory; a reload of seeds replaces both the text and the replicas, or neither. No change of behaviour; test_examples, control_processes and test_platform_path pass.

--- a/daemons/oriole_control.c
+++ b/daemons/oriole_control.c
@@ -16,9 +16,9 @@
 #include "adapters/storage_worker.h"
 #include "adapters/system_clock.h"
 #include "adapters/system_random.h"
-#include "base/settings.h"
 #include "core/codec.h"
 #include "core/control_core.h"
+#include "daemons/control_settings.h"
 #include "platform/operator_http.h"
 
 /*
@@ -26,50 +26,11 @@
  * core/control_core.h in the GLib main loop, which owns all state but the storage worker's.
  */
 
-typedef struct
-{
-  char *name;
-  char *zone;
-  char *listen;       /* tcp://IPV4:PORT */
-  char *advertise;    /* endpoint at which others reach this replica; "": listen */
-  char *data;         /* folder; "" for a replica without a disk */
-  oh_address_t admin; /* port 0: none */
-  char *replicas;     /* NAME=tcp://IPV4:PORT,... */
-  char *seeds;        /* IPV4:PORT,... of the VMs of replicas; "": use replicas */
-  int64_t port;       /* of the endpoints of seeds, whose own ports belong to another interface */
-  bool join;          /* never form a cluster from an empty data folder */
-  int64_t tolerate;   /* number of failed replicas to survive; used with seeds */
-  int64_t compact_entries;
-  oh_address_t operators; /* HTTP interface for operators; port 0: none */
-  char *key_file;
-  char *log_level;
-} settings_t;
-
-static const oh_setting_t setting_table[] = {
-  { "control", "name", OH_SETTING_STRING, offsetof (settings_t, name), true, NULL, 0, 0 },
-  { "control", "zone", OH_SETTING_STRING, offsetof (settings_t, zone), false, "", 0, 0 },
-  { "control", "listen", OH_SETTING_STRING, offsetof (settings_t, listen), true, NULL, 0, 0 },
-  { "control", "advertise", OH_SETTING_STRING, offsetof (settings_t, advertise), false, "", 0, 0 },
-  { "control", "data", OH_SETTING_STRING, offsetof (settings_t, data), false, "", 0, 0 },
-  { "control", "admin", OH_SETTING_ADDRESS, offsetof (settings_t, admin), false, NULL, 0, 0 },
-  { "control", "replicas", OH_SETTING_STRING, offsetof (settings_t, replicas), false, "", 0, 0 },
-  { "control", "seeds", OH_SETTING_STRING, offsetof (settings_t, seeds), false, "", 0, 0 },
-  { "control", "port", OH_SETTING_INTEGER, offsetof (settings_t, port), false, "0", 0, G_MAXUINT16 },
-  { "control", "tolerate", OH_SETTING_INTEGER, offsetof (settings_t, tolerate), false, "0", 0, 7 },
-  { "control", "compact_entries", OH_SETTING_INTEGER, offsetof (settings_t, compact_entries), false, "0", 0,
-    1000000 },
-  { "control", "operators", OH_SETTING_ADDRESS, offsetof (settings_t, operators), false, NULL, 0, 0 },
-  { "control", "join", OH_SETTING_BOOLEAN, offsetof (settings_t, join), false, "false", 0, 0 },
-  { "keys", "file", OH_SETTING_STRING, offsetof (settings_t, key_file), true, NULL, 0, 0 },
-  { "log", "level", OH_SETTING_STRING, offsetof (settings_t, log_level), false, "info", 0, 0 },
-};
-
 typedef struct
 {
   oh_control_sink_t sink; /* first member, cast back to control_t */
-  settings_t settings;
+  oh_control_settings_t settings;
   oh_log_level_t log_level;
-  GArray *initial_replicas; /* of oh_raft_replica_t, from the settings */
   oh_keyring_t keyring;
   oh_control_core_t core;
   oh_link_t *server;
@@ -105,125 +66,6 @@
 
 const char *argp_program_version = "oriole-control " OH_VERSION;
 
-static bool
-settings_error (const control_t *control, const char *path, const char *key, const char *value,
-                const char *expected, oh_error_t *error)
-{
-  (void)control;
-  return oh_error_set (error, OH_ERROR_SETTINGS, OH_ERROR_CODE_BAD_VALUE,
-                       "%s: section [control], key %s, value \"%s\": expected %s", path, key, value,
-                       expected);
-}
-
-static bool
-endpoint_valid (const char *endpoint)
-{
-  oh_address_t address;
-
-  return g_str_has_prefix (endpoint, "tcp://") && oh_address_parse (endpoint + strlen ("tcp://"), &address);
-}
-
-static void
-clear_replica (gpointer data)
-{
-  oh_raft_replica_t *replica = data;
-
-  g_free (replica->name);
-  g_free (replica->endpoint);
-}
-
-/* Endpoint at which other processes reach this replica. */
-static const char *
-own_endpoint (const control_t *control)
-{
-  return control->settings.advertise[0] != '\0' ? control->settings.advertise : control->settings.listen;
-}
-
-/* Name of a replica that is known by its endpoint only: the address without scheme and port. */
-static char *
-seed_replica_name (const char *endpoint)
-{
-  const char *address = endpoint + strlen ("tcp://");
-
-  return g_strndup (address, strcspn (address, ":"));
-}
-
-static bool
-parse_replicas (control_t *control, const char *path, oh_error_t *error)
-{
-  static const char expected_format[] = "NAME=tcp://IPV4:PORT, separated by commas, with unique names";
-  g_auto (GStrv) items = g_strsplit (control->settings.replicas, ",", -1);
-  bool has_self = false;
-
-  for (char **item = items; *item != NULL; item++)
-    {
-      char *equals = strchr (g_strstrip (*item), '=');
-      oh_raft_replica_t replica = { 0 };
-
-      if (equals == NULL || equals == *item || !endpoint_valid (equals + 1)
-          || control->initial_replicas->len == OH_RAFT_REPLICAS_MAX)
-        return settings_error (control, path, "replicas", control->settings.replicas, expected_format, error);
-      *equals = '\0';
-      for (guint i = 0; i < control->initial_replicas->len; i++)
-        if (strcmp (g_array_index (control->initial_replicas, oh_raft_replica_t, i).name, *item) == 0)
-          return settings_error (control, path, "replicas", control->settings.replicas, expected_format,
-                                 error);
-      replica.name = g_strdup (*item);
-      replica.endpoint = g_strdup (equals + 1);
-      has_self |= strcmp (replica.name, control->settings.name) == 0
-                  && strcmp (replica.endpoint, own_endpoint (control)) == 0;
-      g_array_append_val (control->initial_replicas, replica);
-    }
-  if (!has_self && !control->settings.join)
-    return settings_error (
-      control, path, "replicas", control->settings.replicas,
-      "an entry with this replica's name and its advertise or listen endpoint, or join=true", error);
-  return true;
-}
-
-/* Sets the initial replicas from the addresses of their VMs. Seeds have no names, so that each replica is
- * named after its address. */
-static bool
-load_seeds (control_t *control, const char *seeds, oh_error_t *error)
-{
-  g_autofree char *endpoints
-    = oh_daemon_seed_endpoints (control->settings_path, seeds, control->settings.port, error);
-  g_auto (GStrv) items = NULL;
-
-  if (endpoints == NULL)
-    return false;
-  g_array_set_size (control->initial_replicas, 0);
-  items = g_strsplit (endpoints, ",", -1);
-  for (char **item = items; *item != NULL && control->initial_replicas->len < OH_RAFT_REPLICAS_MAX; item++)
-    {
-      const oh_raft_replica_t replica = { .name = seed_replica_name (*item), .endpoint = g_strdup (*item) };
-
-      g_array_append_val (control->initial_replicas, replica);
-    }
-  return true;
-}
-
-static bool
-load_settings (control_t *control, const char *path, oh_error_t *error)
-{
-  settings_t *settings = &control->settings;
-  const oh_daemon_settings_t common = { .key_file = &settings->key_file, .log_level = &settings->log_level };
-
-  if (!oh_daemon_load (path, setting_table, G_N_ELEMENTS (setting_table), settings, &common,
-                       &control->keyring, &control->log_level, error))
-    return false;
-  if (!endpoint_valid (settings->listen))
-    return settings_error (control, path, "listen", settings->listen, "tcp://IPV4:PORT", error);
-  if (settings->advertise[0] != '\0' && !endpoint_valid (settings->advertise))
-    return settings_error (control, path, "advertise", settings->advertise, "tcp://IPV4:PORT", error);
-  if (settings->seeds[0] != '\0')
-    return load_seeds (control, settings->seeds, error);
-  if (settings->data[0] == '\0')
-    return settings_error (control, path, "data", "", "a folder, or seeds for a replica without a disk",
-                           error);
-  return parse_replicas (control, path, error);
-}
-
 /* Actions of the core. */
 
 static control_t *
@@ -364,7 +206,7 @@
   oh_link_t *link = g_hash_table_lookup (control->replica_links, endpoint);
   oh_error_t error;
 
-  if (strcmp (endpoint, own_endpoint (control)) == 0)
+  if (strcmp (endpoint, oh_control_settings_endpoint (&control->settings)) == 0)
     return;
   if (link == NULL)
     {
@@ -699,31 +541,21 @@
 on_settings_changed (void *data)
 {
   control_t *control = data;
-  settings_t changed;
+  oh_control_event_t event = { .kind = OH_CONTROL_SEEDS };
   oh_error_t error;
 
-  if (!oh_settings_load (control->settings_path, setting_table, G_N_ELEMENTS (setting_table), &changed,
-                         &error))
+  if (!oh_control_settings_reload_seeds (&control->settings, control->settings_path, &error))
     {
       oh_log_error ("settings_rejected", "reason=\"%s\"", error.message);
       return;
     }
-  if (changed.seeds[0] == '\0')
-    oh_log_info ("reloaded", "seeds=");
-  else if (!load_seeds (control, changed.seeds, &error))
-    oh_log_error ("settings_rejected", "reason=\"%s\"", error.message);
-  else
+  if (control->settings.seeds[0] != '\0')
     {
-      oh_control_event_t event = {
-        .kind = OH_CONTROL_SEEDS,
-        .seeds = { (const oh_raft_replica_t *)(gpointer)control->initial_replicas->data,
-                   control->initial_replicas->len },
-      };
-
+      event.seeds.seeds = (const oh_raft_replica_t *)(gpointer)control->settings.initial_replicas->data;
+      event.seeds.n_seeds = control->settings.initial_replicas->len;
       handle_event (control, &event);
-      oh_log_info ("reloaded", "seeds=%s", changed.seeds);
     }
-  oh_settings_clear (setting_table, G_N_ELEMENTS (setting_table), &changed);
+  oh_log_info ("reloaded", "seeds=%s", control->settings.seeds);
 }
 
 static void
@@ -773,9 +605,9 @@
   start_timers (control);
   oh_settings_watch_init (&control->watch, control->settings_path, on_settings_changed, control);
   start_event.start.recovered = &recovered;
-  start_event.start.initial = (const oh_raft_replica_t *)(gpointer)control->initial_replicas->data;
-  start_event.start.n_initial = control->initial_replicas->len;
-  start_event.start.endpoint = own_endpoint (control);
+  start_event.start.initial = (const oh_raft_replica_t *)(gpointer)control->settings.initial_replicas->data;
+  start_event.start.n_initial = control->settings.initial_replicas->len;
+  start_event.start.endpoint = oh_control_settings_endpoint (&control->settings);
   start_event.start.join = control->settings.join;
   if (control->settings.seeds[0] != '\0')
     start_event.start.target_voters = (unsigned)control->settings.tolerate * 2 + 1;
@@ -828,9 +660,8 @@
   oh_daemon_parse_arguments (argc, argv, "Control replica of oriolehaven.", &arguments);
   control.sink.ops = &ops;
   control.settings_path = arguments.settings_path;
-  control.initial_replicas = g_array_new (FALSE, FALSE, sizeof (oh_raft_replica_t));
-  g_array_set_clear_func (control.initial_replicas, clear_replica);
-  if (!load_settings (&control, arguments.settings_path, &error))
+  if (!oh_control_settings_load (&control.settings, arguments.settings_path, &control.keyring,
+                                 &control.log_level, &error))
     {
       g_printerr ("oriole-control: %s\n", error.message);
       return OH_EXIT_SETTINGS;
@@ -853,10 +684,9 @@
   oh_control_core_finish (&control.core);
   g_hash_table_unref (control.publication_arrivals);
   g_hash_table_unref (control.replica_links);
-  g_array_unref (control.initial_replicas);
   g_main_loop_unref (control.loop);
   oh_keyring_finish (&control.keyring);
-  oh_settings_clear (setting_table, G_N_ELEMENTS (setting_table), &control.settings);
+  oh_control_settings_finish (&control.settings);
   oh_log_stop ();
   return control.status;
 }
