--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -30,6 +30,11 @@
 KILN_ROUTE, SCAN_ROUTE = '198.18.0.1:8443', '198.18.0.2:8443'
 
 
+# Between two tries of an order: "move on to another node, with increasing backoff". A factor of 1 gives the fixed pause of
+# standins/platform_standins.py.
+FIRST_PAUSE_S, LAST_PAUSE_S, PAUSE_FACTOR = 0.1, 1, float(os.environ.get('PAUSE_FACTOR', '1.3'))
+
+
 class Record:
     """record.txt: one line for each event, with the seconds since the start of the case."""
 
@@ -61,20 +66,17 @@
 
 
 class Backend(platform_standins.Upstream):
-    """A backend that starts under a given id, or sends its first check-in some time after it has started to serve."""
+    """A backend that starts under a given id, or counts its check-ins from a given Sequence on."""
 
-    def __init__(self, loop, service, ip, identity=None, first_check_in_s=0):
-        self.identity, self.first_check_in_s = identity, first_check_in_s
+    def __init__(self, loop, service, ip, identity=None, first_sequence=1):
+        self.identity, self.first_sequence = identity, first_sequence
         super().__init__(loop, service, ip, platform_system.PORTS)
 
     def send_heartbeat(self):
-        if self.identity is not None:
-            self.id, self.identity = self.identity, None
-        delay_s, self.first_check_in_s = self.first_check_in_s, 0
-        if delay_s > 0:
-            self.loop.after(delay_s, super().send_heartbeat)
-        else:
-            super().send_heartbeat()
+        if self.first_sequence is not None:
+            self.id = self.identity or self.id
+            self.sequence, self.first_sequence = self.first_sequence - 1, None
+        super().send_heartbeat()
 
 
 class Deployment(platform_system.PlatformSystem):
@@ -135,6 +137,15 @@
                           f'{former.id} of {former.service} was')
         return self.upstreams[name]
 
+    def add_backend(self, name, service, **details):
+        """Adds a machine with a node, and half a second later a backend beside it."""
+        ip = f'{self.network}.3.{len(self.upstreams) + 1}'
+        self.start_agent(f'agent-{name}', ip)
+        self.loop.run(0.5)
+        self.upstreams[name] = Backend(self.loop, service, ip, **details)
+        self.record.write(f'backend {self.upstreams[name].id} of {service} starts at {ip}')
+        return self.upstreams[name]
+
     # The operator
 
     def order(self, ip, method, path, body=None):
@@ -155,12 +166,12 @@
         return 307, b'', ip
 
     def publish(self, version, limit_s=15, addresses=None, document=None):
-        """Sends the configuration to nodes chosen at random until one acknowledges it, with a pause of 0.1 s as in
-        standins/platform_standins.py. Returns that node's address, or None."""
+        """Sends the configuration to nodes chosen at random until one acknowledges it. Returns that node's address, or
+        None."""
         document = document or self.document(version, ROUTES)
         body = json.dumps(document).encode()
         end = time.monotonic() + limit_s
-        refused = {}
+        refused, pause_s = {}, FIRST_PAUSE_S
         while time.monotonic() < end:
             status, _, answered = self.order(random.choice(addresses or self.control), 'POST', '/config/put', body)
             if status == 200:
@@ -168,7 +179,8 @@
                 self.acknowledged[version] = document
                 return answered
             refused[status] = refused.get(status, 0) + 1
-            self.loop.run(0.1)
+            self.loop.run(pause_s)
+            pause_s = min(pause_s * PAUSE_FACTOR, LAST_PAUSE_S)
         self.record.write(f'operator put version {version}: no confirmation in {limit_s} s, only {refused}')
         return None
 
