--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -242,6 +242,8 @@
     """Runs case(record) -> exit status; any exception means that the case could not run."""
     record = Record(folder)
     record.write(f'TROUBLE={int(TROUBLE)}')
+    for number in (signal.SIGHUP, signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, lambda *_: sys.exit(COULD_NOT_RUN))  # the deployment ends its processes on the way
     try:
         status = case(record)
     except Exception:  # the status of a case that could not run tells it from a broken rule
