segment_agent, segment_search: log what an answer about a missing flow record rests on

The record has no line that names a flow, and nothing tells whether an agent took its records for complete. New: flow_records (each time an incarnation is taken) and flow_unknown (each segment without a record); flow_absent names its query and the age of the lookup, flow_refused the age of the flow, leaving the generation of the upstream. No logic is changed.

--- a/daemons/oriole_flow_agent.c
+++ b/daemons/oriole_flow_agent.c
@@ -265,8 +265,8 @@
   if (agent->leaving)
     return G_SOURCE_CONTINUE;
   agent->leaving = true;
-  oh_log_info ("leaving", "name=%s upstream_gone=%d delay_ms=%" G_GINT64_FORMAT, agent->settings.name,
-               upstream_gone, delay_ms);
+  oh_log_info ("leaving", "name=%s upstream_gone=%d generation=%u delay_ms=%" G_GINT64_FORMAT,
+               agent->settings.name, upstream_gone, agent->core.identity.generation, delay_ms);
   g_timeout_add ((guint)delay_ms, quit, agent);
   return G_SOURCE_CONTINUE;
 }
--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -411,6 +411,9 @@
 {
   oh_agent_flow_t *flow;
 
+  log_flow (agent, OH_LOG_INFO, "flow_unknown", key, "search=%u generation=%u state=%d result=%s", query,
+            agent->identity.generation, (int)agent->identity.state,
+            agent->records_complete ? "absent" : "probed");
   if (agent->records_complete)
     {
       answer_absent (agent, key, balancer, query, bytes, length);
@@ -723,6 +726,19 @@
   agent->sink->ops->log (agent->sink, level, "upstream_announced", pairs);
 }
 
+static void
+log_records (const oh_segment_agent_t *agent, const oh_announcement_t *announcement)
+{
+  char pairs[OH_SEGMENT_AGENT_LOG_BYTES];
+
+  g_snprintf (pairs, sizeof pairs,
+              "complete=%d generation=%u sequence=%" G_GUINT64_FORMAT " agent_started_ms=%" G_GINT64_FORMAT
+              " upstream_started_ms=%" G_GINT64_FORMAT " flows=%u",
+              agent->records_complete, agent->identity.generation, announcement->sequence,
+              agent->config.started_ms, announcement->started_ms, g_hash_table_size (agent->flows));
+  agent->sink->ops->log (agent->sink, OH_LOG_INFO, "flow_records", pairs);
+}
+
 static void
 apply_identity_change (oh_segment_agent_t *agent, const oh_announcement_t *announcement,
                        oh_identity_change_t change)
@@ -734,6 +750,7 @@
        * process, unless the upstream has only just started. */
       agent->records_complete = agent->identity.generation > 1 || announcement->sequence <= 1
                                 || started_together (agent, announcement);
+      log_records (agent, announcement);
       reset_orphaned_flows (agent, "upstream-replaced");
     }
   report_load (agent);
--- a/lib/core/segment_placing.c
+++ b/lib/core/segment_placing.c
@@ -59,9 +59,9 @@
   const bool defer = may_find_capacity (balancer, flow, reason);
 
   oh_balancer_flow_log (balancer, OH_LOG_INFO, "flow_refused", &flow->key,
-                        "reason=%s offers=%u copies=%u overloaded=%d result=%s",
+                        "reason=%s offers=%u copies=%u overloaded=%d age_ms=%" G_GINT64_FORMAT " result=%s",
                         oh_placement_reason_name (reason), flow->n_offers, flow->syn_retransmissions,
-                        flow->overloaded,
+                        flow->overloaded, (balancer->now_us - flow->opened_us) / 1000,
                         defer            ? "held"
                         : known_unopened ? "reset"
                                          : "dropped");
--- a/lib/core/segment_search.c
+++ b/lib/core/segment_search.c
@@ -205,8 +205,11 @@
       queue_for_query (balancer, flow);
       return;
     }
-  oh_balancer_flow_log (balancer, OH_LOG_INFO, "flow_absent", &flow->key, "asked=%u listed=%d result=%s",
-                        queried, balancer->all_listed, certain ? "reset" : "dropped");
+  oh_balancer_flow_log (balancer, OH_LOG_INFO, "flow_absent", &flow->key,
+                        "question=%u asked=%u listed=%d lookup_age_ms=%" G_GINT64_FORMAT " result=%s",
+                        query->number, queried, balancer->all_listed,
+                        flow->lookup_us != 0 ? (balancer->now_us - flow->lookup_us) / 1000 : -1,
+                        certain ? "reset" : "dropped");
   flow->all_absent_us = certain ? 0 : balancer->now_us;
   if (!certain)
     return;
