--- a/scripts/lib/platform_system.py
+++ b/scripts/lib/platform_system.py
@@ -51,13 +51,15 @@
     """One deployment. As a context manager it ends its processes and deletes its folder; with ORIOLEHAVEN_KEEP_LOGS in
     the environment, the folder stays after an exception. keep_logs copies it to logs_folder."""
 
-    def __init__(self, build, seed=1, n_control=3, n_balancers=3, logs_folder=None):
-        self.build, self.logs_folder = build, logs_folder
+    def __init__(self, build, seed=1, n_control=3, n_balancers=3, logs_folder=None, n_zones=1, tolerate=1):
+        self.build, self.logs_folder, self.n_zones, self.tolerate = build, logs_folder, n_zones, tolerate
         self.proxies = {}  # IP of a control process: the fault proxy in front of it
         self.folder = tempfile.mkdtemp(prefix='oriolehaven-platform-')
         self.network = f'127.{10 + os.getpid() % 200}'
         self.loop = platform_standins.EventLoop(seed)
         self.processes, self.commands, self.upstreams = {}, {}, {}
+        self.stopping = []  # processes of machines that are taken away
+        self.n_upstream_addresses = 0
         self.former_upstreams = []  # replaced by a new upstream of the same name
         self.control = [f'{self.network}.1.{i + 1}' for i in range(n_control)]
         self.balancers = [f'{self.network}.2.{i + 1}' for i in range(n_balancers)]
@@ -73,7 +75,7 @@
     def __exit__(self, kind, _value, _trace):
         if self.router is not None:
             self.router.stopped = True
-        for process in self.processes.values():
+        for process in list(self.processes.values()) + self.stopping:
             process.kill()
             process.wait()
         for proxy in self.proxies.values():
@@ -98,13 +100,17 @@
 
     # Processes
 
+    def zone_of(self, ip):
+        """Machines of each kind are spread over the availability zones in turn, by the last number of their address."""
+        return 'abcdefg'[int(ip.split('.')[3]) % self.n_zones]
+
     def template_fields(self, name, ip, bootstrap):
         return {
-            'NodeName': name, 'Ip': ip, 'Zone': 'a', 'InternalPortRange': [PORTS.first, PORTS.last],
+            'NodeName': name, 'Ip': ip, 'Zone': self.zone_of(ip), 'InternalPortRange': [PORTS.first, PORTS.last],
             'BindAddrs': {'DatagramAddr': f'{ip}:{PORTS.segments}', 'Readiness': f'{ip}:{PORTS.readiness}',
                           'Control': f'{ip}:{PORTS.control}', 'outbound': f'{ip}:{PORTS.outbound}'},
             'Seeds': self.seeds, 'Bootstrap': bootstrap, 'DataDir': os.path.join(self.folder, f'data-{name}'),
-            'HeartbeatMs': PORTS.heartbeat_ms, 'FaultTolerance': {'Machines': 1},
+            'HeartbeatMs': PORTS.heartbeat_ms, 'FaultTolerance': {'Machines': self.tolerate},
             'PolicyParams': {'FlowTimeoutS': 60}, 'app': f'{ip}:{PORTS.app}',
         }
 
@@ -136,6 +142,9 @@
         self.start('oriole-flow-agent', 'agent.ini', name, ip)
 
     def restart(self, name):
+        """Does nothing if the machine has been taken away."""
+        if name not in self.commands:
+            return
         program, template, ip = self.commands[name]
         self.start(program, template, name, ip, bootstrap=False)
 
@@ -159,17 +168,32 @@
 
     # Stand-ins of the platform
 
-    def add_upstream(self, name, service, with_agent=True, identity=None):
-        """Starts an upstream, and its agent. A known name replaces the upstream of that name at the same address. identity:
-        its instance id, by default a new one."""
+    def add_upstream(self, name, service, with_agent=True, identity=None, agent_lead_s=0):
+        """Starts an upstream, and its agent agent_lead_s before it. A known name replaces the upstream of that name at the
+        same address. identity: its instance id, by default a new one."""
         if name not in self.upstreams:
-            ip = f'{self.network}.3.{len(self.upstreams) + 1}'
+            self.n_upstream_addresses += 1
+            ip = f'{self.network}.3.{self.n_upstream_addresses}'
         else:
             ip = self.upstreams[name].ip
             self.former_upstreams.append(self.upstreams[name])
         if with_agent:
             self.start_agent(f'agent-{name}', ip)
-        self.upstreams[name] = platform_standins.Upstream(self.loop, service, ip, PORTS, identity=identity)
+
+        def start():
+            self.upstreams[name] = platform_standins.Upstream(self.loop, service, ip, PORTS, identity=identity)
+        if agent_lead_s > 0:
+            self.loop.after(agent_lead_s, start)
+        else:
+            start()
+
+    def remove_machine(self, name):
+        """Stops the process with SIGTERM for good; its machine is taken away."""
+        process = self.processes.pop(name, None)
+        self.commands.pop(name, None)
+        if process is not None:
+            process.send_signal(signal.SIGTERM)
+            self.stopping.append(process)
 
     def document(self, version, routes, services=('kiln', 'scan')):
         """A configuration document. routes: {(host, port): (service, kind)}"""
@@ -184,6 +208,7 @@
 
     def start_router(self):
         self.router = platform_standins.Router(self.loop, self.balancers, PORTS.readiness, PORTS.segments)
+        self.router.balancer_zones = {ip: self.zone_of(ip) for ip in self.balancers}
 
     def wait_ready(self, limit_s=10):
         if not self.loop.run(limit_s, lambda: all(missed == 0 for missed in self.router.n_missed.values())):
@@ -191,6 +216,7 @@
 
     def call(self, route, kind, requests=1, deadline_s=3, **details):
         ip = f'{self.network}.4.{1 + len(self.callers) % 20}'
+        self.router.caller_zones.setdefault(ip, self.zone_of(ip))
         self.next_port += 1
         caller = platform_standins.Caller(self.loop, self.router, ip, self.next_port, route, kind, requests, deadline_s,
                                           **details)
@@ -203,10 +229,19 @@
     def all_upstreams(self):
         return list(self.upstreams.values()) + self.former_upstreams
 
+    @staticmethod
+    def describe_flow(at, key, flow):
+        caller, route = platform_standins.ip_to_text(key[0]), platform_standins.ip_to_text(key[2])
+        last = max(own for own in flow.own if own <= at)
+        following = min((own for own in flow.own if own > at), default=None)
+        return (f'{caller}:{key[1]} to {route}:{key[3]} of {flow.upstream.id} at {flow.upstream.ip}, time {at:.3f}, '
+                f'{at - flow.opened:.1f} s old, idle for {at - last:.1f} s, '
+                f'next segment at its upstream {"never" if following is None else f"{following - at:.3f} s later"}')
+
     def check_ledgers(self, services_by_route):
         """Compares the ledgers of callers and upstreams. Returns the violations as texts that begin with the name of
         the rule. services_by_route: {route: services that may run its requests}"""
-        violations = list(self.loop.violations)
+        violations = list(self.loop.violations) + self.loop.flows.violations(self.describe_flow)
         sent = {request for caller in self.callers for request in caller.sent}
         n_runs = collections.Counter()
         for upstream in self.all_upstreams():
--- a/standins/platform_standins.py
+++ b/standins/platform_standins.py
@@ -15,6 +15,8 @@
 import threading
 import time
 
+import flow_ledger
+
 HEADER = struct.Struct('>IIHIHIIHBBI')  # checksum, dst, sport, src, dport, seq, ack, len, flags, pad, echo
 FLAGS_OFFSET = 26
 RST, SYN, RETURNED, FIN, ACK = 1, 4, 8, 16, 64
@@ -71,6 +73,7 @@
         self.timers = []  # heap of (due, order, callback)
         self.order = 0  # timers that are due at the same time run in the order in which they were set
         self.violations = []  # "RULE: DETAIL"
+        self.flows = flow_ledger.FlowLedger()
 
     def now(self):
         return time.monotonic()
@@ -251,6 +254,7 @@
         self.alive = False
         for flow in self.flows.values():
             flow['sender'].closed = True
+        self.loop.flows.end_flows(self, self.loop.now())
         self.loop.close(self.sock)
 
     def send(self, segment):
@@ -274,8 +278,11 @@
                 flow = self.accept(segment)
             self.send_syn_ack(flow)
         elif flow is None or not (flow['open'] or segment.ack == (flow['isn'] + 1) & 0xffffffff):
-            self.return_segment(raw)  # a flow opens only at the upstream whose SYN-ACK the caller acknowledges
+            # A flow opens only at the upstream whose SYN-ACK the caller acknowledges.
+            self.loop.flows.handle_foreign_segment(self.key(segment), self.ip, self.loop.now())
+            self.return_segment(raw)
         elif segment.flags & RST:
+            self.loop.flows.handle_own_segment(self.key(segment), self, self.loop.now(), ends=True)
             flow['sender'].closed = True
             del self.flows[self.key(segment)]
         else:
@@ -297,6 +304,7 @@
 
     def receive_data(self, flow, segment):
         flow['open'] = True
+        self.loop.flows.handle_own_segment(self.key(segment), self, self.loop.now(), ends=bool(segment.flags & FIN))
         flow['sender'].acknowledge(segment.ack)
         if segment.data and segment.seq == flow['expected'] & 0xffffffff:
             flow['expected'] += len(segment.data)
@@ -375,6 +383,7 @@
         if not valid:
             if segment.flags == RST and not segment.data and raw[:4] == b'\0\0\0\0':  # checksum 0: sent by the system
                 self.reset_by_system = self.loop.now()
+                self.loop.flows.handle_reset((segment.dst, segment.dport, segment.src, segment.sport), self.loop.now())
                 self.fail('reset')
             else:
                 self.loop.report_violation('MIXED', 'a caller got a segment that is not as an upstream sent it')
@@ -446,6 +455,8 @@
         self.sockets = {}  # address of a caller: socket
         self.stopped = False
         self.faults = None  # as in apply_faults; None: no faults
+        self.balancer_zones = {}  # address of a balancer: its availability zone; empty: all are in one
+        self.caller_zones = {}  # address of a caller: its availability zone
         threading.Thread(target=self.poll_readiness, daemon=True).start()
 
     def poll_readiness(self):
@@ -475,7 +486,9 @@
             caller.receive(raw)
 
     def choose_balancer(self, segment):
-        ready = [ip for ip, n in self.n_missed.items() if n < 2] or list(self.balancers)
+        zone = self.caller_zones.get(ip_to_text(segment.src))
+        local = [ip for ip in self.balancers if zone is None or self.balancer_zones.get(ip) == zone]
+        ready = [ip for ip in local if self.n_missed[ip] < 2] or local
         flow = struct.pack('>IHIH', segment.src, segment.sport, segment.dst, segment.dport)
         return max(ready, key=lambda ip: hashlib.blake2b(flow + ip.encode(), digest_size=8).digest())
 
