segment_search, segment_directory, segment_agent: open flows do not reach several upstreams without them

What clients saw: packets of an open flow went to other back ends, and none to its own for 2 s or more.

A balancer without a record (the caller has moved to another zone, or the balancer was restarted) asked all agents, and each that could not tell passed the segment on to its upstream at once.

Change: a balancer asks the directory nodes of the other zones before it asks every agent; a search lets one agent at a time probe its upstream, 1.1 s apart, and waits 2 s after a recorded owner turned out to be wrong; an agent delivers two segments of a flow at most until its upstream has reacted. An agent that can compare a segment with its record says so (held and wanted) and is not limited.

Tests that failed before: test_segment_balancer 'segments of an open flow reach several upstreams without it', '... soon after the one that was taken for its owner', 'a flow whose caller moved to another availability zone is searched at every agent'; test_segment_agent 'an upstream without the flow gets every segment'. Two cases get the steps of the second lookup; in two the answer about a flow that is opening has both bits.

--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -217,27 +217,22 @@
     agent->sink->ops->report (agent->sink, agent->out, size);
 }
 
-/* Reports the state of a flow to a balancer. bytes is the segment to return, if any. query is the number of
- * the query that this answers, 0 for none. */
+/* Reports the state of a flow to a balancer. bytes is the segment to return, if any. */
 static void
-answer_query (oh_segment_agent_t *agent, oh_address_t balancer, Oh__SegmentRelayKind kind, Oh__Result refused,
-              uint32_t query, const oh_flow_key_t *key, const uint8_t *bytes, size_t length)
+send_answer (oh_segment_agent_t *agent, oh_address_t balancer, Oh__SegmentRelay *relay,
+             const oh_flow_key_t *key, const uint8_t *bytes, size_t length)
 {
-  Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
   Oh__Address caller;
   Oh__Address route;
   size_t size;
 
   oh_address_to_wire (key->caller, &caller);
   oh_address_to_wire (key->route, &route);
-  relay.kind = kind;
-  relay.refused = refused;
-  relay.search = query;
-  relay.caller = &caller;
-  relay.route = &route;
-  relay.segment.data = (uint8_t *)bytes;
-  relay.segment.len = length;
-  size = encode (agent, &relay);
+  relay->caller = &caller;
+  relay->route = &route;
+  relay->segment.data = (uint8_t *)bytes;
+  relay->segment.len = length;
+  size = encode (agent, relay);
   if (size > 0 && balancer.port != 0)
     agent->sink->ops->send_balancer (agent->sink, balancer, agent->out, size);
 }
@@ -246,7 +241,11 @@
 answer (oh_segment_agent_t *agent, oh_address_t balancer, Oh__SegmentRelayKind kind, Oh__Result refused,
         const oh_flow_key_t *key, const uint8_t *bytes, size_t length)
 {
-  answer_query (agent, balancer, kind, refused, 0, key, bytes, length);
+  Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
+
+  relay.kind = kind;
+  relay.refused = refused;
+  send_answer (agent, balancer, &relay, key, bytes, length);
 }
 
 static void
@@ -392,15 +391,46 @@
   deliver (agent, bytes, length);
 }
 
-/* Reports that the upstream does not have the flow. The segment is not returned if it belongs to a query, as
- * its balancer has kept it. */
+/* Why the agent reports a flow as absent. */
+typedef enum
+{
+  ABSENT_NO_RECORD, /* the agent knows of no such flow, or it has not opened here */
+  ABSENT_DENIED,    /* the upstream said so, or the incarnation that had the flow is gone */
+} absent_reason_t;
+
+/* Reports that the upstream does not have the flow. query is the number of the query that this answers, 0 for
+ * none. The segment is not returned if it belongs to a query, as its balancer has kept it. */
 static void
 answer_absent (oh_segment_agent_t *agent, const oh_flow_key_t *key, oh_address_t balancer, uint32_t query,
-               const uint8_t *bytes, size_t length)
+               absent_reason_t reason, const uint8_t *bytes, size_t length)
 {
+  Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
+
   oh_counter_increment (&agent->counters.absent);
-  answer_query (agent, balancer, OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT, OH__RESULT__RESULT_NONE, query, key,
-                query == 0 ? bytes : NULL, query == 0 ? length : 0);
+  relay.kind = OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT;
+  relay.search = query;
+  relay.denied = reason == ABSENT_DENIED;
+  send_answer (agent, balancer, &relay, key, query == 0 ? bytes : NULL, query == 0 ? length : 0);
+}
+
+/* Delivers a segment to learn whether the upstream has the flow. If it has not, the segment is one at a wrong
+ * upstream, so there are only a few; the caller retransmits what is not delivered. */
+static void
+probe (oh_segment_agent_t *agent, oh_agent_flow_t *flow, const uint8_t *bytes, size_t length)
+{
+  if (agent->now_us - flow->probes_us >= (int64_t)OH_SEGMENT_PROBES_INTERVAL_MS * 1000)
+    {
+      flow->probes_us = agent->now_us;
+      flow->n_probes = 0;
+    }
+  if (flow->n_probes >= OH_SEGMENT_PROBES_MAX)
+    {
+      oh_counter_increment (&agent->counters.probes_held);
+      return;
+    }
+  flow->n_probes++;
+  oh_counter_increment (&agent->counters.probes);
+  deliver (agent, bytes, length);
 }
 
 /* Handles a segment of a flow without a record: probes the upstream, unless there are records of all its
@@ -416,15 +446,15 @@
             agent->records_complete ? "absent" : "probed");
   if (agent->records_complete)
     {
-      answer_absent (agent, key, balancer, query, bytes, length);
+      answer_absent (agent, key, balancer, query, ABSENT_NO_RECORD, bytes, length);
       return;
     }
   flow = add_flow (agent, key, OH_AGENT_FLOW_PROBED);
   flow->balancer = balancer;
   flow->query = query;
   flow->caller_acknowledged = segment->acknowledged;
-  oh_counter_increment (&agent->counters.probes);
-  deliver (agent, bytes, length);
+  flow->probes_us = agent->now_us;
+  probe (agent, flow, bytes, length);
 }
 
 /* A SYN may have been answered by several upstreams; the caller opens the flow with the one whose SYN-ACK it
@@ -453,7 +483,7 @@
       if (flow->state == OH_AGENT_FLOW_OPEN)
         reset_flow (agent, flow, "upstream-replaced");
       else
-        answer_absent (agent, key, balancer, query, bytes, length);
+        answer_absent (agent, key, balancer, query, ABSENT_DENIED, bytes, length);
       return;
     }
   switch (flow->state)
@@ -461,7 +491,7 @@
     case OH_AGENT_FLOW_OPENING:
       if (!acknowledges_syn_ack (flow, segment))
         {
-          answer_absent (agent, key, balancer, query, bytes, length);
+          answer_absent (agent, key, balancer, query, ABSENT_NO_RECORD, bytes, length);
           return;
         }
       set_state (agent, flow, OH_AGENT_FLOW_OPEN);
@@ -474,11 +504,11 @@
       flow->balancer = balancer;
       flow->query = query;
       flow->caller_acknowledged = segment->acknowledged;
-      deliver (agent, bytes, length);
+      probe (agent, flow, bytes, length);
       return;
     case OH_AGENT_FLOW_ABSENT:
       touch_flow (agent, flow);
-      answer_absent (agent, key, balancer, query, bytes, length);
+      answer_absent (agent, key, balancer, query, ABSENT_DENIED, bytes, length);
       return;
     }
   if (query != 0 || !oh_address_equal (flow->balancer, balancer))
@@ -515,9 +545,10 @@
       const uint8_t bit = (uint8_t)(1 << i % 8);
 
       oh_counter_increment (&agent->counters.searches);
-      if (flow != NULL && flow->state == OH_AGENT_FLOW_OPEN)
+      if (flow != NULL && (flow->state == OH_AGENT_FLOW_OPEN || flow->state == OH_AGENT_FLOW_OPENING))
         held[i / 8] |= bit;
-      else if (flow != NULL ? flow->state != OH_AGENT_FLOW_ABSENT : !agent->records_complete)
+      if (flow != NULL ? flow->state != OH_AGENT_FLOW_ABSENT && flow->state != OH_AGENT_FLOW_OPEN
+                       : !agent->records_complete)
         wanted[i / 8] |= bit;
     }
   oh_address_to_wire (agent->config.relay, &self);
@@ -604,7 +635,7 @@
     {
     case OH_AGENT_FLOW_PROBED:
       set_state (agent, flow, OH_AGENT_FLOW_ABSENT);
-      answer_absent (agent, &key, flow->balancer, flow->query, bytes, length);
+      answer_absent (agent, &key, flow->balancer, flow->query, ABSENT_DENIED, bytes, length);
       return;
     case OH_AGENT_FLOW_OPEN:
       if (flow->closed)
@@ -646,7 +677,7 @@
             flow->query);
   set_state (agent, flow, OH_AGENT_FLOW_ABSENT);
   if (probed)
-    answer_absent (agent, &flow->key, flow->balancer, flow->query, NULL, 0);
+    answer_absent (agent, &flow->key, flow->balancer, flow->query, ABSENT_DENIED, NULL, 0);
 }
 
 static void
@@ -918,6 +949,7 @@
     { &own->unanswered, "firsts_unanswered_total", "First segments that the upstream left unanswered" },
     { &own->probes, "probes_total", "Segments delivered to learn whether the upstream holds the flow" },
     { &own->searches, "searches_total", "Flows that balancers asked for, and searched segments received" },
+    { &own->probes_held, "probes_held_total", "Segments not delivered after enough probes of their flow" },
     { &own->absent, "segments_absent_total", "Segments of flows that are not here" },
     { &own->resets, "resets_total", "Resets of flows whose upstream is gone" },
     { &own->dropped_malformed, "dropped_malformed_total", "Datagrams that are no segments" },
--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -37,6 +37,10 @@
   /* An agent without an announcement is listed for this many heartbeat intervals after its start; an upstream
    * that is running announces itself in that time. */
   OH_SEGMENT_UNANNOUNCED_HEARTBEATS = 3,
+  /* At most this many segments of a flow are delivered to learn whether the upstream has it, per interval:
+   * two, as an upstream acknowledges every second segment of a flow that it has. */
+  OH_SEGMENT_PROBES_MAX = 2,
+  OH_SEGMENT_PROBES_INTERVAL_MS = 2000,
   OH_SEGMENT_SUSPECT_SYNS = 2, /* consecutive unanswered SYNs after which the upstream is suspect */
   OH_SEGMENT_AGENT_QUERY_FLOWS_MAX = 128, /* per query of a balancer */
   OH_SEGMENT_AGENT_LOG_BYTES = 480,
@@ -105,11 +109,13 @@
   uint32_t syn_ack_sequence;    /* of the upstream's last SYN-ACK */
   uint32_t caller_acknowledged; /* by the caller's last segment */
   uint32_t query;               /* number of the query that the probe answers; 0: none */
-  bool awaiting_response;       /* a request was delivered and no response data has come back yet */
-  bool closed;                  /* by either end, or reset */
-  int64_t request_us;           /* when the request was delivered, while awaiting_response */
-  int64_t opened_us;            /* when the record was added */
-  int64_t used_us;              /* when the record last moved to the end of the lru list */
+  unsigned n_probes;            /* segments delivered as probes since probes_us */
+  int64_t probes_us;
+  bool awaiting_response; /* a request was delivered and no response data has come back yet */
+  bool closed;            /* by either end, or reset */
+  int64_t request_us;     /* when the request was delivered, while awaiting_response */
+  int64_t opened_us;      /* when the record was added */
+  int64_t used_us;        /* when the record last moved to the end of the lru list */
   size_t syn_length;
   uint8_t syn[OH_SEGMENT_SYN_MAX_BYTES]; /* the SYN itself, returned to the balancer if it is not answered */
   oh_list_t lru_link;
@@ -119,16 +125,17 @@
 
 typedef struct
 {
-  oh_counter_t delivered;  /* segments to the upstream */
-  oh_counter_t returned;   /* segments that the upstream returned */
-  oh_counter_t sent;       /* segments to callers */
-  oh_counter_t opened;     /* flows */
-  oh_counter_t refused;    /* SYNs */
-  oh_counter_t unanswered; /* SYNs that the upstream did not answer in time */
-  oh_counter_t probes;     /* segments delivered to learn whether the upstream has the flow */
-  oh_counter_t searches;   /* flows that balancers searched for */
-  oh_counter_t absent;     /* segments of flows that the upstream does not have */
-  oh_counter_t resets;     /* of flows whose upstream is gone or has lost them */
+  oh_counter_t delivered;   /* segments to the upstream */
+  oh_counter_t returned;    /* segments that the upstream returned */
+  oh_counter_t sent;        /* segments to callers */
+  oh_counter_t opened;      /* flows */
+  oh_counter_t refused;     /* SYNs */
+  oh_counter_t unanswered;  /* SYNs that the upstream did not answer in time */
+  oh_counter_t probes;      /* segments delivered to learn whether the upstream has the flow */
+  oh_counter_t probes_held; /* segments not delivered, as enough probes of the flow were */
+  oh_counter_t searches;    /* flows that balancers searched for */
+  oh_counter_t absent;      /* segments of flows that the upstream does not have */
+  oh_counter_t resets;      /* of flows whose upstream is gone or has lost them */
   oh_counter_t dropped_malformed;
   oh_counter_t dropped_bad_seal;
   oh_counter_t announcements;
--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -1,6 +1,7 @@
 #include "core/segment_balancer.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "core/segment_directory.h"
 #include "core/segment_flows.h"
@@ -128,6 +129,8 @@
   if (flow->owned || oh_balancer_flow_has_open_offer (flow))
     return;
   flow->query = 0;
+  if (relay->denied) /* its upstream got segments of the flow */
+    flow->probe_after_us = balancer->now_us + (int64_t)OH_SEGMENT_PROBE_AFTER_OWNER_MS * 1000;
   if (relay->segment.len > 0)
     oh_balancer_flow_queue_segment (balancer, flow, relay->segment.data, relay->segment.len);
   oh_segment_search_start (balancer, flow);
@@ -245,16 +248,24 @@
       const oh_segment_peer_t *left = &g_array_index (a, oh_segment_peer_t, i);
       const oh_segment_peer_t *right = &g_array_index (b, oh_segment_peer_t, i);
 
-      if (!oh_address_equal (left->relay, right->relay) || left->durable != right->durable)
+      if (!oh_address_equal (left->relay, right->relay) || left->durable != right->durable
+          || left->zone != right->zone)
         return false;
     }
   return true;
 }
 
+static uint64_t
+hash_zone (const char *zone)
+{
+  return zone != NULL ? XXH64 (zone, strlen (zone), 0) : 0;
+}
+
 static void
 handle_view (oh_segment_balancer_t *balancer, const oh_view_t *view)
 {
   g_autoptr (GArray) before = balancer->peers;
+  g_autoptr (GArray) remote_before = balancer->remote_peers;
   const bool newly_complete = view->complete && !balancer->all_listed;
 
   if (view->confirmed && view->version > balancer->routes_version)
@@ -267,16 +278,22 @@
     }
   balancer->all_listed = view->complete;
   balancer->peers = g_array_new (FALSE, FALSE, sizeof (oh_segment_peer_t));
+  balancer->remote_peers = g_array_new (FALSE, FALSE, sizeof (oh_segment_peer_t));
   for (guint i = 0; i < view->balancers->len; i++)
     {
       const oh_view_balancer_t *listed = g_ptr_array_index (view->balancers, i);
-      const oh_segment_peer_t peer = { .relay = listed->relay, .durable = listed->durable };
+      const oh_segment_peer_t peer = {
+        .relay = listed->relay,
+        .durable = listed->durable,
+        .zone = hash_zone (listed->zone),
+      };
 
-      if (g_strcmp0 (listed->zone, balancer->placement.zone) == 0)
-        g_array_append_val (balancer->peers, peer);
+      g_array_append_val (peer.zone == balancer->zone ? balancer->peers : balancer->remote_peers, peer);
     }
   if (!same_peers (before, balancer->peers))
     oh_segment_directory_invalidate (balancer);
+  else if (!same_peers (remote_before, balancer->remote_peers))
+    oh_segment_directory_forget_lookups (balancer);
   oh_keyring_advance (&balancer->keyring, view->key_generation);
   oh_placement_set_view (&balancer->placement, oh_placement_view_new (view), balancer->now_us);
   if (newly_complete)
@@ -293,7 +310,9 @@
     .keyring = *keyring,
     .flow_timeout_us = config->flow_timeout_ms * 1000,
     .max_flows = config->max_flows,
+    .zone = hash_zone (config->zone),
     .peers = g_array_new (FALSE, FALSE, sizeof (oh_segment_peer_t)),
+    .remote_peers = g_array_new (FALSE, FALSE, sizeof (oh_segment_peer_t)),
     .flows = g_hash_table_new_full (oh_flow_key_hash, oh_flow_key_equal, NULL, oh_balancer_flow_free),
     .resumed_us = G_MININT64 / 2,
     .search_budget = OH_SEGMENT_SEARCH_MESSAGES_PER_S,
@@ -311,6 +330,7 @@
 {
   g_hash_table_unref (balancer->flows);
   g_array_unref (balancer->peers);
+  g_array_unref (balancer->remote_peers);
   g_array_unref (balancer->query_queue);
   for (size_t i = 0; i < G_N_ELEMENTS (balancer->queries); i++)
     oh_segment_query_clear (&balancer->queries[i]);
--- a/lib/core/segment_balancer.h
+++ b/lib/core/segment_balancer.h
@@ -19,9 +19,10 @@
  *
  * The owner of each open flow is also published to its directory nodes: two balancers of the availability
  * zone that a rendezvous hash of the flow selects, preferring those with a disk. A balancer without a record
- * of the flow (it has just started, or the fabric moved the flow) looks the owner up there. If the directory
- * nodes do not know it either, the balancer searches: it queries every agent. While there are many flows to
- * search, one query names several of them.
+ * of the flow (it has just started, or the fabric moved the flow) looks the owner up there, then, as the
+ * caller may have moved, at the directory nodes of the other availability zones. If none of them knows it,
+ * the balancer searches: it queries every agent. While there are many flows to search, one query names
+ * several of them.
  *
  * A state machine without I/O. Pointers passed to the sink are valid during the call only.
  */
@@ -35,12 +36,18 @@
   OH_SEGMENT_DIRECTORY_NODES = 2,          /* balancers that the owner of a flow is published to */
   OH_SEGMENT_PENDING_MAX = 4,              /* segments of one flow that are kept until its owner is known */
   OH_SEGMENT_LOOKUP_TIMEOUT_MS = 50,       /* wait for directory nodes, before the agents are queried */
-  OH_SEGMENT_QUERY_RETRY_MS = 100,         /* after a query that not all agents have answered */
-  OH_SEGMENT_QUERY_FLOWS_MAX = 100,        /* flows in one query; fits a datagram */
-  OH_SEGMENT_QUERIES_MAX = 64,             /* most recent queries, whose answers are accepted */
-  OH_SEGMENT_OPEN_TIMEOUT_MS = 1400,       /* a caller abandons a flow that has not opened by then */
-  OH_SEGMENT_CLOSED_RETENTION_MS = 5000,   /* a record is kept for this long after its flow has closed */
-  OH_SEGMENT_SYN_RETRANSMISSIONS = 2,      /* how often a caller retransmits an unanswered SYN */
+  /* Between two agents that probe their upstreams for a flow: of the segments that reach upstreams without
+   * the flow, fewer than three fall into any two seconds. */
+  OH_SEGMENT_PROBE_INTERVAL_MS = 1100,
+  /* After an agent that was recorded as the owner has probed its upstream with up to two segments. */
+  OH_SEGMENT_PROBE_AFTER_OWNER_MS = 2000,
+  OH_SEGMENT_LOOKUP_ZONES_MAX = 16,      /* other availability zones in which an owner is looked up */
+  OH_SEGMENT_QUERY_RETRY_MS = 100,       /* after a query that not all agents have answered */
+  OH_SEGMENT_QUERY_FLOWS_MAX = 100,      /* flows in one query; fits a datagram */
+  OH_SEGMENT_QUERIES_MAX = 64,           /* most recent queries, whose answers are accepted */
+  OH_SEGMENT_OPEN_TIMEOUT_MS = 1400,     /* a caller abandons a flow that has not opened by then */
+  OH_SEGMENT_CLOSED_RETENTION_MS = 5000, /* a record is kept for this long after its flow has closed */
+  OH_SEGMENT_SYN_RETRANSMISSIONS = 2,    /* how often a caller retransmits an unanswered SYN */
   OH_SEGMENT_STARTUP_MS = 3000, /* after the first confirmed view, while upstreams may still be unannounced */
   OH_SEGMENT_QUERIED_AGENTS_MAX = 128, /* with more agents in a query, a flow is never found to be absent */
   OH_SEGMENT_PAUSE_MS = 300,           /* a gap between events from which on queued input may be outdated */
@@ -127,6 +134,7 @@
   bool published;           /* the owner was sent to the directory nodes */
   bool stored;              /* the owner was passed to the sink's store, or restored from there */
   unsigned pending_lookups; /* directory nodes that have not answered yet */
+  bool remote_lookup;       /* those of the other availability zones are asked, too */
   int64_t lookup_us;        /* when the lookups were sent; 0: never */
   GPtrArray *pending;       /* of GBytes: segments kept until the owner is known; NULL if there are none */
   bool query_queued;        /* the flow is to be named in the next query */
@@ -134,6 +142,9 @@
   int64_t queried_us;       /* when that query was sent */
   unsigned n_absent;        /* agents of the query that do not own the flow */
   uint64_t absent[OH_SEGMENT_QUERIED_AGENTS_MAX / 64]; /* one bit per agent of the query */
+  int64_t probe_after_us; /* earliest time at which another agent may probe its upstream */
+  GArray *probed;         /* of oh_address_t: agents that did; NULL if there are none */
+  unsigned n_to_probe;    /* agents of the query that have to and did not yet */
   int64_t all_absent_us; /* when every agent of the query had reported it absent; 0: never, or it was reset */
   uint32_t last_acknowledged; /* by the caller's last segment */
   int64_t opened_us;          /* when the record was added */
@@ -142,11 +153,12 @@
   oh_list_t lookup_link; /* in oh_segment_balancer_t.lookups while a lookup is unanswered */
 } oh_balancer_flow_t;
 
-/* A balancer of the availability zone. */
+/* A balancer in the view. */
 typedef struct
 {
   oh_address_t relay;
-  bool durable; /* it stores the owners of flows on disk */
+  bool durable;  /* it stores the owners of flows on disk */
+  uint64_t zone; /* hash of its availability zone */
 } oh_segment_peer_t;
 
 /* A query that asks every agent which of the named flows it owns. */
@@ -203,10 +215,12 @@
   uint32_t last_query;     /* number of the last query */
   oh_segment_query_t queries[OH_SEGMENT_QUERIES_MAX]; /* indexed by number modulo OH_SEGMENT_QUERIES_MAX */
   bool all_listed;                                    /* the view lists every upstream that has a lease */
-  GArray *peers;     /* of oh_segment_peer_t: balancers of the availability zone, this one included */
-  GHashTable *flows; /* of oh_balancer_flow_t, owned */
-  oh_list_t lru;     /* least recently used first */
-  oh_list_t lookups; /* flows with an unanswered lookup, oldest first */
+  uint64_t zone;                                      /* hash of the availability zone */
+  GArray *peers;        /* of oh_segment_peer_t: balancers of the availability zone, this one included */
+  GArray *remote_peers; /* the same: balancers of the other availability zones */
+  GHashTable *flows;    /* of oh_balancer_flow_t, owned */
+  oh_list_t lru;        /* least recently used first */
+  oh_list_t lookups;    /* flows with an unanswered lookup, oldest first */
   oh_segment_balancer_counters_t counters;
   oh_histogram_t offer_seconds;
   int64_t last_event_us; /* when the last event was handled */
--- a/lib/core/segment_directory.c
+++ b/lib/core/segment_directory.c
@@ -29,20 +29,23 @@
   return a->rank > b->rank;
 }
 
-/* Selects the balancers with the highest ranks, those with a disk first. Every balancer of the availability
- * zone selects the same ones. Returns their number. */
+/* Selects the balancers of the availability zone with the highest ranks, those with a disk first. Every
+ * balancer selects the same ones. Returns their number. */
 static unsigned
-select_directory_nodes (const oh_segment_balancer_t *balancer, const oh_flow_key_t *key,
+select_directory_nodes (const oh_segment_balancer_t *balancer, uint64_t zone, const oh_flow_key_t *key,
                         oh_address_t nodes[OH_SEGMENT_DIRECTORY_NODES])
 {
+  const GArray *peers = zone == balancer->zone ? balancer->peers : balancer->remote_peers;
   const uint64_t digest = oh_flow_key_digest (key);
   candidate_t best[OH_SEGMENT_DIRECTORY_NODES];
   unsigned n = 0;
 
-  for (guint i = 0; i < balancer->peers->len; i++)
+  for (guint i = 0; i < peers->len; i++)
     {
-      candidate_t candidate = { .peer = g_array_index (balancer->peers, oh_segment_peer_t, i) };
+      candidate_t candidate = { .peer = g_array_index (peers, oh_segment_peer_t, i) };
 
+      if (candidate.peer.zone != zone)
+        continue;
       candidate.rank = directory_rank (digest, candidate.peer.relay);
       for (unsigned j = 0; j < n; j++)
         if (is_better (&candidate, &best[j]))
@@ -102,7 +105,7 @@
   if (flow->published || !oh_balancer_flow_owner (flow, &owner))
     return;
   flow->published = true;
-  n = select_directory_nodes (balancer, &flow->key, nodes);
+  n = select_directory_nodes (balancer, balancer->zone, &flow->key, nodes);
   for (unsigned i = 0; i < n; i++)
     {
       if (oh_address_equal (nodes[i], balancer->relay))
@@ -115,15 +118,12 @@
     }
 }
 
-/* Asks the directory nodes for the owner. Returns false if there are none besides this balancer. */
-static bool
-send_lookups (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
+static void
+send_zone_lookups (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, uint64_t zone)
 {
   oh_address_t nodes[OH_SEGMENT_DIRECTORY_NODES];
-  const unsigned n = select_directory_nodes (balancer, &flow->key, nodes);
+  const unsigned n = select_directory_nodes (balancer, zone, &flow->key, nodes);
 
-  flow->pending_lookups = 0;
-  flow->lookup_us = balancer->now_us;
   for (unsigned i = 0; i < n; i++)
     {
       if (oh_address_equal (nodes[i], balancer->relay))
@@ -131,6 +131,40 @@
       flow->pending_lookups++;
       send_peer (balancer, nodes[i], OH__SEGMENT_RELAY_KIND__SEGMENT_LOOKUP, &flow->key, NULL);
     }
+}
+
+/* Writes the other availability zones that have balancers. Returns their number. */
+static unsigned
+list_remote_zones (const oh_segment_balancer_t *balancer, uint64_t zones[OH_SEGMENT_LOOKUP_ZONES_MAX])
+{
+  unsigned n = 0;
+
+  for (guint i = 0; i < balancer->remote_peers->len && n < OH_SEGMENT_LOOKUP_ZONES_MAX; i++)
+    {
+      const uint64_t zone = g_array_index (balancer->remote_peers, oh_segment_peer_t, i).zone;
+      unsigned known = 0;
+
+      while (known < n && zones[known] != zone)
+        known++;
+      if (known == n)
+        zones[n++] = zone;
+    }
+  return n;
+}
+
+/* Asks directory nodes for the owner, those of this availability zone or those of the others. Returns false
+ * if there are none besides this balancer. */
+static bool
+send_lookups (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, bool remote)
+{
+  uint64_t zones[OH_SEGMENT_LOOKUP_ZONES_MAX] = { balancer->zone };
+  const unsigned n = remote ? list_remote_zones (balancer, zones) : 1;
+
+  flow->pending_lookups = 0;
+  flow->lookup_us = balancer->now_us;
+  flow->remote_lookup = remote;
+  for (unsigned i = 0; i < n; i++)
+    send_zone_lookups (balancer, flow, zones[i]);
   if (flow->pending_lookups == 0)
     return false;
   oh_counter_increment (&balancer->counters.lookups);
@@ -154,7 +188,8 @@
     return; /* what this balancer learned itself takes precedence */
   flow->owned = true;
   flow->owner = owner;
-  flow->published = true;
+  /* The directory nodes of another availability zone are not those of this one. */
+  flow->published = !flow->remote_lookup;
   store (balancer, flow, owner);
 }
 
@@ -181,7 +216,8 @@
   oh_list_remove (&flow->lookup_link);
   if (!flow->owned)
     {
-      oh_segment_search_start (balancer, flow);
+      if (flow->remote_lookup || !send_lookups (balancer, flow, true))
+        oh_segment_search_start (balancer, flow);
       return;
     }
   oh_counter_increment (&balancer->counters.lookups_found);
@@ -215,13 +251,15 @@
                                  const uint8_t *bytes, size_t length)
 {
   oh_balancer_flow_queue_segment (balancer, flow, bytes, length);
-  if (flow->pending_lookups > 0 || (flow->lookup_us == 0 && send_lookups (balancer, flow)))
+  if (flow->pending_lookups > 0)
+    return;
+  if (flow->lookup_us == 0 && (send_lookups (balancer, flow, false) || send_lookups (balancer, flow, true)))
     return;
   oh_segment_search_start (balancer, flow);
 }
 
 void
-oh_segment_directory_invalidate (oh_segment_balancer_t *balancer)
+oh_segment_directory_forget_lookups (oh_segment_balancer_t *balancer)
 {
   GHashTableIter iter;
   gpointer value;
@@ -231,8 +269,19 @@
     {
       oh_balancer_flow_t *flow = value;
 
-      flow->published = false;
       if (flow->pending_lookups == 0)
         flow->lookup_us = 0;
     }
 }
+
+void
+oh_segment_directory_invalidate (oh_segment_balancer_t *balancer)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, balancer->flows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((oh_balancer_flow_t *)value)->published = false;
+  oh_segment_directory_forget_lookups (balancer);
+}
--- a/lib/core/segment_search.c
+++ b/lib/core/segment_search.c
@@ -95,6 +95,7 @@
       flow->query = query->number;
       flow->queried_us = balancer->now_us;
       flow->n_absent = 0;
+      flow->n_to_probe = 0;
       memset (flow->absent, 0, sizeof flow->absent);
       g_array_append_val (query->flows, key);
     }
@@ -248,6 +249,36 @@
                                length);
 }
 
+static bool
+was_probed (const oh_balancer_flow_t *flow, oh_address_t agent)
+{
+  for (guint i = 0; flow->probed != NULL && i < flow->probed->len; i++)
+    if (oh_address_equal (g_array_index (flow->probed, oh_address_t, i), agent))
+      return true;
+  return false;
+}
+
+/* Lets an agent without a record probe its upstream. Unless it is the owner, a segment reaches an upstream
+ * without the flow; so agents take turns, those that were not asked before first. */
+static void
+let_probe (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const oh_segment_query_t *query,
+           oh_address_t agent)
+{
+  flow->n_to_probe++;
+  if (balancer->now_us >= flow->probe_after_us && flow->pending != NULL && !was_probed (flow, agent))
+    {
+      if (flow->probed == NULL)
+        flow->probed = g_array_new (FALSE, FALSE, sizeof (oh_address_t));
+      g_array_append_val (flow->probed, agent);
+      flow->probe_after_us = balancer->now_us + (int64_t)OH_SEGMENT_PROBE_INTERVAL_MS * 1000;
+      send_wanted_segment (balancer, flow, agent);
+    }
+  /* All agents that cannot tell have had their turn. */
+  if (flow->probed != NULL && flow->n_to_probe + flow->n_absent == query->agents->len
+      && flow->probed->len >= flow->n_to_probe)
+    g_clear_pointer (&flow->probed, g_array_unref);
+}
+
 void
 oh_segment_search_handle_owned (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, oh_address_t agent)
 {
@@ -315,10 +346,12 @@
 
       if (!is_searched (flow, relay->search))
         continue;
-      if (bit_is_set (&relay->held, i))
+      if (bit_is_set (&relay->held, i) && bit_is_set (&relay->wanted, i))
+        send_wanted_segment (balancer, flow, agent);
+      else if (bit_is_set (&relay->held, i))
         oh_segment_search_handle_owned (balancer, flow, agent);
       else if (bit_is_set (&relay->wanted, i))
-        send_wanted_segment (balancer, flow, agent);
+        let_probe (balancer, flow, query, agent);
       else
         mark_absent (balancer, flow, query, index);
     }
--- a/lib/core/segment_search.h
+++ b/lib/core/segment_search.h
@@ -5,8 +5,8 @@
 /*
  * Finds the owner of a flow by querying every agent. One query names several flows while there are many to
  * search, as after the loss of all records. Most agents can tell from their records whether they own a flow;
- * one that cannot gets a segment of the flow and probes its upstream with it. A flow that every agent reports
- * as absent is reset, if the view lists all agents.
+ * one that cannot gets a segment of the flow and probes its upstream with it, one agent at a time. A flow
+ * that every agent reports as absent is reset, if the view lists all agents.
  */
 
 /* Queues the flow for one of the next queries, unless it was searched a moment ago. Its segments stay pending
--- a/lib/wire/packet.pb-c.c
+++ b/lib/wire/packet.pb-c.c
@@ -2223,7 +2223,7 @@
   (ProtobufCMessageInit) oh__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__segment_relay__field_descriptors[13] =
+static const ProtobufCFieldDescriptor oh__segment_relay__field_descriptors[14] =
 {
   {
     "kind",
@@ -2381,10 +2381,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "denied",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Oh__SegmentRelay, denied),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__segment_relay__field_indices_by_name[] = {
   1,   /* field[1] = balancer */
   6,   /* field[6] = caller */
+  13,   /* field[13] = denied */
   10,   /* field[10] = flows */
   11,   /* field[11] = held */
   0,   /* field[0] = kind */
@@ -2400,7 +2413,7 @@
 static const ProtobufCIntRange oh__segment_relay__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor oh__segment_relay__descriptor =
 {
@@ -2410,7 +2423,7 @@
   "Oh__SegmentRelay",
   "oh",
   sizeof(Oh__SegmentRelay),
-  13,
+  14,
   oh__segment_relay__field_descriptors,
   oh__segment_relay__field_indices_by_name,
   1,  oh__segment_relay__number_ranges,
--- a/lib/wire/packet.pb-c.h
+++ b/lib/wire/packet.pb-c.h
@@ -538,13 +538,18 @@
    */
   ProtobufCBinaryData held;
   /*
-   * ANSWER: same form: the agent needs a segment of the flow to find out
+   * ANSWER: same form: the agent needs a segment of the flow to find out. With the bit in held as well it compares
+   * the segment with its record; otherwise it passes the segment to its upstream, which may not have the flow.
    */
   ProtobufCBinaryData wanted;
+  /*
+   * ABSENT: the upstream itself has said that it does not have the flow
+   */
+  protobuf_c_boolean denied;
 };
 #define OH__SEGMENT_RELAY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__segment_relay__descriptor) \
-    , OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD, NULL, 0, {0,NULL}, OH__RESULT__RESULT_NONE, NULL, NULL, NULL, 0, NULL, 0,NULL, {0,NULL}, {0,NULL} }
+    , OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD, NULL, 0, {0,NULL}, OH__RESULT__RESULT_NONE, NULL, NULL, NULL, 0, NULL, 0,NULL, {0,NULL}, {0,NULL}, 0 }
 
 
 /*
