segment_search, segment_balancer: a flow is reset only if the upstream of its owner does not have it

What clients saw: a reset on an open flow whose back end lives.

Cause (H1): a balancer without a record asked every listed agent and took their 'absent' for proof, once a replica had said that it was up for a second.

Change: a search never resets. Instead owners are known for certain: the agent tells its balancer when a flow has opened, and only that is published to the directory nodes (before, a balancer published its only open offer, a guess). If the agent that owns a flow reports that its upstream itself returned a segment of it, or that the incarnation is gone (denied), the caller is reset. An agent answers a balancer that was told of the flow by probing its upstream, never from its records. A newer record replaces one that only came from another balancer.

Tests that failed before: test_segment_balancer 'an open flow is reset because all listed agents report it absent, although its owner is not listed', 'the caller of a flow that its owner's upstream does not have any more waits', and two more; test_segment_agent 'a flow that a balancer knows to be here is reported absent for want of a record'. Cases that asked for a reset after absent answers asked for the fault; they now ask for the search that takes its place and for no reset.

--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -433,18 +433,18 @@
   deliver (agent, bytes, length);
 }
 
-/* Handles a segment of a flow without a record: probes the upstream, unless there are records of all its
- * flows. */
+/* Handles a segment of a flow without a record. A balancer that was told that the flow is here is told the
+ * contrary only by the upstream itself, which is probed; in a search, complete records are enough. */
 static void
 handle_unknown (oh_segment_agent_t *agent, const oh_flow_key_t *key, const oh_segment_t *segment,
                 oh_address_t balancer, uint32_t query, const uint8_t *bytes, size_t length)
 {
+  const bool absent = query != 0 && agent->records_complete;
   oh_agent_flow_t *flow;
 
   log_flow (agent, OH_LOG_INFO, "flow_unknown", key, "search=%u generation=%u state=%d result=%s", query,
-            agent->identity.generation, (int)agent->identity.state,
-            agent->records_complete ? "absent" : "probed");
-  if (agent->records_complete)
+            agent->identity.generation, (int)agent->identity.state, absent ? "absent" : "probed");
+  if (absent)
     {
       answer_absent (agent, key, balancer, query, ABSENT_NO_RECORD, bytes, length);
       return;
@@ -470,6 +470,7 @@
                 oh_address_t balancer, uint32_t query, const uint8_t *bytes, size_t length)
 {
   oh_agent_flow_t *flow = g_hash_table_lookup (agent->flows, key);
+  bool opened = false;
 
   if (flow == NULL)
     {
@@ -496,6 +497,7 @@
         }
       set_state (agent, flow, OH_AGENT_FLOW_OPEN);
       oh_counter_increment (&agent->counters.opened);
+      opened = true;
       break;
     case OH_AGENT_FLOW_OPEN:
       break;
@@ -511,7 +513,7 @@
       answer_absent (agent, key, balancer, query, ABSENT_DENIED, bytes, length);
       return;
     }
-  if (query != 0 || !oh_address_equal (flow->balancer, balancer))
+  if (opened || query != 0 || !oh_address_equal (flow->balancer, balancer))
     answer (agent, balancer, OH__SEGMENT_RELAY_KIND__SEGMENT_OWNED, OH__RESULT__RESULT_NONE, key, NULL, 0);
   flow->balancer = balancer;
   if (has_left (agent))
--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -33,7 +33,6 @@
       oh_segment_directory_find_owner (balancer, flow, bytes, length);
       return;
     }
-  oh_segment_directory_publish (balancer, flow);
   oh_counter_increment (&balancer->counters.forwarded);
   for (unsigned i = 0; i < flow->n_offers; i++)
     if (flow->offers[i].state != OH_OFFER_REFUSED)
@@ -109,6 +108,20 @@
     oh_segment_place (balancer, flow, relay->segment.data, relay->segment.len);
 }
 
+/* The upstream that had the flow does not have it any more: a response will never come. */
+static void
+reset_ended_flow (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
+{
+  char owner[OH_ADDRESS_TEXT_BYTES];
+
+  oh_balancer_flow_log (
+    balancer, OH_LOG_INFO, "flow_reset", &flow->key, "owner=%s from_peer=%d age_ms=%" G_GINT64_FORMAT,
+    oh_address_format (flow->owner, owner), flow->from_peer, (balancer->now_us - flow->opened_us) / 1000);
+  oh_counter_increment (&balancer->counters.resets_absent);
+  flow->closed = true;
+  oh_segment_send_reset (balancer, &flow->key, flow->last_acknowledged);
+}
+
 static void
 on_absent (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const Oh__SegmentRelay *relay,
            oh_address_t agent)
@@ -125,7 +138,14 @@
   if (offer != NULL)
     offer->state = OH_OFFER_REFUSED;
   if (flow->owned && oh_address_equal (flow->owner, agent))
-    flow->owned = flow->published = false;
+    {
+      if (relay->denied)
+        {
+          reset_ended_flow (balancer, flow);
+          return;
+        }
+      flow->owned = flow->published = false;
+    }
   if (flow->owned || oh_balancer_flow_has_open_offer (flow))
     return;
   flow->query = 0;
@@ -395,6 +415,7 @@
   else if (!flow->stored)
     return; /* what this process learned itself is newer */
   flow->owned = true;
+  flow->from_peer = true;
   flow->owner = owner;
   flow->stored = true;
 }
@@ -409,10 +430,9 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const oh_balancer_flow_t *flow = value;
-      oh_address_t owner;
 
-      if (flow->stored && oh_balancer_flow_owner (flow, &owner))
-        sink->ops->store (sink, &flow->key, owner);
+      if (flow->stored && flow->owned)
+        sink->ops->store (sink, &flow->key, flow->owner);
     }
 }
 
--- a/lib/core/segment_balancer.h
+++ b/lib/core/segment_balancer.h
@@ -124,7 +124,8 @@
   uint32_t syn_sequence;  /* valid if syn_seen */
   bool syn_seen;          /* this balancer got the SYN, or a retransmission */
   bool original_syn_seen; /* this balancer got the first transmission of the SYN */
-  bool owned;             /* owner is known */
+  bool owned;             /* owner is known: the agent said so, here or to the balancer that told this one */
+  bool from_peer;         /* another balancer, or an earlier process, told the owner */
   bool closed;            /* the caller has sent a FIN or RST */
   oh_address_t owner;
   unsigned n_offers;
@@ -142,10 +143,10 @@
   int64_t queried_us;       /* when that query was sent */
   unsigned n_absent;        /* agents of the query that do not own the flow */
   uint64_t absent[OH_SEGMENT_QUERIED_AGENTS_MAX / 64]; /* one bit per agent of the query */
-  int64_t probe_after_us; /* earliest time at which another agent may probe its upstream */
-  GArray *probed;         /* of oh_address_t: agents that did; NULL if there are none */
-  unsigned n_to_probe;    /* agents of the query that have to and did not yet */
-  int64_t all_absent_us; /* when every agent of the query had reported it absent; 0: never, or it was reset */
+  int64_t probe_after_us;     /* earliest time at which another agent may probe its upstream */
+  GArray *probed;             /* of oh_address_t: agents that did; NULL if there are none */
+  unsigned n_to_probe;        /* agents of the query that have to and did not yet */
+  int64_t all_absent_us;      /* when every agent of the query had reported it absent; 0: never */
   uint32_t last_acknowledged; /* by the caller's last segment */
   int64_t opened_us;          /* when the record was added */
   int64_t used_us;            /* when the record last moved to the end of the lru list */
@@ -184,7 +185,7 @@
   oh_counter_t records;          /* owners published to other balancers */
   oh_counter_t lookups;          /* flows looked up at directory nodes for lack of a record */
   oh_counter_t lookups_found;    /* lookups that found the owner */
-  oh_counter_t resets_absent;    /* flows that no upstream has */
+  oh_counter_t resets_absent;    /* flows that the upstream of their owner does not have any more */
   oh_counter_t held;             /* SYNs left to the caller's next retransmission for lack of capacity */
   oh_counter_t resets_no_route;
   oh_counter_t resets_refused;
--- a/lib/core/segment_directory.c
+++ b/lib/core/segment_directory.c
@@ -89,20 +89,19 @@
 }
 
 static void
-store (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, oh_address_t owner)
+store (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
 {
   flow->stored = true;
-  balancer->sink->ops->store (balancer->sink, &flow->key, owner);
+  balancer->sink->ops->store (balancer->sink, &flow->key, flow->owner);
 }
 
 void
 oh_segment_directory_publish (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow)
 {
   oh_address_t nodes[OH_SEGMENT_DIRECTORY_NODES];
-  oh_address_t owner;
   unsigned n;
 
-  if (flow->published || !oh_balancer_flow_owner (flow, &owner))
+  if (flow->published || !flow->owned)
     return;
   flow->published = true;
   n = select_directory_nodes (balancer, balancer->zone, &flow->key, nodes);
@@ -110,11 +109,11 @@
     {
       if (oh_address_equal (nodes[i], balancer->relay))
         {
-          store (balancer, flow, owner);
+          store (balancer, flow);
           continue;
         }
       oh_counter_increment (&balancer->counters.records);
-      send_peer (balancer, nodes[i], OH__SEGMENT_RELAY_KIND__SEGMENT_RECORD, &flow->key, &owner);
+      send_peer (balancer, nodes[i], OH__SEGMENT_RELAY_KIND__SEGMENT_RECORD, &flow->key, &flow->owner);
     }
 }
 
@@ -184,13 +183,16 @@
     return;
   if (flow == NULL)
     flow = oh_balancer_flow_add (balancer, key);
-  else if (flow->owned || oh_balancer_flow_has_open_offer (flow))
+  else if ((flow->owned && !flow->from_peer) || oh_balancer_flow_has_open_offer (flow))
     return; /* what this balancer learned itself takes precedence */
+  else if (flow->owned && oh_address_equal (flow->owner, owner))
+    return;
   flow->owned = true;
+  flow->from_peer = true;
   flow->owner = owner;
   /* The directory nodes of another availability zone are not those of this one. */
   flow->published = !flow->remote_lookup;
-  store (balancer, flow, owner);
+  store (balancer, flow);
 }
 
 void
@@ -199,14 +201,13 @@
 {
   const oh_balancer_flow_t *flow = g_hash_table_lookup (balancer->flows, key);
   oh_address_t requester;
-  oh_address_t owner;
 
   if (!oh_address_from_wire (relay->balancer, &requester))
     return;
-  if (flow == NULL || !oh_balancer_flow_owner (flow, &owner))
+  if (flow == NULL || !flow->owned)
     send_peer (balancer, requester, OH__SEGMENT_RELAY_KIND__SEGMENT_UNKNOWN, key, NULL);
   else
-    send_peer (balancer, requester, OH__SEGMENT_RELAY_KIND__SEGMENT_RECORD, key, &owner);
+    send_peer (balancer, requester, OH__SEGMENT_RELAY_KIND__SEGMENT_RECORD, key, &flow->owner);
 }
 
 void
--- a/lib/core/segment_flows.c
+++ b/lib/core/segment_flows.c
@@ -86,25 +86,6 @@
   return false;
 }
 
-bool
-oh_balancer_flow_owner (const oh_balancer_flow_t *flow, oh_address_t *owner)
-{
-  unsigned open_offers = 0;
-
-  if (flow->owned)
-    {
-      *owner = flow->owner;
-      return true;
-    }
-  for (unsigned i = 0; i < flow->n_offers; i++)
-    if (flow->offers[i].state != OH_OFFER_REFUSED)
-      {
-        *owner = flow->offers[i].agent;
-        open_offers++;
-      }
-  return open_offers == 1;
-}
-
 void
 oh_segment_send_query_relay (oh_segment_balancer_t *balancer, oh_address_t agent, Oh__SegmentRelayKind kind,
                              uint64_t service, uint32_t query, const uint8_t *bytes, size_t length)
--- a/lib/core/segment_flows.h
+++ b/lib/core/segment_flows.h
@@ -24,10 +24,6 @@
 /* True if an agent that was offered the flow has not refused it. */
 bool oh_balancer_flow_has_open_offer (const oh_balancer_flow_t *flow);
 
-/* Writes the owner of the flow, or the only agent with an open offer, to *owner. Returns false if this
- * balancer does not know it. */
-bool oh_balancer_flow_owner (const oh_balancer_flow_t *flow, oh_address_t *owner);
-
 /* Keeps a copy of a segment until the flow's owner is known. */
 void oh_balancer_flow_queue_segment (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow,
                                      const uint8_t *bytes, size_t length);
--- a/lib/core/segment_search.c
+++ b/lib/core/segment_search.c
@@ -193,30 +193,22 @@
     send_queries (balancer);
 }
 
-/* Every agent of the query has reported the flow absent. */
+/* Every agent of the query has reported the flow absent. That does not prove that the flow has ended: the
+ * agent that owns it may be missing from the view, or may have lost its record. So the caller is not reset.
+ */
 static void
 end_absent_flow (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const oh_segment_query_t *query)
 {
-  const guint queried = query->agents->len;
-  const bool certain = balancer->all_listed && queried <= OH_SEGMENT_QUERIED_AGENTS_MAX
-                       && oh_segment_balancer_caught_up (balancer);
-
   if (query->agents_digest != digest_agents (balancer))
     {
       queue_for_query (balancer, flow);
       return;
     }
   oh_balancer_flow_log (balancer, OH_LOG_INFO, "flow_absent", &flow->key,
-                        "question=%u asked=%u listed=%d lookup_age_ms=%" G_GINT64_FORMAT " result=%s",
-                        query->number, queried, balancer->all_listed,
-                        flow->lookup_us != 0 ? (balancer->now_us - flow->lookup_us) / 1000 : -1,
-                        certain ? "reset" : "dropped");
-  flow->all_absent_us = certain ? 0 : balancer->now_us;
-  if (!certain)
-    return;
-  g_clear_pointer (&flow->pending, g_ptr_array_unref);
-  oh_counter_increment (&balancer->counters.resets_absent);
-  oh_segment_send_reset (balancer, &flow->key, flow->last_acknowledged);
+                        "question=%u asked=%u listed=%d lookup_age_ms=%" G_GINT64_FORMAT, query->number,
+                        query->agents->len, balancer->all_listed,
+                        flow->lookup_us != 0 ? (balancer->now_us - flow->lookup_us) / 1000 : -1);
+  flow->all_absent_us = balancer->now_us;
 }
 
 static void
@@ -265,7 +257,8 @@
            oh_address_t agent)
 {
   flow->n_to_probe++;
-  if (balancer->now_us >= flow->probe_after_us && flow->pending != NULL && !was_probed (flow, agent))
+  if (balancer->now_us >= flow->probe_after_us && flow->pending != NULL && balancer->search_budget > 0
+      && !was_probed (flow, agent))
     {
       if (flow->probed == NULL)
         flow->probed = g_array_new (FALSE, FALSE, sizeof (oh_address_t));
@@ -287,11 +280,14 @@
   if (flow->owned && oh_address_equal (flow->owner, agent))
     return;
   if (!oh_balancer_flow_has_open_offer (flow))
-    oh_counter_increment (&balancer->counters.found);
-  oh_balancer_flow_log (balancer, OH_LOG_INFO, "flow_found", &flow->key,
-                        "owner=%s question=%u waiting=%u before=%d", oh_address_format (agent, owner),
-                        flow->query, flow->pending != NULL ? flow->pending->len : 0, flow->owned);
+    {
+      oh_counter_increment (&balancer->counters.found);
+      oh_balancer_flow_log (balancer, OH_LOG_INFO, "flow_found", &flow->key,
+                            "owner=%s question=%u waiting=%u before=%d", oh_address_format (agent, owner),
+                            flow->query, flow->pending != NULL ? flow->pending->len : 0, flow->owned);
+    }
   flow->owned = true;
+  flow->from_peer = false;
   flow->owner = agent;
   flow->query_queued = false;
   flow->pending_lookups = 0;
@@ -367,15 +363,11 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       oh_balancer_flow_t *flow = value;
-      const oh_segment_query_t *query = find_query (balancer, flow->query);
 
       if (flow->all_absent_us == 0 || flow->query_queued || !is_searched (flow, flow->query))
         continue;
       flow->all_absent_us = 0;
-      if (query != NULL)
-        end_absent_flow (balancer, flow, query);
-      else
-        queue_for_query (balancer, flow);
+      queue_for_query (balancer, flow);
     }
 }
 
--- a/lib/core/segment_search.h
+++ b/lib/core/segment_search.h
@@ -6,7 +6,8 @@
  * Finds the owner of a flow by querying every agent. One query names several flows while there are many to
  * search, as after the loss of all records. Most agents can tell from their records whether they own a flow;
  * one that cannot gets a segment of the flow and probes its upstream with it, one agent at a time. A flow
- * that every agent reports as absent is reset, if the view lists all agents.
+ * that every agent reports as absent is not reset, as the view may lack its owner; one of its next segments
+ * starts another search.
  */
 
 /* Queues the flow for one of the next queries, unless it was searched a moment ago. Its segments stay pending
@@ -26,8 +27,8 @@
 void oh_segment_search_handle_owned (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow,
                                      oh_address_t agent);
 
-/* Called when the view has come to list every agent: resets the flows that all agents of their query reported
- * absent. Searches them again if the agents have changed since, or newer queries have replaced that one. */
+/* Called when the view has come to list every agent: searches the flows again that all agents of their query
+ * have reported absent. */
 void oh_segment_search_resume (oh_segment_balancer_t *balancer);
 
 /* Refills the search budget and sends queued queries. Called every OH_SEGMENT_TICK_MS. */
