flow_journal: sync the owners of flows, so that a loss of power leaves them

A flow whose owner is not known is not reset any more, so after a loss of power of all VMs callers waited for their deadlines. The owners are on the disks of the directory nodes, but were never synced: flow_journal_opened records=0 at each of them.

Change: the writer's thread syncs the file every 500 ms at most while records come, and file and folder when it is rewritten.

--- a/lib/adapters/flow_journal.c
+++ b/lib/adapters/flow_journal.c
@@ -47,10 +47,13 @@
   char *path;
   char *new_path;
   int fd;
-  gint written;    /* atomic; records */
-  gint dropped;    /* atomic; records */
-  gint incomplete; /* atomic; 1 if records are missing in the file because the disk was full */
-  gint ended;      /* atomic; the thread has only to release the writer */
+  bool dirty;        /* records were written after the last sync */
+  int64_t synced_us; /* monotonic time of the last sync */
+  gint written;      /* atomic; records */
+  gint syncs;        /* atomic */
+  gint dropped;      /* atomic; records */
+  gint incomplete;   /* atomic; 1 if records are missing in the file because the disk was full */
+  gint ended;        /* atomic; the thread has only to release the writer */
 };
 
 /* Records. */
@@ -145,6 +148,19 @@
   return true;
 }
 
+/* Without the sync of its folder, a renamed file may have its old name after a loss of power. */
+static void
+sync_folder (const oh_flow_journal_writer_t *writer)
+{
+  const int fd = open (writer->folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+
+  if (fd < 0 || fsync (fd) != 0)
+    oh_log_limited (OH_LOG_MODULE, OH_LOG_WARNING, "flow_journal_sync_failed", "folder=%s reason=\"%s\"",
+                    writer->folder, g_strerror (errno));
+  if (fd >= 0)
+    close (fd);
+}
+
 /* Replaces the file by one with these records. On failure the old file stays. */
 static bool
 rewrite_file (oh_flow_journal_writer_t *writer, const GByteArray *records)
@@ -153,7 +169,7 @@
 
   if (fd < 0)
     return false;
-  if (!write_all (fd, records) || g_rename (writer->new_path, writer->path) != 0)
+  if (!write_all (fd, records) || fdatasync (fd) != 0 || g_rename (writer->new_path, writer->path) != 0)
     {
       const int reason = errno;
 
@@ -163,6 +179,7 @@
       errno = reason;
       return false;
     }
+  sync_folder (writer);
   if (writer->fd >= 0)
     close (writer->fd);
   writer->fd = fd;
@@ -205,6 +222,7 @@
   if (batch->replaces_file ? rewrite_file (writer, batch->records) : append_to_file (writer, batch->records))
     {
       g_atomic_int_add (&writer->written, records);
+      writer->dirty = true;
       return;
     }
   reason = errno;
@@ -214,6 +232,41 @@
                   records, g_strerror (reason));
 }
 
+static int64_t
+time_to_sync_us (const oh_flow_journal_writer_t *writer)
+{
+  return writer->synced_us + (int64_t)OH_FLOW_JOURNAL_SYNC_INTERVAL_MS * 1000 - g_get_monotonic_time ();
+}
+
+static void
+sync_file (oh_flow_journal_writer_t *writer)
+{
+  writer->dirty = false;
+  if (fdatasync (writer->fd) == 0)
+    g_atomic_int_inc (&writer->syncs);
+  else
+    oh_log_limited (OH_LOG_MODULE, OH_LOG_WARNING, "flow_journal_sync_failed", "file=%s reason=\"%s\"",
+                    writer->path, g_strerror (errno));
+  writer->synced_us = g_get_monotonic_time ();
+}
+
+/* Returns the next batch; syncs the file when that is due. */
+static batch_t *
+next_batch (oh_flow_journal_writer_t *writer)
+{
+  while (writer->dirty)
+    {
+      const int64_t wait_us = time_to_sync_us (writer);
+      batch_t *batch = wait_us > 0 ? g_async_queue_timeout_pop (writer->batches, (guint64)wait_us) : NULL;
+
+      if (batch != NULL)
+        return batch;
+      if (time_to_sync_us (writer) <= 0)
+        sync_file (writer);
+    }
+  return g_async_queue_pop (writer->batches);
+}
+
 /* Restores the records of the file. Runs in the main context. */
 static gboolean
 on_read (gpointer data)
@@ -291,13 +344,15 @@
     }
   while (!last)
     {
-      batch_t *batch = g_async_queue_pop (writer->batches);
+      batch_t *batch = next_batch (writer);
 
       last = batch->last;
       if (batch->records->len > 0 || batch->replaces_file)
         write_batch (writer, batch);
       free_batch (batch);
     }
+  if (writer->dirty)
+    sync_file (writer);
   g_atomic_int_set (&writer->ended, 1);
   release_writer (writer);
   return NULL;
@@ -382,6 +437,8 @@
                              "Owners of flows that the disk was too slow for, or refused");
   oh_counters_add_with_help (counters, &journal->counters.restored, "flow_journal_restored",
                              "Owners of flows found on the disk at the start");
+  oh_counters_add_with_help (counters, &journal->counters.syncs, "flow_journal_syncs_total",
+                             "Syncs of the owners of flows to the disk");
 }
 
 void
@@ -424,6 +481,7 @@
     return false;
   oh_counter_set (&journal->counters.written, (uint64_t)g_atomic_int_get (&journal->writer->written));
   oh_counter_set (&journal->counters.dropped, (uint64_t)g_atomic_int_get (&journal->writer->dropped));
+  oh_counter_set (&journal->counters.syncs, (uint64_t)g_atomic_int_get (&journal->writer->syncs));
   if (g_async_queue_length (journal->writer->batches) >= OH_FLOW_JOURNAL_QUEUED_BATCHES_MAX)
     {
       drop_batch (journal, records);
--- a/lib/adapters/flow_journal.h
+++ b/lib/adapters/flow_journal.h
@@ -9,9 +9,9 @@
 
 /*
  * Journal of the owners of flows on disk, for a balancer that is killed and restarted while its flows stay
- * open. The file is never synced, because a loss of power ends the flows as well. Records that were written
- * last or that are damaged may be missing after a restart; the balancer then searches for the owners of these
- * flows.
+ * open. After a loss of power the flows are gone, too, and their owners can say so: records are synced within
+ * OH_FLOW_JOURNAL_SYNC_INTERVAL_MS. Records that were written last or that are damaged may be missing after a
+ * restart; the balancer then searches for the owners of these flows.
  *
  * A separate thread opens, reads and writes the file, so that a slow disk delays nothing else; while too many
  * batches wait for it, new records are dropped. The functions and the callback run in the default main
@@ -24,6 +24,7 @@
   OH_FLOW_JOURNAL_GROWTH_FACTOR = 4,       /* growth since the last rewrite at which the file is rewritten */
   OH_FLOW_JOURNAL_QUEUED_BATCHES_MAX = 64, /* batches that wait for the thread */
   OH_FLOW_JOURNAL_REPAIR_FLUSHES = 20,     /* between attempts to write all flows after a write has failed */
+  OH_FLOW_JOURNAL_SYNC_INTERVAL_MS = 500,  /* at least, between two syncs of the file */
   OH_FLOW_JOURNAL_STOP_TIMEOUT_MS = 200,   /* how long oh_flow_journal_finish waits for the thread */
 };
 
@@ -32,6 +33,7 @@
   oh_counter_t written;  /* records written to the file */
   oh_counter_t dropped;  /* records that the disk was too slow for, or whose write failed */
   oh_counter_t restored; /* records found at the start */
+  oh_counter_t syncs;    /* of the file */
 } oh_flow_journal_counters_t;
 
 typedef struct oh_flow_journal_writer oh_flow_journal_writer_t;
--- a/tests/test_flow_journal.c
+++ b/tests/test_flow_journal.c
@@ -269,11 +269,34 @@
   oh_flow_journal_finish (&journal);
 }
 
+/* Guards against records that a loss of power takes away long after they were written: the callers of flows
+ * that ended with it then wait for their deadlines. */
+static void
+test_synced (void)
+{
+  g_autofree char *folder = g_dir_make_tmp ("oriolehaven-journal-XXXXXX", NULL);
+  oh_flow_journal_t journal;
+  unsigned ms = 0;
+
+  open_journal (&journal, folder);
+  add (&journal, 0, 3);
+  oh_flow_journal_flush (&journal);
+  for (; ms < WAIT_MS && oh_counter_get (&journal.counters.syncs) == 0; ms++)
+    {
+      g_usleep (1000);
+      oh_flow_journal_flush (&journal); /* without records; updates the counters */
+    }
+  g_assert_cmpuint (oh_counter_get (&journal.counters.syncs), ==, 1);
+  oh_flow_journal_finish (&journal);
+  remove_folder (folder);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_log_set_always_fatal (G_LOG_FATAL_MASK); /* the test provokes warnings */
+  g_test_add_func ("/flow-journal/synced", test_synced);
   g_test_add_func ("/flow-journal/reopen", test_reopen);
   g_test_add_func ("/flow-journal/rewrite", test_rewrite);
   signal (SIGXFSZ, SIG_IGN);
