segment_agent: records are complete only if this process took the upstream's first announcement

What clients saw: a reset on an open flow, at their next request after a pause.

Cause (H2): an agent took its records for complete if the sequence was at most 1, or if its own start and that of its upstream were less than 500 ms apart, by two readings of the time of day. Both hold for an agent that is restarted soon after the start of its upstream, while an earlier process let flows in.

Change: complete only with the first announcement: sequence 0 or 1, and less than half a heartbeat interval after the start. In doubt the agent probes.

--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -731,13 +731,18 @@
 
 /* Announcements and timers. */
 
-/* True if the upstream started after this process, or at about the same time, as after a power failure. */
+/* True if this process takes the first announcement of the incarnation. No flow was let in before, so it sees
+ * the opening of every flow. An upstream may count its announcements from 0, so that the second one has
+ * sequence 1; but it comes a heartbeat interval after the start. */
 static bool
-started_together (const oh_segment_agent_t *agent, const oh_announcement_t *announcement)
+is_first_announcement (const oh_segment_agent_t *agent, const oh_announcement_t *announcement)
 {
-  const int64_t age_ms = agent->config.started_ms - announcement->started_ms;
+  const int64_t now_ms = agent->config.started_ms + (agent->now_us - agent->config.started_us) / 1000;
+  const int64_t age_ms = now_ms - announcement->started_ms;
 
-  return age_ms < OH_SEGMENT_SAME_START_MS;
+  /* A start in the future tells nothing: the time of day was set back. */
+  return announcement->sequence <= 1 && age_ms >= -OH_SEGMENT_CLOCK_TOLERANCE_MS
+         && age_ms < agent->config.heartbeat_ms / 2;
 }
 
 static void
@@ -766,9 +771,10 @@
 
   g_snprintf (pairs, sizeof pairs,
               "complete=%d generation=%u sequence=%" G_GUINT64_FORMAT " agent_started_ms=%" G_GINT64_FORMAT
-              " upstream_started_ms=%" G_GINT64_FORMAT " flows=%u",
+              " agent_age_ms=%" G_GINT64_FORMAT " upstream_started_ms=%" G_GINT64_FORMAT " flows=%u",
               agent->records_complete, agent->identity.generation, announcement->sequence,
-              agent->config.started_ms, announcement->started_ms, g_hash_table_size (agent->flows));
+              agent->config.started_ms, (agent->now_us - agent->config.started_us) / 1000,
+              announcement->started_ms, g_hash_table_size (agent->flows));
   agent->sink->ops->log (agent->sink, OH_LOG_INFO, "flow_records", pairs);
 }
 
@@ -779,10 +785,7 @@
   if (change == OH_IDENTITY_REPLACED)
     {
       agent->unanswered_syns = 0;
-      /* Flows of the first generation that this process sees may have been opened through an earlier agent
-       * process, unless the upstream has only just started. */
-      agent->records_complete = agent->identity.generation > 1 || announcement->sequence <= 1
-                                || started_together (agent, announcement);
+      agent->records_complete = is_first_announcement (agent, announcement);
       log_records (agent, announcement);
       reset_orphaned_flows (agent, "upstream-replaced");
     }
--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -31,9 +31,7 @@
   OH_SEGMENT_ADMIT_PER_SLOT = 3,   /* admission limit: requests per slot, running or expected */
   OH_SEGMENT_ADMIT_PER_SLOT_WARMING = 2, /* the same while the upstream warms up */
   OH_SEGMENT_FIRST_REQUEST_MS = 300,     /* a new flow that brings no request within this time is idle */
-  /* An upstream that started less than this before its agent has no flows from an earlier agent process:
-   * restarting an agent and opening a flow through it takes longer. */
-  OH_SEGMENT_SAME_START_MS = 500,
+  OH_SEGMENT_CLOCK_TOLERANCE_MS = 50,    /* between two readings of the time of day on one VM */
   /* An agent without an announcement is listed for this many heartbeat intervals after its start; an upstream
    * that is running announces itself in that time. */
   OH_SEGMENT_UNANNOUNCED_HEARTBEATS = 3,
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -213,6 +213,21 @@
             alone = platform_standins.Operator([(system.control[2], platform_system.PORTS.control)], 1)
             self.assertEqual(json.loads(alone.read())['Version'], 1)
 
+    def test_agent_restarted_beside_young_upstream(self):
+        """Guards against resets of open flows whose agent was restarted right after the start of its upstream, and takes
+        its records for complete although an earlier process let the flows in."""
+        with platform_system.PlatformSystem(BUILD) as system:
+            self.deploy(system, n_kiln=2)
+            system.add_upstream('kiln-young', 'kiln', agent_lead_s=0.5)
+            system.loop.run(0.6)
+            for _ in range(18):
+                system.call(SAFE_ROUTE, 'safe', requests=3, pause_s=2)
+            system.loop.run(0.15)
+            system.kill('agent-kiln-young', signal.SIGTERM)
+            system.restart('agent-kiln-young')
+            self.check_finished(system)
+            self.assertGreater(len(system.upstreams['kiln-young'].opened), 0, 'no flow came to the new upstream')
+
     def test_foreign_check_in(self):
         """Guards against a check-in of another program, with fields missing, of another address
         or of a service that does not exist, that makes the node
--- a/tests/test_segment_agent.c
+++ b/tests/test_segment_agent.c
@@ -16,7 +16,8 @@
   QUERY_NUMBER = 77,
   START_US = 10 * G_USEC_PER_SEC,
   HEARTBEAT_MS = 1000,
-  AGENT_STARTED_MS = 10000, /* time of day; most upstreams start at 1, 2, ..., long before the agent */
+  AGENT_STARTED_MS = 10000, /* time of day */
+  START_NUMBERS = 100,      /* lower start times are numbers: in ms after the start of the agent */
   SYN_ACK_SEQUENCE = 5000,  /* of the upstream's SYN-ACK */
 };
 
@@ -174,7 +175,7 @@
     .address = step->kind == STEP_ANNOUNCE_ELSEWHERE ? other_address : upstream_address,
     .state = (oh_announced_state_t)step->a,
     .slots = SLOTS,
-    .started_ms = step->b,
+    .started_ms = step->b < START_NUMBERS ? AGENT_STARTED_MS + step->b : step->b,
     .sequence = (uint64_t)step->c,
   };
 
@@ -471,9 +472,16 @@
   { "an agent whose upstream has not announced itself reports flows absent that the upstream may have",
     { QUERIES, HELD (0, 7), SEARCHES (0), DELIVERED (1), MESSAGES (ABSENT, 0, 0), RETURNS (0, FIXTURE_ACK),
       MESSAGES (ABSENT, 1, 0), QUERIES, HELD (0, 6) } },
-  { "after a power failure every flow is probed at the upstream, although it cannot have any",
-    { READY (AGENT_STARTED_MS - 60, 3), QUERIES, HELD (0, 0), SEARCHES (0), DELIVERED (0),
-      MESSAGES (ABSENT, 1, 0) } },
+  { "an agent that is restarted soon after the start of its upstream takes its records for complete",
+    { READY (AGENT_STARTED_MS - 60, 3), QUERIES, HELD (0, 7), SEARCHES (0), DELIVERED (1),
+      MESSAGES (ABSENT, 0, 0) } },
+  { "an agent that gets the second announcement, with sequence 1, takes its records for complete",
+    { READY (AGENT_STARTED_MS - 900, 1), QUERIES, HELD (0, 7), SEARCHES (0), DELIVERED (1),
+      MESSAGES (ABSENT, 0, 0) } },
+  { "an agent takes its records for complete after the time of day was set back",
+    { READY (AGENT_STARTED_MS + 2000, 1), QUERIES, HELD (0, 7) } },
+  { "an agent takes its records for complete although a late announcement of a former start came first",
+    { READY (1, 9), READY (2, 4), QUERIES, HELD (0, 7) } },
   { "a flow that a balancer knows to be here is reported absent for want of a record",
     { READY (1, 1), REQUESTS (0), DELIVERED (1), MESSAGES (ABSENT, 0, 0), RESPONDS (0),
       MESSAGES (OWNED, 1, 0) } },
