segment_placing: no reset while an upstream may still answer the SYN, or a retransmission went elsewhere

What clients saw: flows reset while they open, or just after they opened, under load.

Cause (H3): an agent reports a SYN that its upstream has not answered for 100 ms as refused, but the upstream may answer later. With all offers refused the balancer took the flow for unopened. It also did so when a retransmission of the SYN may have gone to another balancer, and when the caller had already sent its first segment.

Change: a flow counts as unopened only if every transmission of its SYN that is due came to this balancer, no offer of it was unanswered, and its caller has sent nothing but SYNs.

Cases 'a flow is reset although an upstream that got its SYN may still answer' and three more in test_segment_balancer; the first failed before.

--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -19,6 +19,7 @@
   else
     oh_balancer_flow_touch (balancer, flow);
   flow->closed |= segment->fin || segment->rst;
+  flow->may_be_open = true;
   flow->last_acknowledged = segment->acknowledged;
   if (flow->owned)
     {
@@ -101,6 +102,7 @@
   oh_placement_open_answered (&balancer->placement, relay->load, oh_flow_key_digest (&flow->key), false,
                               balancer->now_us);
   offer->state = OH_OFFER_REFUSED;
+  flow->may_be_open |= relay->refused == OH__RESULT__RESULT_NOT_RUN_UPSTREAM;
   flow->overloaded = relay->refused == OH__RESULT__RESULT_NOT_RUN_OVERLOADED;
   oh_balancer_flow_log (balancer, OH_LOG_INFO, "offer_refused", &flow->key, "upstream=%s result=%d",
                         relay->load->upstream, (int)relay->refused);
--- a/lib/core/segment_balancer.h
+++ b/lib/core/segment_balancer.h
@@ -48,6 +48,10 @@
   OH_SEGMENT_OPEN_TIMEOUT_MS = 1400,     /* a caller abandons a flow that has not opened by then */
   OH_SEGMENT_CLOSED_RETENTION_MS = 5000, /* a record is kept for this long after its flow has closed */
   OH_SEGMENT_SYN_RETRANSMISSIONS = 2,    /* how often a caller retransmits an unanswered SYN */
+  /* When it does so, after the first transmission. */
+  OH_SEGMENT_SYN_RETRANSMISSION_1_MS = 200,
+  OH_SEGMENT_SYN_RETRANSMISSION_2_MS = 600,
+  OH_SEGMENT_SYN_DELAY_MS = 50, /* by which the first transmission may have been later than its successors */
   OH_SEGMENT_STARTUP_MS = 3000, /* after the first confirmed view, while upstreams may still be unannounced */
   OH_SEGMENT_QUERIED_AGENTS_MAX = 128, /* with more agents in a query, a flow is never found to be absent */
   OH_SEGMENT_PAUSE_MS = 300,           /* a gap between events from which on queued input may be outdated */
@@ -121,12 +125,13 @@
 typedef struct
 {
   oh_flow_key_t key;
-  uint32_t syn_sequence;  /* valid if syn_seen */
-  bool syn_seen;          /* this balancer got the SYN, or a retransmission */
-  bool original_syn_seen; /* this balancer got the first transmission of the SYN */
-  bool owned;             /* owner is known: the agent said so, here or to the balancer that told this one */
-  bool from_peer;         /* another balancer, or an earlier process, told the owner */
-  bool closed;            /* the caller has sent a FIN or RST */
+  uint32_t syn_sequence;      /* valid if syn_seen */
+  bool syn_seen;              /* this balancer got the SYN, or a retransmission */
+  unsigned syn_transmissions; /* that this balancer got: bit n is set for the one after n others */
+  bool may_be_open; /* an upstream got the SYN and may answer late, or the caller has sent more than SYNs */
+  bool owned;       /* owner is known: the agent said so, here or to the balancer that told this one */
+  bool from_peer;   /* another balancer, or an earlier process, told the owner */
+  bool closed;      /* the caller has sent a FIN or RST */
   oh_address_t owner;
   unsigned n_offers;
   oh_offer_t offers[OH_SEGMENT_OFFERS_MAX];
--- a/lib/core/segment_placing.c
+++ b/lib/core/segment_placing.c
@@ -46,32 +46,49 @@
   return flow->overloaded || (starting && reason == OH_PLACEMENT_NO_UPSTREAM);
 }
 
+/* Transmissions of the SYN that its caller may have sent by now, as a set of bits. */
+static unsigned
+due_transmissions (const oh_segment_balancer_t *balancer, const oh_balancer_flow_t *flow)
+{
+  const int64_t age_ms = (balancer->now_us - flow->opened_us) / 1000 + OH_SEGMENT_SYN_DELAY_MS;
+
+  return 1U | (age_ms >= OH_SEGMENT_SYN_RETRANSMISSION_1_MS ? 2U : 0)
+         | (age_ms >= OH_SEGMENT_SYN_RETRANSMISSION_2_MS ? 4U : 0);
+}
+
+/* True if the flow has opened nowhere: each transmission of its SYN came to this balancer, and no upstream
+ * that was offered the flow may still answer. */
+static bool
+is_unopened (const oh_segment_balancer_t *balancer, const oh_balancer_flow_t *flow)
+{
+  return (due_transmissions (balancer, flow) & ~flow->syn_transmissions) == 0 && !flow->may_be_open
+         && !flow->owned && !oh_balancer_flow_has_open_offer (flow)
+         && balancer->now_us - flow->opened_us < (int64_t)OH_SEGMENT_OPEN_TIMEOUT_MS * 1000
+         && oh_segment_balancer_caught_up (balancer);
+}
+
 /* Refuses a flow that no agent accepted. Its caller gets a reset at once if the flow cannot have opened,
  * unless there may be capacity when the caller retransmits its SYN. */
 static void
 refuse_flow (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, oh_placement_reason_t reason)
 {
-  /* An earlier transmission of the SYN may have opened the flow through another balancer. */
-  const bool known_unopened
-    = flow->original_syn_seen && !flow->owned && !oh_balancer_flow_has_open_offer (flow)
-      && balancer->now_us - flow->opened_us < (int64_t)OH_SEGMENT_OPEN_TIMEOUT_MS * 1000
-      && oh_segment_balancer_caught_up (balancer);
+  const bool unopened = is_unopened (balancer, flow);
   const bool defer = may_find_capacity (balancer, flow, reason);
 
   oh_balancer_flow_log (balancer, OH_LOG_INFO, "flow_refused", &flow->key,
                         "reason=%s offers=%u copies=%u overloaded=%d age_ms=%" G_GINT64_FORMAT " result=%s",
                         oh_placement_reason_name (reason), flow->n_offers, flow->syn_retransmissions,
                         flow->overloaded, (balancer->now_us - flow->opened_us) / 1000,
-                        defer            ? "held"
-                        : known_unopened ? "reset"
-                                         : "dropped");
+                        defer      ? "held"
+                        : unopened ? "reset"
+                                   : "dropped");
   if (defer)
     {
       oh_counter_increment (&balancer->counters.held);
       flow->n_offers = 0;
       return;
     }
-  if (!known_unopened)
+  if (!unopened)
     return;
   oh_counter_increment (&balancer->counters.resets_refused);
   oh_segment_send_reset (balancer, &flow->key, 0);
@@ -149,7 +166,6 @@
 {
   const unsigned n_offers = flow->n_offers;
 
-  flow->syn_retransmissions++;
   if (flow->owned || balancer->now_us - flow->opened_us > (int64_t)OH_SEGMENT_OPEN_TIMEOUT_MS * 1000)
     {
       oh_counter_increment (&balancer->counters.dropped_late);
@@ -169,6 +185,15 @@
       repeat_offer (balancer, &flow->offers[i], bytes, length);
 }
 
+static void
+note_transmission (oh_balancer_flow_t *flow, const oh_segment_t *syn)
+{
+  const unsigned number = MIN (syn->acknowledged, OH_SEGMENT_SYN_RETRANSMISSIONS);
+
+  flow->syn_transmissions |= 1U << number;
+  flow->syn_retransmissions = MAX (flow->syn_retransmissions, number);
+}
+
 void
 oh_segment_place_syn (oh_segment_balancer_t *balancer, const oh_flow_key_t *key, const oh_segment_t *segment,
                       const uint8_t *bytes, size_t length)
@@ -178,6 +203,7 @@
   if (flow != NULL && flow->syn_seen && flow->syn_sequence == segment->sequence)
     {
       oh_balancer_flow_touch (balancer, flow);
+      note_transmission (flow, segment);
       handle_retransmitted_syn (balancer, flow, bytes, length);
       return;
     }
@@ -198,7 +224,6 @@
   flow = oh_balancer_flow_add (balancer, key);
   flow->syn_seen = true;
   flow->syn_sequence = segment->sequence;
-  flow->original_syn_seen = segment->acknowledged == 0;
-  flow->syn_retransmissions = segment->acknowledged;
+  note_transmission (flow, segment);
   oh_segment_place (balancer, flow, bytes, length);
 }
--- a/standins/platform_standins.py
+++ b/standins/platform_standins.py
@@ -208,6 +208,7 @@
         self.sequence, self.state, self.alive = 0, 'ready', True
         self.flows = {}  # key(segment): state of the flow, as in accept
         self.runs, self.opened = [], []
+        self.syn_delay_s = 0  # before a SYN is answered
         self.draining_acknowledged = None
         self.sock = loop.open_udp(ip, ports.app, self.receive)
         self.send_heartbeat()
@@ -276,7 +277,10 @@
         if segment.flags & SYN:
             if flow is None or flow['caller_isn'] != segment.seq:
                 flow = self.accept(segment)
-            self.send_syn_ack(flow)
+            if self.syn_delay_s > 0:
+                self.loop.after(self.syn_delay_s, lambda: self.send_syn_ack(flow))
+            else:
+                self.send_syn_ack(flow)
         elif flow is None or not (flow['open'] or segment.ack == (flow['isn'] + 1) & 0xffffffff):
             # A flow opens only at the upstream whose SYN-ACK the caller acknowledges.
             self.loop.flows.handle_foreign_segment(self.key(segment), self.ip, self.loop.now())
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -228,6 +228,18 @@
             self.check_finished(system)
             self.assertGreater(len(system.upstreams['kiln-young'].opened), 0, 'no flow came to the new upstream')
 
+    def test_late_answers_to_syns(self):
+        """Guards against resets of flows that opened when their upstream answered the SYN late, after its agent had
+        reported it as unanswered."""
+        with platform_system.PlatformSystem(BUILD) as system:
+            self.deploy(system, n_kiln=1)
+            system.loop.run(3)
+            for delay_ms in range(90, 250, 8):
+                system.upstreams['kiln-0'].syn_delay_s = delay_ms / 1000
+                system.call(SAFE_ROUTE, 'safe', requests=2, length=300)
+                system.loop.run(0.02)
+            self.check_finished(system)
+
     def test_foreign_check_in(self):
         """Guards against a check-in of another program, with fields missing, of another address
         or of a service that does not exist, that makes the node
--- a/tests/test_segment_balancer.c
+++ b/tests/test_segment_balancer.c
@@ -461,6 +461,7 @@
 #define UNKNOWN OH__SEGMENT_RELAY_KIND__SEGMENT_UNKNOWN
 #define OVERLOADED OH__RESULT__RESULT_NOT_RUN_OVERLOADED
 #define DRAINING OH__RESULT__RESULT_NOT_RUN_DRAINING
+#define UNANSWERED OH__RESULT__RESULT_NOT_RUN_UPSTREAM
 
 #define CONFIRMED_VIEW(text)                                                                                 \
   {                                                                                                          \
@@ -544,6 +545,19 @@
   { "a flow is reset while an agent may still open it",
     { CONFIRMED_VIEW (kiln_text), SYN, WAIT (200), RETRANSMITTED_SYN (1), SENT (OPEN, 2),
       FROM_LAST_AGENT (REFUSED, DRAINING), SENT (OPEN, 0), RESETS (0) } },
+  { "a flow is reset although an upstream that got its SYN may still answer",
+    { CONFIRMED_VIEW (kiln_text), WAIT (4000), SYN, FROM_LAST_AGENT (REFUSED, UNANSWERED),
+      FROM_LAST_AGENT (REFUSED, DRAINING), FROM_LAST_AGENT (REFUSED, DRAINING), RESETS (0) } },
+  { "a flow is reset although its caller has opened it, by a late answer to its SYN",
+    { CONFIRMED_VIEW (kiln_text), WAIT (4000), SYN, FROM_LAST_AGENT (REFUSED, DRAINING),
+      FROM_LAST_AGENT (REFUSED, DRAINING), REQUEST, FROM_LAST_AGENT (REFUSED, DRAINING), RESETS (0) } },
+  { "a flow is reset that a retransmission of its SYN may have opened through another balancer",
+    { CONFIRMED_VIEW (kiln_text), WAIT (4000), SYN, FROM_LAST_AGENT (REFUSED, DRAINING),
+      FROM_LAST_AGENT (REFUSED, DRAINING), WAIT (200), FROM_LAST_AGENT (REFUSED, DRAINING), RESETS (0) } },
+  { "the caller of a flow that no agent takes waits, although each transmission of its SYN came here",
+    { CONFIRMED_VIEW (kiln_text), WAIT (4000), SYN, FROM_LAST_AGENT (REFUSED, DRAINING),
+      FROM_LAST_AGENT (REFUSED, DRAINING), WAIT (200), RETRANSMITTED_SYN (1),
+      FROM_LAST_AGENT (REFUSED, DRAINING), RESETS (1) } },
   { "an unanswered SYN is not offered again",
     { CONFIRMED_VIEW (kiln_text), SYN, SENT (OPEN, 1), WAIT (200), RETRANSMITTED_SYN (1), SENT (OPEN, 1) } },
   { "a retransmitted SYN opens a flow over a route that has been dropped",
