segment_agent: flows that open at a new start of the upstream before its first announcement are not reset by it

What clients saw: a reset on a flow that had just opened at an upstream that had just started.

Change: flows that opened after the last announcement of the former incarnation, less a second for one that was handled late, go over to the new one; the upstream returns segments of flows that it does not have, which resets them. None goes over to another service.

Found by reading; not seen in a run of the system.

--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -778,15 +778,42 @@
   agent->sink->ops->log (agent->sink, OH_LOG_INFO, "flow_records", pairs);
 }
 
+/* Assigns flows to the new incarnation that may have opened there before its first announcement. Flows that
+ * opened before the last announcement of the former one are certainly of that one. The upstream returns the
+ * segments of those that it does not have. None is assigned to an upstream of another service. */
+static void
+adopt_flows (oh_segment_agent_t *agent, const oh_upstream_identity_t *former)
+{
+  const int64_t certain_us = former->last_heard_us - (int64_t)OH_SEGMENT_ANNOUNCEMENT_DELAY_MS * 1000;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (former->generation != 0 && former->service_id != agent->identity.service_id)
+    return;
+  g_hash_table_iter_init (&iter, agent->flows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      oh_agent_flow_t *flow = value;
+
+      if (flow->generation != 0 && flow->opened_us < certain_us)
+        continue;
+      flow->generation = agent->identity.generation;
+      /* They are no load of the new incarnation unless their callers send something. */
+      set_awaiting_response (agent, flow, false);
+      end_awaiting_request (agent, flow);
+    }
+}
+
 static void
 apply_identity_change (oh_segment_agent_t *agent, const oh_announcement_t *announcement,
-                       oh_identity_change_t change)
+                       oh_identity_change_t change, const oh_upstream_identity_t *former)
 {
   if (change == OH_IDENTITY_REPLACED)
     {
       agent->unanswered_syns = 0;
       agent->records_complete = is_first_announcement (agent, announcement);
       log_records (agent, announcement);
+      adopt_flows (agent, former);
       reset_orphaned_flows (agent, "upstream-replaced");
     }
   report_load (agent);
@@ -797,6 +824,7 @@
 oh_segment_agent_announce (oh_segment_agent_t *agent, const oh_announcement_t *announcement, int64_t now_us,
                            oh_segment_agent_sink_t *sink)
 {
+  const oh_upstream_identity_t former = agent->identity;
   oh_identity_change_t change;
   oh_announcement_result_t result;
 
@@ -811,7 +839,7 @@
   if (change != OH_IDENTITY_REFRESHED)
     log_announcement (agent, announcement, result);
   if (change == OH_IDENTITY_CHANGED || change == OH_IDENTITY_REPLACED)
-    apply_identity_change (agent, announcement, change);
+    apply_identity_change (agent, announcement, change, &former);
   agent->sink = NULL;
   return result;
 }
--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -29,9 +29,10 @@
   OH_SEGMENT_REQUEST_TIMEOUT_MS = 10000, /* a request without a response for this long counts as abandoned */
   OH_SEGMENT_LEAVE_GRACE_MS = 500, /* an upstream exits within this time after announcing that it leaves */
   OH_SEGMENT_ADMIT_PER_SLOT = 3,   /* admission limit: requests per slot, running or expected */
-  OH_SEGMENT_ADMIT_PER_SLOT_WARMING = 2, /* the same while the upstream warms up */
-  OH_SEGMENT_FIRST_REQUEST_MS = 300,     /* a new flow that brings no request within this time is idle */
-  OH_SEGMENT_CLOCK_TOLERANCE_MS = 50,    /* between two readings of the time of day on one VM */
+  OH_SEGMENT_ADMIT_PER_SLOT_WARMING = 2,   /* the same while the upstream warms up */
+  OH_SEGMENT_FIRST_REQUEST_MS = 300,       /* a new flow that brings no request within this time is idle */
+  OH_SEGMENT_ANNOUNCEMENT_DELAY_MS = 1000, /* an announcement may be handled this long after it was sent */
+  OH_SEGMENT_CLOCK_TOLERANCE_MS = 50,      /* between two readings of the time of day on one VM */
   /* An agent without an announcement is listed for this many heartbeat intervals after its start; an upstream
    * that is running announces itself in that time. */
   OH_SEGMENT_UNANNOUNCED_HEARTBEATS = 3,
