--- a/daemons/oriole_flow_agent.c
+++ b/daemons/oriole_flow_agent.c
@@ -259,7 +259,7 @@
 on_stop_signal (gpointer data)
 {
   agent_t *agent = data;
-  const bool upstream_gone = agent->core.identity.state == OH_ANNOUNCED_LEFT;
+  const bool upstream_gone = oh_upstream_identity_has_left (&agent->core.identity);
   const int64_t delay_ms = upstream_gone ? agent->settings.leave_ms : STOP_DELAY_MS;
 
   if (agent->leaving)
@@ -334,7 +334,7 @@
   oh_heartbeat_http_stop (agent->heartbeats);
   /* While the upstream runs, the agent stays listed until its lease ends: the upstream still has its flows,
    * and no other process can report that. */
-  if (agent->core.identity.state == OH_ANNOUNCED_LEFT)
+  if (oh_upstream_identity_has_left (&agent->core.identity))
     oh_view_client_stop (agent->view_client);
   else
     oh_view_client_stop_without_leaving (agent->view_client);
--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -283,7 +283,7 @@
 static bool
 has_left (const oh_segment_agent_t *agent)
 {
-  return agent->identity.generation != 0 && agent->identity.state == OH_ANNOUNCED_LEFT
+  return oh_upstream_identity_has_left (&agent->identity)
          && agent->now_us - agent->identity.last_heard_us >= (int64_t)OH_SEGMENT_LEAVE_GRACE_MS * 1000;
 }
 
--- a/lib/core/upstream_identity.c
+++ b/lib/core/upstream_identity.c
@@ -172,6 +172,12 @@
   g_assert_not_reached ();
 }
 
+bool
+oh_upstream_identity_has_left (const oh_upstream_identity_t *identity)
+{
+  return identity->generation > 0 && identity->state == OH_ANNOUNCED_LEFT;
+}
+
 bool
 oh_upstream_identity_accepts_flows (const oh_upstream_identity_t *identity, int64_t now_us)
 {
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -228,6 +228,19 @@
             self.check_finished(system)
             self.assertGreater(len(system.upstreams['kiln-young'].opened), 0, 'no flow came to the new upstream')
 
+    def test_agent_stopped_before_an_announcement(self):
+        """Guards against an agent that takes its upstream for gone because it has not heard of it yet, and leaves the list
+        of agents that are asked for flows."""
+        with platform_system.PlatformSystem(BUILD) as system:
+            self.deploy(system, n_kiln=1)
+            system.start_agent('agent-silent', f'{system.network}.3.9')
+            system.loop.run(1)
+            system.kill('agent-silent', signal.SIGTERM, limit_s=1)
+            system.loop.run(0.5)
+            self.assertIn('upstream_gone=0', system.log('agent-silent'))
+            for index in range(3):
+                self.assertNotIn('event=node_left', system.log(f'control-{index}'))
+
     def test_late_answers_to_syns(self):
         """Guards against resets of flows that opened when their upstream answered the SYN late, after its agent had
         reported it as unanswered."""
