segment_agent: what an upstream sends for a flow that is not open there neither resets nor claims it

Three in the agent: - the reset of an upstream that answered a SYN, but where the caller did not open the flow, went to the caller, who may have opened it elsewhere; - a FIN or RST without data made an agent without a record take the flow for open here; the next segment is returned by the upstream, and the caller reset; - an upstream that had announced that it leaves was taken for gone 500 ms later, even if it still sent segments.

--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -283,8 +283,10 @@
 static bool
 has_left (const oh_segment_agent_t *agent)
 {
+  const int64_t heard_us = MAX (agent->identity.last_heard_us, agent->upstream_sent_us);
+
   return oh_upstream_identity_has_left (&agent->identity)
-         && agent->now_us - agent->identity.last_heard_us >= (int64_t)OH_SEGMENT_LEAVE_GRACE_MS * 1000;
+         && agent->now_us - heard_us >= (int64_t)OH_SEGMENT_LEAVE_GRACE_MS * 1000;
 }
 
 /* Resets the flows whose upstream is gone. A caller that only waits for a response sends no segment that a
@@ -668,15 +670,15 @@
           &flow->key, NULL, 0);
 }
 
-/* The upstream answers a probe with a reset. Another upstream may have the flow, so the reset must not reach
- * the caller. */
+/* The upstream resets a flow that it was only probed with, or that its caller has not opened here. Another
+ * upstream may have the flow, so the reset must not reach the caller. */
 static void
-handle_probe_reset (oh_segment_agent_t *agent, oh_agent_flow_t *flow)
+handle_reset_elsewhere (oh_segment_agent_t *agent, oh_agent_flow_t *flow)
 {
   const bool probed = flow->state == OH_AGENT_FLOW_PROBED;
 
-  log_flow (agent, OH_LOG_INFO, "probe_reset", &flow->key, "generation=%u search=%u", flow->generation,
-            flow->query);
+  log_flow (agent, OH_LOG_INFO, "probe_reset", &flow->key, "generation=%u search=%u state=%d",
+            flow->generation, flow->query, (int)flow->state);
   set_state (agent, flow, OH_AGENT_FLOW_ABSENT);
   if (probed)
     answer_absent (agent, &flow->key, flow->balancer, flow->query, ABSENT_DENIED, NULL, 0);
@@ -694,6 +696,7 @@
       oh_counter_increment (&agent->counters.dropped_malformed);
       return;
     }
+  agent->upstream_sent_us = agent->now_us;
   if (segment.returned)
     {
       handle_returned (agent, &segment, bytes, length);
@@ -701,10 +704,16 @@
     }
   key = (oh_flow_key_t){ .caller = segment.to, .route = segment.from };
   flow = g_hash_table_lookup (agent->flows, &key);
-  if (flow != NULL && segment.rst
-      && (flow->state == OH_AGENT_FLOW_PROBED || flow->state == OH_AGENT_FLOW_ABSENT))
+  if (flow != NULL && segment.rst && flow->state != OH_AGENT_FLOW_OPEN)
+    {
+      handle_reset_elsewhere (agent, flow);
+      return;
+    }
+  if (flow == NULL && !segment.syn && segment.length == 0 && (segment.fin || segment.rst))
     {
-      handle_probe_reset (agent, flow);
+      /* An upstream may also end a flow that the caller has opened elsewhere: no proof that it has been here.
+       */
+      agent->sink->ops->send_caller (agent->sink, key.caller, bytes, length);
       return;
     }
   if (flow == NULL || flow->generation != agent->identity.generation)
--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -27,8 +27,9 @@
   OH_SEGMENT_SYN_TIMEOUT_MS = 100,       /* a live upstream answers a SYN within a few milliseconds */
   OH_SEGMENT_SYN_MAX_BYTES = 128,        /* a SYN carries no data */
   OH_SEGMENT_REQUEST_TIMEOUT_MS = 10000, /* a request without a response for this long counts as abandoned */
-  OH_SEGMENT_LEAVE_GRACE_MS = 500, /* an upstream exits within this time after announcing that it leaves */
-  OH_SEGMENT_ADMIT_PER_SLOT = 3,   /* admission limit: requests per slot, running or expected */
+  /* An upstream that has announced that it leaves has exited once it was silent for this time. */
+  OH_SEGMENT_LEAVE_GRACE_MS = 500,
+  OH_SEGMENT_ADMIT_PER_SLOT = 3,           /* admission limit: requests per slot, running or expected */
   OH_SEGMENT_ADMIT_PER_SLOT_WARMING = 2,   /* the same while the upstream warms up */
   OH_SEGMENT_FIRST_REQUEST_MS = 300,       /* a new flow that brings no request within this time is idle */
   OH_SEGMENT_ANNOUNCEMENT_DELAY_MS = 1000, /* an announcement may be handled this long after it was sent */
@@ -183,6 +184,7 @@
   oh_segment_agent_counters_t counters;
   oh_histogram_t first_answer_seconds;
   oh_histogram_t request_seconds;
+  int64_t upstream_sent_us; /* last segment from the upstream */
   int64_t now_us;
   oh_segment_agent_sink_t *sink; /* set only while an event is handled */
   oh_arena_t arena;
