segment_agent: records are not complete any more once one of an open flow was evicted

The table of flows removes the oldest record when it is full, also that of an open flow, and went on to answer searches with 'absent'.

Found by reading. Test that failed before: /segment-agent/evicted-record.

--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -100,6 +100,16 @@
   return agent->config.max_flows * 2;
 }
 
+static void
+evict_oldest (oh_segment_agent_t *agent)
+{
+  oh_agent_flow_t *oldest = oh_list_entry (agent->lru.next, oh_agent_flow_t, lru_link);
+
+  if (oldest->state == OH_AGENT_FLOW_OPEN && !oldest->closed)
+    agent->records_complete = false;
+  remove_flow (agent, oldest);
+}
+
 static oh_agent_flow_t *
 add_flow (oh_segment_agent_t *agent, const oh_flow_key_t *key, oh_agent_flow_state_t state)
 {
@@ -108,7 +118,7 @@
   if (flow != NULL)
     remove_flow (agent, flow);
   if (g_hash_table_size (agent->flows) >= max_records (agent))
-    remove_flow (agent, oh_list_entry (agent->lru.next, oh_agent_flow_t, lru_link));
+    evict_oldest (agent);
   flow = g_new0 (oh_agent_flow_t, 1);
   flow->key = *key;
   flow->generation = agent->identity.generation;
--- a/tests/test_segment_agent.c
+++ b/tests/test_segment_agent.c
@@ -627,6 +627,27 @@
   teardown (&fixture);
 }
 
+/* Guards against an agent that reports an open flow absent whose record it has removed for want of room. */
+static void
+test_evicted_record (void)
+{
+  static fixture_t fixture;
+  const step_t ready = READY (1, 1);
+  const step_t query = QUERIES;
+
+  setup (&fixture);
+  handle_announcement (&fixture, &ready);
+  for (int i = 0; i <= 40; i++)
+    {
+      const step_t response = RESPONDS (i);
+
+      run_step (&fixture, &response, "respond", (unsigned)i);
+    }
+  run_step (&fixture, &query, "query", 0);
+  expect_held (&fixture, &(const step_t)HELD (6, 1), "evicted record", 0);
+  teardown (&fixture);
+}
+
 /* Guards against resets of flows whose upstream is alive: a restarted agent that is not listed until the
  * upstream's next announcement is left out of searches. Guards also against an agent that stays listed
  * although its upstream is gone and never announces itself. */
@@ -665,6 +686,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/segment-agent/cases", test_cases);
   g_test_add_func ("/segment-agent/record-limit", test_record_limit);
+  g_test_add_func ("/segment-agent/evicted-record", test_evicted_record);
   g_test_add_func ("/segment-agent/listed", test_listed);
   return g_test_run ();
 }
