--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -151,8 +151,6 @@
   if (flow->owned || oh_balancer_flow_has_open_offer (flow))
     return;
   flow->query = 0;
-  if (relay->denied) /* its upstream got segments of the flow */
-    flow->probe_after_us = balancer->now_us + (int64_t)OH_SEGMENT_PROBE_AFTER_OWNER_MS * 1000;
   if (relay->segment.len > 0)
     oh_balancer_flow_queue_segment (balancer, flow, relay->segment.data, relay->segment.len);
   oh_segment_search_start (balancer, flow);
--- a/lib/core/segment_balancer.h
+++ b/lib/core/segment_balancer.h
@@ -36,18 +36,13 @@
   OH_SEGMENT_DIRECTORY_NODES = 2,          /* balancers that the owner of a flow is published to */
   OH_SEGMENT_PENDING_MAX = 4,              /* segments of one flow that are kept until its owner is known */
   OH_SEGMENT_LOOKUP_TIMEOUT_MS = 50,       /* wait for directory nodes, before the agents are queried */
-  /* Between two agents that probe their upstreams for a flow: of the segments that reach upstreams without
-   * the flow, fewer than three fall into any two seconds. */
-  OH_SEGMENT_PROBE_INTERVAL_MS = 1100,
-  /* After an agent that was recorded as the owner has probed its upstream with up to two segments. */
-  OH_SEGMENT_PROBE_AFTER_OWNER_MS = 2000,
-  OH_SEGMENT_LOOKUP_ZONES_MAX = 16,      /* other availability zones in which an owner is looked up */
-  OH_SEGMENT_QUERY_RETRY_MS = 100,       /* after a query that not all agents have answered */
-  OH_SEGMENT_QUERY_FLOWS_MAX = 100,      /* flows in one query; fits a datagram */
-  OH_SEGMENT_QUERIES_MAX = 64,           /* most recent queries, whose answers are accepted */
-  OH_SEGMENT_OPEN_TIMEOUT_MS = 1400,     /* a caller abandons a flow that has not opened by then */
-  OH_SEGMENT_CLOSED_RETENTION_MS = 5000, /* a record is kept for this long after its flow has closed */
-  OH_SEGMENT_SYN_RETRANSMISSIONS = 2,    /* how often a caller retransmits an unanswered SYN */
+  OH_SEGMENT_LOOKUP_ZONES_MAX = 16,        /* other availability zones in which an owner is looked up */
+  OH_SEGMENT_QUERY_RETRY_MS = 100,         /* after a query that not all agents have answered */
+  OH_SEGMENT_QUERY_FLOWS_MAX = 100,        /* flows in one query; fits a datagram */
+  OH_SEGMENT_QUERIES_MAX = 64,             /* most recent queries, whose answers are accepted */
+  OH_SEGMENT_OPEN_TIMEOUT_MS = 1400,       /* a caller abandons a flow that has not opened by then */
+  OH_SEGMENT_CLOSED_RETENTION_MS = 5000,   /* a record is kept for this long after its flow has closed */
+  OH_SEGMENT_SYN_RETRANSMISSIONS = 2,      /* how often a caller retransmits an unanswered SYN */
   /* When it does so, after the first transmission. */
   OH_SEGMENT_SYN_RETRANSMISSION_1_MS = 200,
   OH_SEGMENT_SYN_RETRANSMISSION_2_MS = 600,
@@ -147,10 +142,9 @@
   uint32_t query;           /* number of the last query that named the flow; 0: none */
   int64_t queried_us;       /* when that query was sent */
   unsigned n_absent;        /* agents of the query that do not own the flow */
-  uint64_t absent[OH_SEGMENT_QUERIED_AGENTS_MAX / 64]; /* one bit per agent of the query */
-  int64_t probe_after_us;     /* earliest time at which another agent may probe its upstream */
-  GArray *probed;             /* of oh_address_t: agents that did; NULL if there are none */
-  unsigned n_to_probe;        /* agents of the query that have to and did not yet */
+  unsigned n_undecided;     /* agents of the query that cannot tell without a probe of their upstream */
+  oh_address_t undecided;   /* one of them */
+  uint64_t answered[OH_SEGMENT_QUERIED_AGENTS_MAX / 64]; /* one bit per agent of the query, for both */
   int64_t all_absent_us;      /* when every agent of the query had reported it absent; 0: never */
   uint32_t last_acknowledged; /* by the caller's last segment */
   int64_t opened_us;          /* when the record was added */
--- a/lib/core/segment_flows.c
+++ b/lib/core/segment_flows.c
@@ -25,7 +25,6 @@
   oh_list_remove (&flow->lru_link);
   oh_list_remove (&flow->lookup_link);
   g_clear_pointer (&flow->pending, g_ptr_array_unref);
-  g_clear_pointer (&flow->probed, g_array_unref);
   g_free (flow);
 }
 
--- a/lib/core/segment_search.c
+++ b/lib/core/segment_search.c
@@ -95,8 +95,8 @@
       flow->query = query->number;
       flow->queried_us = balancer->now_us;
       flow->n_absent = 0;
-      flow->n_to_probe = 0;
-      memset (flow->absent, 0, sizeof flow->absent);
+      flow->n_undecided = 0;
+      memset (flow->answered, 0, sizeof flow->answered);
       g_array_append_val (query->flows, key);
     }
   g_array_remove_range (balancer->query_queue, 0, n_taken);
@@ -193,11 +193,10 @@
     send_queries (balancer);
 }
 
-/* Every agent of the query has reported the flow absent. That does not prove that the flow has ended: the
- * agent that owns it may be missing from the view, or may have lost its record. So the caller is not reset.
- */
+/* No agent of the query is known to own the flow. That does not prove that the flow has ended: the agent that
+ * owns it may be missing from the view, or may have lost its record. So the caller is not reset. */
 static void
-end_absent_flow (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const oh_segment_query_t *query)
+end_query (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const oh_segment_query_t *query)
 {
   if (query->agents_digest != digest_agents (balancer))
     {
@@ -205,26 +204,12 @@
       return;
     }
   oh_balancer_flow_log (balancer, OH_LOG_INFO, "flow_absent", &flow->key,
-                        "question=%u asked=%u listed=%d lookup_age_ms=%" G_GINT64_FORMAT, query->number,
-                        query->agents->len, balancer->all_listed,
+                        "question=%u asked=%u undecided=%u listed=%d lookup_age_ms=%" G_GINT64_FORMAT,
+                        query->number, query->agents->len, flow->n_undecided, balancer->all_listed,
                         flow->lookup_us != 0 ? (balancer->now_us - flow->lookup_us) / 1000 : -1);
   flow->all_absent_us = balancer->now_us;
 }
 
-static void
-mark_absent (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const oh_segment_query_t *query,
-             unsigned index)
-{
-  const uint64_t bit = (uint64_t)1 << (index % BITS_PER_WORD);
-
-  if (index >= OH_SEGMENT_QUERIED_AGENTS_MAX || (flow->absent[index / BITS_PER_WORD] & bit) != 0)
-    return;
-  flow->absent[index / BITS_PER_WORD] |= bit;
-  flow->n_absent++;
-  if (flow->n_absent == query->agents->len)
-    end_absent_flow (balancer, flow, query);
-}
-
 /* Sends a segment of the flow to an agent that cannot tell without it. */
 static void
 send_wanted_segment (oh_segment_balancer_t *balancer, const oh_balancer_flow_t *flow, oh_address_t agent)
@@ -241,35 +226,48 @@
                                length);
 }
 
-static bool
-was_probed (const oh_balancer_flow_t *flow, oh_address_t agent)
+/* Every agent has answered. If one of them cannot tell, by elimination it is the likely owner, and may probe
+ * its upstream. If more cannot tell, none may: segments would reach upstreams without the flow. */
+static void
+conclude_query (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const oh_segment_query_t *query)
 {
-  for (guint i = 0; flow->probed != NULL && i < flow->probed->len; i++)
-    if (oh_address_equal (g_array_index (flow->probed, oh_address_t, i), agent))
-      return true;
-  return false;
+  if (flow->n_undecided == 1)
+    send_wanted_segment (balancer, flow, flow->undecided);
+  else
+    end_query (balancer, flow, query);
 }
 
-/* Lets an agent without a record probe its upstream. Unless it is the owner, a segment reaches an upstream
- * without the flow; so agents take turns, those that were not asked before first. */
+/* Records that an agent does not have the flow, or cannot tell without a probe of its upstream. */
 static void
-let_probe (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const oh_segment_query_t *query,
-           oh_address_t agent)
+mark_answered (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const oh_segment_query_t *query,
+               unsigned index, bool absent)
 {
-  flow->n_to_probe++;
-  if (balancer->now_us >= flow->probe_after_us && flow->pending != NULL && balancer->search_budget > 0
-      && !was_probed (flow, agent))
+  const uint64_t bit = (uint64_t)1 << (index % BITS_PER_WORD);
+  const oh_address_t agent = g_array_index (query->agents, oh_address_t, index);
+
+  if (index >= OH_SEGMENT_QUERIED_AGENTS_MAX)
+    return;
+  if ((flow->answered[index / BITS_PER_WORD] & bit) != 0)
+    {
+      if (absent && flow->n_undecided == 1 && oh_address_equal (flow->undecided, agent))
+        {
+          flow->n_undecided = 0; /* its upstream has returned the segment */
+          flow->n_absent++;
+          if (flow->n_absent == query->agents->len)
+            end_query (balancer, flow, query);
+        }
+      return;
+    }
+  flow->answered[index / BITS_PER_WORD] |= bit;
+  if (absent)
+    flow->n_absent++;
+  else
     {
-      if (flow->probed == NULL)
-        flow->probed = g_array_new (FALSE, FALSE, sizeof (oh_address_t));
-      g_array_append_val (flow->probed, agent);
-      flow->probe_after_us = balancer->now_us + (int64_t)OH_SEGMENT_PROBE_INTERVAL_MS * 1000;
-      send_wanted_segment (balancer, flow, agent);
+      flow->n_undecided++;
+      flow->undecided = agent;
     }
-  /* All agents that cannot tell have had their turn. */
-  if (flow->probed != NULL && flow->n_to_probe + flow->n_absent == query->agents->len
-      && flow->probed->len >= flow->n_to_probe)
-    g_clear_pointer (&flow->probed, g_array_unref);
+  if (flow->n_absent + flow->n_undecided == query->agents->len)
+    conclude_query (balancer, flow, query);
 }
 
 void
@@ -310,7 +308,7 @@
   unsigned index;
 
   if (query != NULL && is_searched (flow, number) && find_agent (query, agent, &index))
-    mark_absent (balancer, flow, query, index);
+    mark_answered (balancer, flow, query, index, true);
 }
 
 static bool
@@ -346,10 +344,8 @@
         send_wanted_segment (balancer, flow, agent);
       else if (bit_is_set (&relay->held, i))
         oh_segment_search_handle_owned (balancer, flow, agent);
-      else if (bit_is_set (&relay->wanted, i))
-        let_probe (balancer, flow, query, agent);
       else
-        mark_absent (balancer, flow, query, index);
+        mark_answered (balancer, flow, query, index, !bit_is_set (&relay->wanted, i));
     }
 }
 
--- a/lib/core/segment_search.h
+++ b/lib/core/segment_search.h
@@ -5,7 +5,7 @@
 /*
  * Finds the owner of a flow by querying every agent. One query names several flows while there are many to
  * search, as after the loss of all records. Most agents can tell from their records whether they own a flow;
- * one that cannot gets a segment of the flow and probes its upstream with it, one agent at a time. A flow
+ * one that cannot gets a segment of the flow and probes its upstream with it, if it is the only one. A flow
  * that every agent reports as absent is not reset, as the view may lack its owner; one of its next segments
  * starts another search.
  */
