--- /dev/null
+++ b/lib/core/segment_agent_replies.c
@@ -0,0 +1,188 @@
+#include "core/segment_agent_private.h"
+
+/* Fraction of its slots that a warming upstream offers. */
+#define WARMING_SHARE 0.6
+
+static unsigned
+offered_slots (const oh_segment_agent_t *agent)
+{
+  const oh_upstream_identity_t *identity = &agent->identity;
+
+  if (!oh_upstream_identity_accepts_flows (identity, agent->now_us))
+    return 0;
+  if (agent->now_us < identity->warmup_ends_us)
+    return MAX (1u, (unsigned)(identity->slots * WARMING_SHARE));
+  return MAX (1u, identity->slots);
+}
+
+static Oh__UpstreamState
+upstream_state (const oh_segment_agent_t *agent)
+{
+  const oh_upstream_identity_t *identity = &agent->identity;
+
+  if (identity->state != OH_ANNOUNCED_READY)
+    return OH__UPSTREAM_STATE__UPSTREAM_DRAINING;
+  if (!oh_upstream_identity_accepts_flows (identity, agent->now_us)
+      || agent->unanswered_syns >= OH_SEGMENT_SUSPECT_SYNS)
+    return OH__UPSTREAM_STATE__UPSTREAM_SUSPECT;
+  if (agent->now_us < identity->warmup_ends_us)
+    return OH__UPSTREAM_STATE__UPSTREAM_WARMING;
+  return OH__UPSTREAM_STATE__UPSTREAM_READY;
+}
+
+void
+oh_segment_agent_get_load (oh_segment_agent_t *agent, int64_t now_us, Oh__Load *load, Oh__Address *relay)
+{
+  agent->now_us = MAX (agent->now_us, now_us);
+  oh__load__init (load);
+  oh_address_to_wire (agent->config.relay, relay);
+  load->upstream = (char *)agent->config.name;
+  load->service = agent->identity.service_id;
+  /* A restart of the upstream is a new incarnation, too. */
+  load->incarnation = agent->config.incarnation + agent->identity.generation;
+  load->sequence = ++agent->report_sequence;
+  load->slots = offered_slots (agent);
+  load->busy = MIN (agent->n_awaiting_response, agent->identity.slots);
+  /* A flow that has just opened is expected to bring a request. */
+  load->queued = agent->n_awaiting_response - load->busy + agent->n_awaiting_request;
+  load->flows = agent->n_open + agent->n_opening;
+  load->max_flows = agent->config.max_flows;
+  load->state = upstream_state (agent);
+  load->agent = relay;
+}
+
+static size_t
+encode (oh_segment_agent_t *agent, Oh__SegmentRelay *relay)
+{
+  Oh__Load load;
+  Oh__Address self;
+  size_t size;
+
+  oh_segment_agent_get_load (agent, agent->now_us, &load, &self);
+  relay->load = &load;
+  size = oh_segment_relay_encode (relay, &agent->keyring, agent->out, sizeof agent->out);
+  relay->load = NULL;
+  return size;
+}
+
+void
+oh_segment_agent_report_load (oh_segment_agent_t *agent)
+{
+  Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
+  size_t size;
+
+  if (agent->identity.generation == 0)
+    return;
+  relay.kind = OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD;
+  size = encode (agent, &relay);
+  agent->reported_us = agent->now_us;
+  if (size > 0)
+    agent->sink->ops->report (agent->sink, agent->out, size);
+}
+
+/* Reports the state of a flow to a balancer. bytes is the segment to return, if any. */
+static void
+send_answer (oh_segment_agent_t *agent, oh_address_t balancer, Oh__SegmentRelay *relay,
+             const oh_flow_key_t *key, const uint8_t *bytes, size_t length)
+{
+  Oh__Address caller;
+  Oh__Address route;
+  size_t size;
+
+  oh_address_to_wire (key->caller, &caller);
+  oh_address_to_wire (key->route, &route);
+  relay->caller = &caller;
+  relay->route = &route;
+  relay->segment.data = (uint8_t *)bytes;
+  relay->segment.len = length;
+  size = encode (agent, relay);
+  if (size > 0 && balancer.port != 0)
+    agent->sink->ops->send_balancer (agent->sink, balancer, agent->out, size);
+  relay->caller = NULL;
+  relay->route = NULL;
+}
+
+void
+oh_segment_agent_answer (oh_segment_agent_t *agent, oh_address_t balancer, Oh__SegmentRelayKind kind,
+                         Oh__Result refused, const oh_flow_key_t *key, const uint8_t *bytes, size_t length)
+{
+  Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
+
+  relay.kind = kind;
+  relay.refused = refused;
+  send_answer (agent, balancer, &relay, key, bytes, length);
+}
+
+void
+oh_segment_agent_deliver (oh_segment_agent_t *agent, const uint8_t *bytes, size_t length)
+{
+  oh_counter_increment (&agent->counters.delivered);
+  agent->sink->ops->send_upstream (agent->sink, bytes, length);
+}
+
+void
+oh_segment_agent_refuse_syn (oh_segment_agent_t *agent, oh_address_t balancer, const oh_flow_key_t *key,
+                             Oh__Result result, const uint8_t *bytes, size_t length)
+{
+  oh_counter_increment (&agent->counters.refused);
+  oh_agent_flow_log (agent, OH_LOG_INFO, "first_refused", key, "result=%d state=%d generation=%u open=%u",
+                     (int)result, (int)agent->identity.state, agent->identity.generation, agent->n_open);
+  oh_segment_agent_answer (agent, balancer, OH__SEGMENT_RELAY_KIND__SEGMENT_REFUSED, result, key, bytes,
+                           length);
+}
+
+void
+oh_segment_agent_reset_flow (oh_segment_agent_t *agent, oh_agent_flow_t *flow, const char *reason)
+{
+  uint8_t buffer[OH_SEGMENT_RESET_MAX_BYTES];
+  const size_t length = agent->config.format->ops->make_reset (agent->config.format, &flow->key,
+                                                               flow->caller_acknowledged, buffer);
+
+  oh_counter_increment (&agent->counters.resets);
+  oh_agent_flow_log (agent, OH_LOG_INFO, "flow_reset", &flow->key, "reason=%s generation=%u now=%u", reason,
+                     flow->generation, agent->identity.generation);
+  agent->sink->ops->send_caller (agent->sink, flow->key.caller, buffer, length);
+}
+
+bool
+oh_segment_agent_has_left (const oh_segment_agent_t *agent)
+{
+  const int64_t heard_us = MAX (agent->identity.last_heard_us, agent->upstream_sent_us);
+
+  return oh_upstream_identity_has_left (&agent->identity)
+         && agent->now_us - heard_us >= (int64_t)OH_SEGMENT_LEAVE_GRACE_MS * 1000;
+}
+
+void
+oh_segment_agent_reset_orphaned_flows (oh_segment_agent_t *agent, const char *reason)
+{
+  const bool left = oh_segment_agent_has_left (agent);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, agent->flows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      oh_agent_flow_t *flow = value;
+
+      if (flow->state != OH_AGENT_FLOW_OPEN || flow->closed || flow->generation == 0
+          || (!left && flow->generation == agent->identity.generation))
+        continue;
+      oh_segment_agent_reset_flow (agent, flow, reason);
+      oh_agent_flow_close (agent, flow);
+    }
+}
+
+void
+oh_segment_agent_answer_absent (oh_segment_agent_t *agent, const oh_flow_key_t *key, oh_address_t balancer,
+                                uint32_t query, oh_absent_reason_t reason, const uint8_t *bytes,
+                                size_t length)
+{
+  Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
+
+  oh_counter_increment (&agent->counters.absent);
+  relay.kind = OH__SEGMENT_RELAY_KIND__SEGMENT_ABSENT;
+  relay.search = query;
+  relay.denied = reason == OH_ABSENT_DENIED;
+  send_answer (agent, balancer, &relay, key, query == 0 ? bytes : NULL, query == 0 ? length : 0);
+}
--- a/lib/core/upstream_identity.h
+++ b/lib/core/upstream_identity.h
@@ -60,7 +60,8 @@
  * returns false. */
 bool oh_upstream_identity_check_service (oh_upstream_identity_t *identity);
 
-/* True if the upstream has announced that it leaves. False before its first announcement: it may be running. */
+/* True if the upstream has announced that it leaves. False before its first announcement: it may be running.
+ */
 bool oh_upstream_identity_has_left (const oh_upstream_identity_t *identity);
 
 /* True if the upstream is ready and not silent, so that it can take new flows. */
--- a/tests/segment_sim.c
+++ b/tests/segment_sim.c
@@ -234,8 +234,8 @@
   caller->requests_left = 1 + random_index (sim, 8);
   caller->waiting = false;
   g_array_set_size (caller->foreign, 0);
-  for (uint8_t i = 0; i < G_N_ELEMENTS (syn_ms); i++)
-    schedule_bytes (sim, syn_ms[i] * SIM_MS, retransmit_syn, index, number, &i, 1);
+  for (size_t i = 0; i < G_N_ELEMENTS (syn_ms); i++)
+    schedule_bytes (sim, syn_ms[i] * SIM_MS, retransmit_syn, index, number, &(uint8_t){ (uint8_t)i }, 1);
   schedule (sim, 1400 * SIM_MS, give_up, index, number);
 }
 
