--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -13,7 +13,7 @@
     rf'oh_log_(?:info|warning|error|debug) \({NAME}',
     rf'oh_log_(?:event|limited) \([a-zA-Z_]+, [A-Z_]+, {NAME}',
     rf'(?:log_event|oh_raft_log_line) \([a-z]+, {NAME}',
-    rf'(?:log_flow|oh_balancer_flow_log|oh_agent_log|emit_log) \([^;"]*?{NAME}',
+    rf'(?:oh_agent_flow_log|oh_balancer_flow_log|oh_agent_log|emit_log) \([^;"]*?{NAME}',
     rf'ops->log \([a-z]+->sink, (?:OH_LOG_[A-Z]+|level), {NAME}',
     r'event=([a-z_]+) total=',
     r'log_event \(core, [a-z>.-]+ \? "([a-z_]+)" : "[a-z_]+"',
