segment_agent: flows that a new start of the upstream does not have are reset at once again

A caller that only waits for a response sends nothing, so after the flows that had opened shortly before their upstream was replaced were not reset any more: their callers waited for their deadlines.

Change: the agent keeps the last segment of a request without a response, and delivers it again when the flow goes over to a new incarnation. An upstream with the flow takes it for a retransmission, one without it returns it, which resets the caller.

--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -327,7 +327,7 @@
   *agent = (oh_segment_agent_t){
     .config = *config,
     .keyring = *keyring,
-    .flows = g_hash_table_new_full (oh_flow_key_hash, oh_flow_key_equal, NULL, g_free),
+    .flows = g_hash_table_new_full (oh_flow_key_hash, oh_flow_key_equal, NULL, oh_agent_flow_free),
     .by_digest = g_hash_table_new (g_int64_hash, g_int64_equal),
   };
   oh_list_init (&agent->lru);
--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -113,6 +113,7 @@
   int64_t probes_us;
   bool awaiting_response; /* a request was delivered and no response data has come back yet */
   bool closed;            /* by either end, or reset */
+  GBytes *request;        /* last segment with data, while awaiting_response; otherwise NULL */
   int64_t request_us;     /* when the request was delivered, while awaiting_response */
   int64_t opened_us;      /* when the record was added */
   int64_t used_us;        /* when the record last moved to the end of the lru list */
--- a/lib/core/segment_agent_flows.c
+++ b/lib/core/segment_agent_flows.c
@@ -42,6 +42,7 @@
     return;
   agent->n_awaiting_response += awaiting ? 1 : -1;
   flow->awaiting_response = awaiting;
+  g_clear_pointer (&flow->request, g_bytes_unref);
   flow->request_us = agent->now_us;
 }
 
@@ -87,6 +88,15 @@
   oh_list_append (&agent->lru, &flow->lru_link);
 }
 
+void
+oh_agent_flow_free (gpointer data)
+{
+  oh_agent_flow_t *flow = data;
+
+  g_clear_pointer (&flow->request, g_bytes_unref);
+  g_free (flow);
+}
+
 /* Room for all flows of a full upstream, and for as many records of absent or closed flows. */
 static unsigned
 max_records (const oh_segment_agent_t *agent)
@@ -159,6 +169,15 @@
       if (flow->generation != 0 && flow->opened_us < certain_us)
         continue;
       flow->generation = agent->identity.generation;
+      /* A caller that only waits sends nothing that the upstream could return, so its request is delivered
+       * again. */
+      if (flow->state == OH_AGENT_FLOW_OPEN && flow->request != NULL)
+        {
+          gsize length;
+          const uint8_t *bytes = g_bytes_get_data (flow->request, &length);
+
+          oh_segment_agent_deliver (agent, bytes, length);
+        }
       /* They are no load of the new incarnation unless their callers send something. */
       oh_agent_flow_set_awaiting_response (agent, flow, false);
       oh_agent_flow_end_awaiting_request (agent, flow);
--- a/lib/core/segment_agent_private.h
+++ b/lib/core/segment_agent_private.h
@@ -14,6 +14,9 @@
  * record if the table is full. */
 oh_agent_flow_t *oh_agent_flow_add (oh_segment_agent_t *agent, const oh_flow_key_t *key,
                                     oh_agent_flow_state_t state);
+
+/* Frees a record; a GDestroyNotify for the table of flows. */
+void oh_agent_flow_free (gpointer data);
 void oh_agent_flow_remove (oh_segment_agent_t *agent, oh_agent_flow_t *flow);
 
 /* Marks the record as the most recently used one. */
@@ -33,8 +36,8 @@
 
 /* Assigns flows to the new incarnation that may have opened there before its first announcement. former: the
  * identity before that. Flows that opened before its last announcement are certainly of that incarnation. The
- * upstream returns the segments of those that it does not have. None is assigned to an upstream of another
- * service. */
+ * upstream returns the segments of those that it does not have; requests without a response are delivered
+ * again for that. None is assigned to an upstream of another service. */
 void oh_agent_flow_adopt (oh_segment_agent_t *agent, const oh_upstream_identity_t *former);
 
 /* Messages to balancers, callers and the upstream (segment_agent_replies.c). */
--- a/lib/core/segment_agent_relay.c
+++ b/lib/core/segment_agent_relay.c
@@ -75,6 +75,8 @@
   if (segment->length > 0 && !flow->closed)
     {
       oh_agent_flow_set_awaiting_response (agent, flow, true);
+      g_clear_pointer (&flow->request, g_bytes_unref);
+      flow->request = g_bytes_new (bytes, length);
       oh_agent_flow_end_awaiting_request (agent, flow);
     }
   if (segment->fin || segment->rst)
