segment_placing, segment_agent: a flow that was only offered is not probed for, nor offered anew after a pause

Cause: a balancer that had been paused handled two queued retransmissions of a SYN, whose flow had long opened through another one, as new, offered it to two agents, and sent them its later segments; both agents had no record of the offer (one message was late, one agent had been restarted) and probed their upstreams.

A balancer marks segments of a flow that it only offered (offered in SegmentRelay); an agent without a record then answers 'absent', and the balancer searches.

--- a/lib/core/segment_agent_relay.c
+++ b/lib/core/segment_agent_relay.c
@@ -105,12 +105,13 @@
 }
 
 /* Handles a segment of a flow without a record. A balancer that was told that the flow is here is told the
- * contrary only by the upstream itself, which is probed; in a search, complete records are enough. */
+ * contrary only by the upstream itself, which is probed; one that only offered it (offered) searches; in a
+ * search, complete records are enough. */
 static void
 handle_unknown (oh_segment_agent_t *agent, const oh_flow_key_t *key, const oh_segment_t *segment,
-                oh_address_t balancer, uint32_t query, const uint8_t *bytes, size_t length)
+                oh_address_t balancer, uint32_t query, bool offered, const uint8_t *bytes, size_t length)
 {
-  const bool absent = query != 0 && agent->records_complete;
+  const bool absent = offered || (query != 0 && agent->records_complete);
   oh_agent_flow_t *flow;
 
   oh_agent_flow_log (agent, OH_LOG_INFO, "flow_unknown", key, "search=%u generation=%u state=%d result=%s",
@@ -139,14 +140,14 @@
 
 static void
 handle_non_syn (oh_segment_agent_t *agent, const oh_flow_key_t *key, const oh_segment_t *segment,
-                oh_address_t balancer, uint32_t query, const uint8_t *bytes, size_t length)
+                oh_address_t balancer, uint32_t query, bool offered, const uint8_t *bytes, size_t length)
 {
   oh_agent_flow_t *flow = g_hash_table_lookup (agent->flows, key);
   bool opened = false;
 
   if (flow == NULL)
     {
-      handle_unknown (agent, key, segment, balancer, query, bytes, length);
+      handle_unknown (agent, key, segment, balancer, query, offered, bytes, length);
       return;
     }
   if (flow->generation != agent->identity.generation && flow->state != OH_AGENT_FLOW_ABSENT
@@ -269,8 +270,8 @@
   if (relay->kind == OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN && segment.syn && !segment.ack)
     handle_open (agent, &key, &segment, relay->service, balancer, relay->segment.data, relay->segment.len);
   else if (!segment.syn && (searched || relay->kind == OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER))
-    handle_non_syn (agent, &key, &segment, balancer, searched ? relay->search : 0, relay->segment.data,
-                    relay->segment.len);
+    handle_non_syn (agent, &key, &segment, balancer, searched ? relay->search : 0, relay->offered,
+                    relay->segment.data, relay->segment.len);
   else
     oh_counter_increment (&agent->counters.dropped_malformed);
 }
--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -37,8 +37,7 @@
   oh_counter_increment (&balancer->counters.forwarded);
   for (unsigned i = 0; i < flow->n_offers; i++)
     if (flow->offers[i].state != OH_OFFER_REFUSED)
-      oh_segment_send_relay (balancer, flow->offers[i].agent, OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER, 0,
-                             bytes, length);
+      oh_segment_send_offered (balancer, flow->offers[i].agent, bytes, length);
 }
 
 static void
--- a/lib/core/segment_flows.c
+++ b/lib/core/segment_flows.c
@@ -85,24 +85,44 @@
   return false;
 }
 
+static void
+send_segment (oh_segment_balancer_t *balancer, oh_address_t agent, Oh__SegmentRelay *relay,
+              const uint8_t *bytes, size_t length)
+{
+  Oh__Address self;
+  size_t size;
+
+  oh_address_to_wire (balancer->relay, &self);
+  relay->balancer = &self;
+  relay->segment.data = (uint8_t *)bytes;
+  relay->segment.len = length;
+  size = oh_segment_relay_encode (relay, &balancer->keyring, balancer->out, sizeof balancer->out);
+  if (size > 0)
+    balancer->sink->ops->send_agent (balancer->sink, agent, balancer->out, size);
+  relay->balancer = NULL;
+}
+
 void
 oh_segment_send_query_relay (oh_segment_balancer_t *balancer, oh_address_t agent, Oh__SegmentRelayKind kind,
                              uint64_t service, uint32_t query, const uint8_t *bytes, size_t length)
 {
   Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
-  Oh__Address self;
-  size_t size;
 
-  oh_address_to_wire (balancer->relay, &self);
   relay.kind = kind;
-  relay.balancer = &self;
   relay.service = service;
   relay.search = query;
-  relay.segment.data = (uint8_t *)bytes;
-  relay.segment.len = length;
-  size = oh_segment_relay_encode (&relay, &balancer->keyring, balancer->out, sizeof balancer->out);
-  if (size > 0)
-    balancer->sink->ops->send_agent (balancer->sink, agent, balancer->out, size);
+  send_segment (balancer, agent, &relay, bytes, length);
+}
+
+void
+oh_segment_send_offered (oh_segment_balancer_t *balancer, oh_address_t agent, const uint8_t *bytes,
+                         size_t length)
+{
+  Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
+
+  relay.kind = OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER;
+  relay.offered = true;
+  send_segment (balancer, agent, &relay, bytes, length);
 }
 
 void
--- a/lib/core/segment_placing.c
+++ b/lib/core/segment_placing.c
@@ -212,6 +212,12 @@
       oh_counter_increment (&balancer->counters.dropped_no_view);
       return;
     }
+  /* It may have queued up while the process was paused, and the flow be open elsewhere by now. */
+  if (segment->acknowledged > 0 && !oh_segment_balancer_caught_up (balancer))
+    {
+      oh_counter_increment (&balancer->counters.dropped_late);
+      return;
+    }
   if (oh_route_table_find (&balancer->routes, key->route) == NULL)
     {
       oh_counter_increment (&balancer->counters.resets_no_route);
--- a/lib/wire/packet.pb-c.c
+++ b/lib/wire/packet.pb-c.c
@@ -2223,7 +2223,7 @@
   (ProtobufCMessageInit) oh__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__segment_relay__field_descriptors[14] =
+static const ProtobufCFieldDescriptor oh__segment_relay__field_descriptors[15] =
 {
   {
     "kind",
@@ -2393,6 +2393,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "offered",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Oh__SegmentRelay, offered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__segment_relay__field_indices_by_name[] = {
   1,   /* field[1] = balancer */
@@ -2402,6 +2414,7 @@
   11,   /* field[11] = held */
   0,   /* field[0] = kind */
   5,   /* field[5] = load */
+  14,   /* field[14] = offered */
   9,   /* field[9] = owner */
   4,   /* field[4] = refused */
   7,   /* field[7] = route */
@@ -2413,7 +2426,7 @@
 static const ProtobufCIntRange oh__segment_relay__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor oh__segment_relay__descriptor =
 {
@@ -2423,7 +2436,7 @@
   "Oh__SegmentRelay",
   "oh",
   sizeof(Oh__SegmentRelay),
-  14,
+  15,
   oh__segment_relay__field_descriptors,
   oh__segment_relay__field_indices_by_name,
   1,  oh__segment_relay__number_ranges,
--- a/lib/wire/packet.pb-c.h
+++ b/lib/wire/packet.pb-c.h
@@ -542,6 +542,10 @@
    * the segment with its record; otherwise it passes the segment to its upstream, which may not have the flow.
    */
   ProtobufCBinaryData wanted;
+  /*
+   * DELIVER: the agent was offered the flow, and has not said that it is open
+   */
+  protobuf_c_boolean offered;
   /*
    * ABSENT: the upstream itself has said that it does not have the flow
    */
@@ -549,7 +553,7 @@
 };
 #define OH__SEGMENT_RELAY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__segment_relay__descriptor) \
-    , OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD, NULL, 0, {0,NULL}, OH__RESULT__RESULT_NONE, NULL, NULL, NULL, 0, NULL, 0,NULL, {0,NULL}, {0,NULL}, 0 }
+    , OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD, NULL, 0, {0,NULL}, OH__RESULT__RESULT_NONE, NULL, NULL, NULL, 0, NULL, 0,NULL, {0,NULL}, {0,NULL}, 0, 0 }
 
 
 /*
--- a/tests/test_segment_agent.c
+++ b/tests/test_segment_agent.c
@@ -28,6 +28,7 @@
   STEP_ANNOUNCE_ELSEWHERE, /* as ANNOUNCE, but of an upstream at another address */
   STEP_OPEN,               /* text: service; a: caller; the SYN of a flow */
   STEP_DELIVER,            /* a: caller, b: acknowledged, c: length of data */
+  STEP_DELIVER_OFFERED,    /* as DELIVER, from a balancer that only offered the flow */
   STEP_SEARCH,             /* as DELIVER */
   STEP_QUERY,              /* a query for the flows of the first QUERIED_FLOWS callers */
   STEP_SYN_ACK,            /* a: caller; the upstream answers the SYN */
@@ -184,7 +185,8 @@
 }
 
 static void
-handle_relay (fixture_t *fixture, Oh__SegmentRelayKind kind, const char *service, fixture_segment_t segment)
+handle_relay (fixture_t *fixture, Oh__SegmentRelayKind kind, bool offered, const char *service,
+              fixture_segment_t segment)
 {
   Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
   Oh__Address balancer;
@@ -197,6 +199,7 @@
   relay.balancer = &balancer;
   relay.service = service != NULL ? oh_service_id (service) : 0;
   relay.search = kind == OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH ? QUERY_NUMBER : 0;
+  relay.offered = offered;
   if (kind == OH__SEGMENT_RELAY_KIND__SEGMENT_ASK)
     {
       for (int i = 0; i < QUERIED_FLOWS; i++)
@@ -281,17 +284,24 @@
       handle_announcement (fixture, step);
       return;
     case STEP_OPEN:
-      handle_relay (fixture, OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN, step->text,
+      handle_relay (fixture, OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN, false, step->text,
                     from_caller (step, FIXTURE_SYN));
       return;
     case STEP_DELIVER:
-      handle_relay (fixture, OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER, NULL, from_caller (step, FIXTURE_ACK));
+      handle_relay (fixture, OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER, false, NULL,
+                    from_caller (step, FIXTURE_ACK));
+      return;
+    case STEP_DELIVER_OFFERED:
+      handle_relay (fixture, OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER, true, NULL,
+                    from_caller (step, FIXTURE_ACK));
       return;
     case STEP_SEARCH:
-      handle_relay (fixture, OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH, NULL, from_caller (step, FIXTURE_ACK));
+      handle_relay (fixture, OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH, false, NULL,
+                    from_caller (step, FIXTURE_ACK));
       return;
     case STEP_QUERY:
-      handle_relay (fixture, OH__SEGMENT_RELAY_KIND__SEGMENT_ASK, NULL, (fixture_segment_t){ .length = 0 });
+      handle_relay (fixture, OH__SEGMENT_RELAY_KIND__SEGMENT_ASK, false, NULL,
+                    (fixture_segment_t){ .length = 0 });
       return;
     case STEP_SYN_ACK:
       handle_upstream (fixture, fixture_segment (route_address, caller_address (step->a),
@@ -482,6 +492,11 @@
     { READY (AGENT_STARTED_MS + 2000, 1), QUERIES, HELD (0, 7) } },
   { "an agent takes its records for complete although a late announcement of a former start came first",
     { READY (1, 9), READY (2, 4), QUERIES, HELD (0, 7) } },
+  { "a flow that was only offered here is probed at the upstream for want of a record",
+    { READY (1, 7),
+      { STEP_DELIVER_OFFERED, 0, SYN_ACK_SEQUENCE + 1, 20, NULL },
+      DELIVERED (0),
+      MESSAGES (ABSENT, 1, 0) } },
   { "a flow that a balancer knows to be here is reported absent for want of a record",
     { READY (1, 1), REQUESTS (0), DELIVERED (1), MESSAGES (ABSENT, 0, 0), RESPONDS (0),
       MESSAGES (OWNED, 1, 0) } },
@@ -621,7 +636,7 @@
     {
       const step_t search = SEARCHES (i);
 
-      handle_relay (&fixture, OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH, NULL,
+      handle_relay (&fixture, OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH, false, NULL,
                     from_caller (&search, FIXTURE_ACK));
     }
   g_assert_cmpuint (g_hash_table_size (fixture.core.flows), ==, 40);
--- a/tests/test_segment_sim.c
+++ b/tests/test_segment_sim.c
@@ -39,6 +39,29 @@
   segment_sim_finish (&sim);
 }
 
+/* Seeds that failed once, with the cause. */
+static void
+test_failed_seeds (void)
+{
+  static const struct
+  {
+    uint32_t seed;
+    const char *cause;
+  } cases[] = {
+    { 28, "three balancers searched a moving caller's flow, and let an agent each probe its upstream" },
+    { 497, "the same, with probes 2.1 s apart" },
+    { 583, "the same, with probes 2.1 s apart" },
+    { 6141, "a paused balancer offered the flow anew for queued SYNs, and restarted agents probed their "
+            "upstreams" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_test_message ("%s", cases[i].cause);
+      run_seed (cases[i].seed);
+    }
+}
+
 static void
 test_random (void)
 {
@@ -55,6 +78,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/segment-sim/failed-seeds", test_failed_seeds);
   g_test_add_func ("/segment-sim/random", test_random);
   return g_test_run ();
 }
