tests: the simulation of segments finds misrouted segments whose window ends at the own upstream

The check ran only when a segment reached another upstream, so it missed three of them followed by silence of two seconds or more. It now runs at each segment of the flow at any upstream, and at the end of the flow.

--- a/tests/segment_sim.c
+++ b/tests/segment_sim.c
@@ -143,21 +143,45 @@
   caller->sim->resets++;
 }
 
+/* Checks the segments that reached other upstreams since the last one at the flow's own. To be called at each
+ * segment of the flow at an upstream, and at its end. */
+static void
+check_misrouted (const sim_caller_t *caller)
+{
+  const segment_sim_t *sim = caller->sim;
+  const GArray *foreign = caller->foreign;
+
+  if (!is_open (caller) || sim->now_us - caller->own_us < MISROUTED_WINDOW_US)
+    return;
+  for (guint i = 0; i + MISROUTED_SEGMENTS <= foreign->len; i++)
+    if (g_array_index (foreign, int64_t, i + MISROUTED_SEGMENTS - 1) - g_array_index (foreign, int64_t, i)
+        <= MISROUTED_WINDOW_US)
+      g_error (
+        "seed %u, %.3f s: %d segments of an open flow of caller %u at other upstreams than %u within 2 s",
+        sim->seed, (double)sim->now_us / SIM_S, MISROUTED_SEGMENTS, caller->index, caller->owner->index);
+}
+
 static void
 note_foreign_segment (segment_sim_t *sim, const oh_flow_key_t *key)
 {
   sim_caller_t *caller = find_caller (sim, key);
-  guint recent = 0;
 
   if (caller == NULL || !is_open (caller))
     return;
   g_array_append_val (caller->foreign, sim->now_us);
-  for (guint i = 0; i < caller->foreign->len; i++)
-    recent += sim->now_us - g_array_index (caller->foreign, int64_t, i) <= MISROUTED_WINDOW_US;
-  if (recent >= MISROUTED_SEGMENTS && sim->now_us - caller->own_us >= MISROUTED_WINDOW_US)
-    g_error (
-      "seed %u, %.3f s: %u segments of an open flow of caller %u at other upstreams than %u within 2 s",
-      sim->seed, (double)sim->now_us / SIM_S, recent, caller->index, caller->owner->index);
+  check_misrouted (caller);
+}
+
+static void
+note_own_segment (segment_sim_t *sim, const oh_flow_key_t *key)
+{
+  sim_caller_t *caller = find_caller (sim, key);
+
+  if (caller == NULL)
+    return;
+  check_misrouted (caller);
+  g_array_set_size (caller->foreign, 0);
+  caller->own_us = sim->now_us;
 }
 
 /* Callers. */
@@ -190,6 +214,7 @@
 static void
 end_flow (sim_caller_t *caller)
 {
+  check_misrouted (caller);
   caller->state = SIM_CALLER_IDLE;
   caller->owner = NULL;
   caller->attempt++;
@@ -400,6 +425,7 @@
     return;
   caller->owner = node;
   caller->owner_incarnation = node->incarnation;
+  caller->own_us = node->sim->now_us;
 }
 
 static void
@@ -410,7 +436,6 @@
   oh_segment_t segment;
   oh_flow_key_t key;
   sim_flow_t *flow;
-  sim_caller_t *caller;
   fixture_segment_t answer;
 
   g_assert_true (format->ops->decode (format, bytes, length, &segment));
@@ -430,9 +455,7 @@
   if (!flow->open)
     open_flow (node, &key);
   flow->open = true;
-  caller = find_caller (sim, &key);
-  if (caller != NULL)
-    caller->own_us = sim->now_us;
+  note_own_segment (sim, &key);
   if (segment.fin || segment.rst)
     flow->ended = true;
   if (segment.length == 0 || flow->ended)
