--- a/lib/core/segment_agent_replies.c
+++ b/lib/core/segment_agent_replies.c
@@ -131,6 +131,13 @@
                            length);
 }
 
+/* -1 if it has not happened yet. */
+static int64_t
+age_ms (const oh_segment_agent_t *agent, int64_t since_us)
+{
+  return since_us > 0 ? (agent->now_us - since_us) / 1000 : -1;
+}
+
 void
 oh_segment_agent_reset_flow (oh_segment_agent_t *agent, oh_agent_flow_t *flow, const char *reason)
 {
@@ -139,8 +146,12 @@
                                                                flow->caller_acknowledged, buffer);
 
   oh_counter_increment (&agent->counters.resets);
-  oh_agent_flow_log (agent, OH_LOG_INFO, "flow_reset", &flow->key, "reason=%s generation=%u now=%u", reason,
-                     flow->generation, agent->identity.generation);
+  oh_agent_flow_log (agent, OH_LOG_INFO, "flow_reset", &flow->key,
+                     "reason=%s generation=%u now=%u state=%d announced_age_ms=%" G_GINT64_FORMAT
+                     " sent_age_ms=%" G_GINT64_FORMAT " flow_age_ms=%" G_GINT64_FORMAT,
+                     reason, flow->generation, agent->identity.generation, (int)agent->identity.state,
+                     age_ms (agent, agent->identity.last_heard_us), age_ms (agent, agent->upstream_sent_us),
+                     age_ms (agent, flow->opened_us));
   agent->sink->ops->send_caller (agent->sink, flow->key.caller, buffer, length);
 }
 
