--- a/scripts/lib/platform_system.py
+++ b/scripts/lib/platform_system.py
@@ -168,9 +168,9 @@
 
     # Stand-ins of the platform
 
-    def add_upstream(self, name, service, with_agent=True, identity=None, agent_lead_s=0):
+    def add_upstream(self, name, service, with_agent=True, agent_lead_s=0, **details):
         """Starts an upstream, and its agent agent_lead_s before it. A known name replaces the upstream of that name at the
-        same address. identity: its instance id, by default a new one."""
+        same address. details: arguments of Upstream."""
         if name not in self.upstreams:
             self.n_upstream_addresses += 1
             ip = f'{self.network}.3.{self.n_upstream_addresses}'
@@ -181,7 +181,7 @@
             self.start_agent(f'agent-{name}', ip)
 
         def start():
-            self.upstreams[name] = platform_standins.Upstream(self.loop, service, ip, PORTS, identity=identity)
+            self.upstreams[name] = platform_standins.Upstream(self.loop, service, ip, PORTS, **details)
         if agent_lead_s > 0:
             self.loop.after(agent_lead_s, start)
         else:
@@ -195,12 +195,17 @@
             process.send_signal(signal.SIGTERM)
             self.stopping.append(process)
 
-    def document(self, version, routes, services=('kiln', 'scan')):
-        """A configuration document. routes: {(host, port): (service, kind)}"""
+    def document(self, version, routes, services=('kiln', 'scan'), timeout_ms=3000):
+        """A configuration document. routes: {(host, port): (service, kind)}, where service may be SERVICE:WEIGHT,..."""
+        def target(service):
+            if ':' not in service:
+                return {'Service': service}
+            parts = [part.split(':') for part in service.split(',')]
+            return {'TrafficSplit': [{'Service': name, 'Weight': int(weight)} for name, weight in parts]}
         return {
             'Version': version,
-            'Routes': [{'Name': f'r-{port}', 'Host': host, 'PathPrefix': f'/{port}/', 'Type': kind, 'TimeoutMs': 3000,
-                        'TargetLatencyMs': 150, 'Priority': 1, 'Service': service}
+            'Routes': [{'Name': f'r-{host}-{port}', 'Host': host, 'PathPrefix': f'/{port}/', 'Type': kind,
+                        'TimeoutMs': timeout_ms, 'TargetLatencyMs': 150, 'Priority': 1, **target(service)}
                        for (host, port), (service, kind) in routes.items()],
             'Services': [{'Name': name, 'HealthPath': '/health', 'MaxConns': 2000} for name in services],
             'Limits': {'IdleTimeoutMs': 15000}, 'Unknown': {'kept': True},
@@ -223,6 +228,25 @@
         self.callers.append(caller)
         return caller
 
+    def call_with_retries(self, route, kind, requests, tries, **details):
+        """As call. What is left when the flow ends goes over a new flow from a new port: after an orderly end, and up to
+        tries times after a failure. A request that may not be repeated is not sent again, as its flow was open."""
+        def go_on(caller):
+            left = caller.requests_left + (len(caller.failed) if kind != 'unsafe' else 0)
+            failed = caller.state == 'failed'
+            if left > 0 and (not failed or tries > 0):
+                self.call_with_retries(route, kind, left, tries - failed, **details)
+        return self.call(route, kind, requests, on_end=go_on, **details)
+
+    def call_directly(self, balancer, route):
+        """Opens a flow at a balancer that the router did not choose."""
+        self.next_port += 1
+        ip = f'{self.network}.4.{1 + len(self.callers) % 20}'
+        caller = platform_standins.Caller(self.loop, platform_standins.DirectRouter(self.router, balancer), ip,
+                                          self.next_port, route, 'safe', 1, 3)
+        self.callers.append(caller)
+        return caller
+
     def wait_callers(self, limit_s):
         return self.loop.run(limit_s, lambda: all(caller.ended for caller in self.callers))
 
@@ -249,8 +273,10 @@
                 n_runs[request] += 1
                 if request not in sent:
                     violations.append(f'UNASKED: {upstream.service} ran {request}')
-                if upstream.service not in services_by_route[route]:
+                if upstream.service not in services_by_route.get(route, ()):
                     violations.append(f'ROUTE: {upstream.service} ran a request of {route}')
+            violations += [f'ROUTE: {upstream.service} got a flow of {route}, which no configuration had'
+                           for _, route in upstream.opened if route not in services_by_route]
             if upstream.draining_acknowledged is not None:
                 late = [at for at, _ in upstream.opened if at > upstream.draining_acknowledged + DRAIN_APPLY_S]
                 if late:
--- a/standins/flow_ledger.py
+++ b/standins/flow_ledger.py
@@ -18,13 +18,24 @@
     def __init__(self):
         self.flows = {}  # key (caller address and port, route address and port): OpenFlow
         self.resets = []  # (time, key, OpenFlow) of resets by the system on open flows
+        self.dropped_routes = set()  # (address, port) of routes that the newest configuration does not have
+
+    def drop_route(self, route, now):
+        """A configuration without the route was sent: the flows of the route may end from now on."""
+        self.dropped_routes.add(route)
+        for key, flow in self.flows.items():
+            if key[2:] == route and flow.ended is None:
+                flow.ended = now
+
+    def add_route(self, route):
+        self.dropped_routes.discard(route)
 
     def handle_own_segment(self, key, upstream, now, ends):
         flow = self.flows.get(key)
         if flow is None or flow.upstream is not upstream:
             flow = self.flows[key] = OpenFlow(upstream, now)
         flow.own.append(now)
-        if ends and flow.ended is None:
+        if (ends or key[2:] in self.dropped_routes) and flow.ended is None:
             flow.ended = now
 
     def handle_foreign_segment(self, key, address, now):
--- a/standins/platform_standins.py
+++ b/standins/platform_standins.py
@@ -27,6 +27,8 @@
 OPEN_TIMEOUT_S = 1.4
 RETRANSMIT_TIMEOUT_S = 0.2
 RETRANSMIT_TIMEOUT_MAX_S = 1.6
+RESET_WINDOW_BYTES = 76800  # of the sequence number of a reset around the caller's last acknowledgement
+UPSTREAM_RETRANSMISSIONS_MAX = 8  # of one segment, after which an upstream gives up
 
 
 def ip_to_int(ip):
@@ -73,6 +75,7 @@
         self.timers = []  # heap of (due, order, callback)
         self.order = 0  # timers that are due at the same time run in the order in which they were set
         self.violations = []  # "RULE: DETAIL"
+        self.connections = {}  # listening socket: its open connections
         self.flows = flow_ledger.FlowLedger()
 
     def now(self):
@@ -92,14 +95,58 @@
         self.selector.register(sock, selectors.EVENT_READ, (sock, receive))
         return sock
 
+    def open_tcp(self, ip, port, answer):
+        """Returns a listening socket. answer(bytes) gets what a connection has sent so far, and returns the response,
+        after which the connection is closed, or None to read on.
+        """
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind((ip, port))
+        sock.listen(64)
+        self.connections[sock] = set()
+        self.selector.register(sock, selectors.EVENT_READ, (None, lambda _: self.accept_connection(sock, answer)))
+        return sock
+
+    def accept_connection(self, listener, answer):
+        try:
+            connection, _ = listener.accept()
+        except OSError:
+            return
+        connection.setblocking(False)
+        self.connections[listener].add(connection)
+        received = bytearray()
+
+        def read(_):
+            try:
+                data = connection.recv(4096)
+            except BlockingIOError:
+                return
+            except OSError:
+                data = b''
+            received.extend(data)
+            response = answer(bytes(received)) if data else b''
+            if response is None:
+                return
+            if response:
+                connection.send(response)
+            self.connections[listener].discard(connection)
+            self.close(connection)
+        self.selector.register(connection, selectors.EVENT_READ, (None, read))
+
     def close(self, sock):
+        """Closes a socket, and the connections that a listening one has accepted. Does nothing if it is closed."""
+        if sock.fileno() < 0:
+            return
+        for connection in self.connections.pop(sock, ()):
+            self.close(connection)
         self.selector.unregister(sock)
         sock.close()
 
     def finish(self):
         """Closes all sockets."""
-        for key in list(self.selector.get_map().values()):
-            self.close(key.fileobj)
+        while self.selector.get_map():
+            self.close(next(iter(self.selector.get_map().values())).fileobj)
 
     def run(self, duration_s, until=None):
         """Runs for duration_s, or until the condition until() holds. Returns whether it holds; True without one."""
@@ -111,12 +158,16 @@
                 heapq.heappop(self.timers)[2]()
             wait = min(end, self.timers[0][0] if self.timers else end) - self.now()
             for key, _ in self.selector.select(max(0, min(wait, 0.02))):
-                self.read_datagrams(*key.data)
+                if key.fileobj.fileno() >= 0:  # not closed meanwhile
+                    self.read_datagrams(*key.data)
         return until is None or until()
 
     @staticmethod
     def read_datagrams(sock, receive):
-        """Reads what the socket holds, up to a limit, so that timers are not delayed."""
+        """Reads what the socket holds, up to a limit, so that timers are not delayed. Without a socket, receive does."""
+        if sock is None:
+            receive(None)
+            return
         for _ in range(64):
             try:
                 raw = sock.recv(4096)
@@ -125,6 +176,8 @@
             except ConnectionError:
                 continue
             receive(raw)
+            if sock.fileno() < 0:
+                return
 
     def report_violation(self, rule, detail):
         self.violations.append(f'{rule}: {detail}')
@@ -133,9 +186,11 @@
 class Sender:
     """Sends the data of one side of a flow within a window and retransmits what was not acknowledged, with backoff."""
 
-    def __init__(self, loop, first, send):
-        """first: sequence number of the first byte; send(flags, sequence, data) sends a segment."""
+    def __init__(self, loop, first, send, retransmissions_max=None):
+        """first: sequence number of the first byte; send(flags, sequence, data) sends a segment; retransmissions_max: of
+        one segment, after which the sender gives up; None: no limit."""
         self.loop, self.base, self.next, self.send = loop, first, first, send
+        self.retransmissions_max, self.n_retransmissions = retransmissions_max, 0
         self.waiting = []  # (flags, data)
         self.unacknowledged = {}  # sequence number: (flags, data)
         self.timeout_s, self.closed = RETRANSMIT_TIMEOUT_S, False
@@ -162,6 +217,10 @@
     def handle_timeout(self, sequence):
         if self.closed or sequence not in self.unacknowledged:
             return
+        if self.n_retransmissions == self.retransmissions_max:
+            self.closed = True
+            return
+        self.n_retransmissions += 1
         flags, part = self.unacknowledged[sequence]
         self.send(flags, sequence, part)
         self.timeout_s = min(self.timeout_s * 2, RETRANSMIT_TIMEOUT_MAX_S)
@@ -174,7 +233,7 @@
             return
         for sequence in acknowledged:
             del self.unacknowledged[sequence]
-        self.base, self.timeout_s = ack, RETRANSMIT_TIMEOUT_S
+        self.base, self.timeout_s, self.n_retransmissions = ack, RETRANSMIT_TIMEOUT_S, 0
         if self.unacknowledged:
             self.arm_timer(min(self.unacknowledged))
         self.send_waiting()
@@ -201,16 +260,24 @@
     draining_acknowledged: time at which the agent first acknowledged a call in the state draining, or None.
     """
 
-    def __init__(self, loop, service, ip, ports, slots=4, identity=None):
+    def __init__(self, loop, service, ip, ports, slots=4, identity=None, clock_offset_ms=0, first_sequence=1,
+                 max_flows=2000):
+        """clock_offset_ms: of the time of day that it announces as its start; first_sequence: of its first heartbeat."""
         self.loop, self.service, self.ip, self.ports, self.slots = loop, service, ip, ports, slots
         self.id = identity or f'i-{loop.random.getrandbits(32):08x}'
-        self.started_ms = int(time.time() * 1000)
-        self.sequence, self.state, self.alive = 0, 'ready', True
+        self.started_ms = int(time.time() * 1000) + clock_offset_ms
+        self.sequence, self.state, self.alive = first_sequence - 1, 'ready', True
+        self.max_flows = max_flows
+        self.deregistered = False  # it has sent its deregister call, and sends no heartbeats any more
         self.flows = {}  # key(segment): state of the flow, as in accept
+        self.ended_flows = set()  # keys of flows that both sides have closed
         self.runs, self.opened = [], []
         self.syn_delay_s = 0  # before a SYN is answered
+        self.stalled = None  # datagrams that arrived while the process was paused, or None
+        self.last_heartbeat = None  # body
         self.draining_acknowledged = None
         self.sock = loop.open_udp(ip, ports.app, self.receive)
+        self.health = loop.open_tcp(ip, ports.app, self.answer_health)
         self.send_heartbeat()
 
     def key(self, segment):
@@ -232,23 +299,43 @@
         threading.Thread(target=send, daemon=True).start()
 
     def send_heartbeat(self):
-        if not self.alive:
+        if not self.alive or self.deregistered:
             return
-        self.sequence += 1
-        self.post('heartbeat', json.dumps({
-            'Service': self.service, 'Address': f'{self.ip}:{self.ports.app}', 'Zone': 'a', 'Version': 'v1',
-            'MaxConcurrency': self.slots, 'State': self.state, 'WarmupLeftMs': 0, 'Sequence': self.sequence,
-            'born': self.started_ms}))
+        if self.stalled is None:
+            self.sequence += 1
+            self.last_heartbeat = json.dumps({
+                'Service': self.service, 'Address': f'{self.ip}:{self.ports.app}', 'Zone': 'a', 'Version': 'v1',
+                'MaxConcurrency': self.slots, 'State': self.state, 'WarmupLeftMs': 0, 'Sequence': self.sequence,
+                'born': self.started_ms})
+            self.post('heartbeat', self.last_heartbeat)
         self.loop.after(self.ports.heartbeat_ms / 1000, self.send_heartbeat)
 
+    def repeat_last_heartbeat(self):
+        """A copy of the last heartbeat arrives late, perhaps after the upstream has ended."""
+        if self.last_heartbeat is not None:
+            self.post('heartbeat', self.last_heartbeat)
+
+    def answer_health(self, request):
+        """The response to a request that came over TCP, or None if it is not complete."""
+        if b'\r\n\r\n' not in request:
+            return None
+        healthy = self.state == 'ready' and not self.deregistered
+        return b'HTTP/1.1 ' + (b'200 OK' if healthy else b'503 Unavailable') + b'\r\nContent-Length: 0\r\n\r\n'
+
     def drain(self):
         self.state = 'draining'
         self.send_heartbeat()
 
-    def leave(self):
-        """Deregisters and stops; the flows that are still open are lost."""
+    def leave(self, exit_after_s=0):
+        """Deregisters and stops exit_after_s later, as an upstream that got no confirmation of the call; until then it
+        serves its flows and sends no heartbeats. The flows that are still open when it stops are lost.
+        """
         self.post('deregister', '')
-        self.crash()
+        self.deregistered = True
+        if exit_after_s > 0:
+            self.loop.after(exit_after_s, lambda: self.alive and self.crash())
+        else:
+            self.crash()
 
     def crash(self):
         """Stops without notifying the agent or the callers."""
@@ -257,30 +344,43 @@
             flow['sender'].closed = True
         self.loop.flows.end_flows(self, self.loop.now())
         self.loop.close(self.sock)
+        self.loop.close(self.health)
+
+    def stall(self, duration_s):
+        """The process does nothing for the duration. Datagrams wait for it."""
+        def resume():
+            waiting, self.stalled = self.stalled, None
+            for raw in waiting:
+                if self.alive:
+                    self.receive(raw)
+        if self.stalled is None:
+            self.stalled = []
+            self.loop.after(duration_s, resume)
 
     def send(self, segment):
         if self.alive:
             self.sock.sendto(segment.pack(), (self.ip, self.ports.outbound))
 
     def return_segment(self, raw):
-        """Sends a segment of an unknown flow back to the system, marked as RETURNED."""
+        """Sends a segment back to the system, marked as RETURNED: of an unknown flow, or a SYN that is not accepted."""
         returned = bytearray(raw)
         returned[FLAGS_OFFSET] |= RETURNED
         self.sock.sendto(bytes(returned), (self.ip, self.ports.outbound))
 
     def receive(self, raw):
+        if self.stalled is not None:
+            self.stalled.append(raw)
+            return
         segment, valid = Segment.parse(raw)
-        if not valid or segment.flags & RETURNED:
-            self.loop.report_violation('UNASKED', f'{self.service} got a segment that was altered or had been returned')
+        if not valid or segment.flags & RETURNED or segment.flags & (SYN | ACK) == SYN | ACK:
+            self.loop.report_violation('UNASKED', f'{self.service} got a segment that was altered or had been returned, '
+                                                  'or a SYN-ACK')
             return
         flow = self.flows.get(self.key(segment))
         if segment.flags & SYN:
-            if flow is None or flow['caller_isn'] != segment.seq:
-                flow = self.accept(segment)
-            if self.syn_delay_s > 0:
-                self.loop.after(self.syn_delay_s, lambda: self.send_syn_ack(flow))
-            else:
-                self.send_syn_ack(flow)
+            self.receive_syn(flow, segment, raw)
+        elif self.key(segment) in self.ended_flows:
+            self.receive_after_end(segment)
         elif flow is None or not (flow['open'] or segment.ack == (flow['isn'] + 1) & 0xffffffff):
             # A flow opens only at the upstream whose SYN-ACK the caller acknowledges.
             self.loop.flows.handle_foreign_segment(self.key(segment), self.ip, self.loop.now())
@@ -292,13 +392,32 @@
         else:
             self.receive_data(flow, segment)
 
+    def receive_syn(self, flow, segment, raw):
+        if flow is None or flow['caller_isn'] != segment.seq:
+            if len(self.flows) >= self.max_flows:
+                self.return_segment(raw)
+                return
+            flow = self.accept(segment)
+        if self.syn_delay_s > 0:
+            self.loop.after(self.syn_delay_s, lambda: self.send_syn_ack(flow))
+        else:
+            self.send_syn_ack(flow)
+
+    def receive_after_end(self, segment):
+        """A segment of a flow that both sides have closed."""
+        if segment.data or segment.flags & FIN:
+            flags, ack = (RST, 0) if segment.data else (ACK, segment.seq + 1)
+            self.send(Segment(segment.dst, segment.dport, segment.src, segment.sport, flags, segment.ack, ack))
+
     def accept(self, segment):
         """Adds a flow for a SYN. It is open once the caller acknowledges the SYN-ACK. isn: initial sequence number."""
         flow = {'caller_isn': segment.seq, 'expected': segment.seq + 1, 'buffer': b'', 'syn': segment,
-                'isn': self.loop.random.randrange(1, 1 << 31), 'open': False, 'queue': []}
+                'isn': self.loop.random.randrange(1, 1 << 31), 'open': False, 'fin_sent': False}
         flow['sender'] = Sender(self.loop, flow['isn'] + 1, lambda flags, seq, data: self.send(
-            Segment(segment.dst, segment.dport, segment.src, segment.sport, flags, seq, flow['expected'], data)))
+            Segment(segment.dst, segment.dport, segment.src, segment.sport, flags, seq, flow['expected'], data)),
+            retransmissions_max=UPSTREAM_RETRANSMISSIONS_MAX)
         self.flows[self.key(segment)] = flow
+        self.ended_flows.discard(self.key(segment))
         self.opened.append((self.loop.now(), f'{ip_to_text(segment.dst)}:{segment.dport}'))
         return flow
 
@@ -308,7 +427,9 @@
 
     def receive_data(self, flow, segment):
         flow['open'] = True
-        self.loop.flows.handle_own_segment(self.key(segment), self, self.loop.now(), ends=bool(segment.flags & FIN))
+        key = self.key(segment)
+        ends = bool(segment.flags & FIN)
+        self.loop.flows.handle_own_segment(key, self, self.loop.now(), ends=ends)
         flow['sender'].acknowledge(segment.ack)
         if segment.data and segment.seq == flow['expected'] & 0xffffffff:
             flow['expected'] += len(segment.data)
@@ -316,7 +437,14 @@
             while b'\n' in flow['buffer']:
                 line, flow['buffer'] = flow['buffer'].split(b'\n', 1)
                 self.run_request(flow, line.decode())
-        if segment.data:
+        if ends:
+            flow['sender'].closed = True
+            flags = ACK if flow['fin_sent'] else ACK | FIN
+            self.send(Segment(segment.dst, segment.dport, segment.src, segment.sport, flags, flow['sender'].next,
+                              segment.seq + 1))
+            del self.flows[key]
+            self.ended_flows.add(key)
+        elif segment.data:
             syn = flow['syn']
             self.send(Segment(syn.dst, syn.dport, syn.src, syn.sport, ACK, flow['sender'].next, flow['expected']))
 
@@ -324,8 +452,17 @@
         request, _, length, work_ms = line.split()
         self.runs.append((self.loop.now(), request, f"{ip_to_text(flow['syn'].dst)}:{flow['syn'].dport}"))
         body = answer_body(request, int(length))
-        self.loop.after(int(work_ms) / 1000, lambda: flow['sender'].write(
-            f'{request} {len(body)}\n'.encode() + body) if self.alive else None)
+
+        def respond():
+            if not self.alive:
+                return
+            if self.stalled is not None:
+                self.loop.after(0.05, respond)
+                return
+            # One that drains closes each flow after the next response.
+            flow['fin_sent'] = self.state == 'draining'
+            flow['sender'].write(f'{request} {len(body)}\n'.encode() + body, ACK | FIN if flow['fin_sent'] else ACK)
+        self.loop.after(int(work_ms) / 1000, respond)
 
 
 def answer_body(request, length):
@@ -341,14 +478,18 @@
     answered; failed: (request, reason) of the request that was outstanding when the flow failed.
     """
 
-    def __init__(self, loop, router, ip, port, route, kind, requests, deadline_s, work_ms=20, length=2000, pause_s=0.1):
+    def __init__(self, loop, router, ip, port, route, kind, requests, deadline_s, work_ms=20, length=2000, pause_s=0.1,
+                 on_end=None):
+        """on_end(caller) is called when the flow has ended."""
         self.loop, self.router, self.ip, self.port, self.route = loop, router, ip, port, route
+        self.on_end = on_end
         self.kind, self.requests_left, self.deadline_s = kind, requests, deadline_s
         self.work_ms, self.length, self.pause_s = work_ms, length, pause_s
         self.isn = loop.random.randrange(1, 1 << 31)
         self.state, self.sender, self.expected, self.buffer = 'opening', None, 0, b''
         self.current, self.done, self.failed, self.sent = None, [], [], []
         self.reset_by_system = None
+        self.fin_received = False
         router.callers[(ip_to_int(ip), port)] = self
         self.send_syn(0)
         loop.after(OPEN_TIMEOUT_S, lambda: self.fail('no answer') if self.state == 'opening' else None)
@@ -379,6 +520,16 @@
         self.reason = reason
         if self.sender:
             self.sender.closed = True
+        if self.on_end:
+            self.on_end(self)
+
+    def close(self):
+        """Sends a FIN. Requests that are left need another flow."""
+        self.sender.write(b'', ACK | FIN)
+        self.sender.closed = True
+        self.state = 'closed'
+        if self.on_end:
+            self.on_end(self)
 
     def receive(self, raw):
         segment, valid = Segment.parse(raw)
@@ -388,6 +539,7 @@
             if segment.flags == RST and not segment.data and raw[:4] == b'\0\0\0\0':  # checksum 0: sent by the system
                 self.reset_by_system = self.loop.now()
                 self.loop.flows.handle_reset((segment.dst, segment.dport, segment.src, segment.sport), self.loop.now())
+                self.check_reset_sequence(segment)
                 self.fail('reset')
             else:
                 self.loop.report_violation('MIXED', 'a caller got a segment that is not as an upstream sent it')
@@ -399,6 +551,11 @@
         elif self.state == 'open':
             self.receive_data(segment)
 
+    def check_reset_sequence(self, segment):
+        """A reset of an open flow has a sequence number near the last acknowledged one."""
+        if self.state == 'open' and (segment.seq - self.expected + RESET_WINDOW_BYTES) % (1 << 32) > 2 * RESET_WINDOW_BYTES:
+            self.loop.report_violation('MIXED', 'a caller got a reset with a sequence number outside its window')
+
     def handle_syn_ack(self, segment):
         if self.state != 'opening':
             return
@@ -410,10 +567,8 @@
     def send_request(self):
         if self.state != 'open':
             return
-        if self.requests_left == 0:
-            self.sender.write(b'', ACK | FIN)
-            self.sender.closed = True
-            self.state = 'closed'
+        if self.requests_left == 0 or self.fin_received:
+            self.close()
             return
         self.requests_left -= 1
         self.current = f'{self.loop.random.getrandbits(64):016x}'
@@ -424,12 +579,15 @@
 
     def receive_data(self, segment):
         self.sender.acknowledge(segment.ack)
-        if segment.data and segment.seq == self.expected & 0xffffffff:
-            self.expected += len(segment.data)
+        if segment.seq == self.expected & 0xffffffff and (segment.data or segment.flags & FIN) and not self.fin_received:
+            self.expected += len(segment.data) + (1 if segment.flags & FIN else 0)
             self.buffer += segment.data
-        if segment.data:
+            self.fin_received = bool(segment.flags & FIN)
+        if segment.data or segment.flags & FIN:
             self.router.send(self.segment(ACK, self.sender.next, self.expected))
         self.read_answer()
+        if self.fin_received and self.current is None and self.state == 'open':
+            self.close()
 
     def read_answer(self):
         """Checks the answer to the current request once it is complete, and plans the next request."""
@@ -501,6 +659,12 @@
         self.open_socket(ip)
         self.apply_faults(lambda: self.sockets[ip].sendto(segment.pack(), (self.choose_balancer(segment), self.port)))
 
+    def send_to(self, balancer, segment):
+        """Sends a segment straight to a balancer."""
+        ip = ip_to_text(segment.src)
+        self.open_socket(ip)
+        self.sockets[ip].sendto(segment.pack(), (balancer, self.port))
+
     def apply_faults(self, send):
         """Drops, duplicates and delays datagrams while faults are set. faults: a random number generator and the
         probabilities that a datagram is dropped, duplicated and delayed.
@@ -514,6 +678,16 @@
                 self.loop.after(rng.uniform(0, 0.3) if rng.random() < p_delay else 0, send)
 
 
+class DirectRouter:
+    """Sends the segments of its callers to one balancer, past the hash of the router."""
+
+    def __init__(self, router, balancer):
+        self.router, self.balancer, self.callers = router, balancer, router.callers
+
+    def send(self, segment):
+        self.router.send_to(self.balancer, segment)
+
+
 class Operator:
     """Publishes and reads configurations at a control process chosen at random, and follows redirects.
 
