--- a/daemons/oriole_flow_agent.c
+++ b/daemons/oriole_flow_agent.c
@@ -2,6 +2,7 @@
 #include "base/log.h"
 
 #include <argp.h>
+#include <errno.h>
 #include <glib-unix.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,6 +10,7 @@
 
 #include "adapters/admin.h"
 #include "adapters/daemon.h"
+#include "adapters/listener_watch.h"
 #include "adapters/settings_watch.h"
 #include "adapters/system_clock.h"
 #include "adapters/system_random.h"
@@ -46,7 +48,7 @@
   int64_t heartbeat_ms;       /* between the upstream's announcements */
   int64_t max_flows;
   int64_t flow_timeout_s;
-  int64_t leave_ms; /* from the stop signal to the exit if the upstream is gone */
+  int64_t leave_ms; /* from the stop signal to the exit if the upstream has ended or said that it leaves */
   char *seeds;      /* IPV4:PORT,... of the VMs of control replicas */
   int64_t port;     /* of the control replicas' endpoints */
   char *key_file;
@@ -85,6 +87,7 @@
   oh_view_client_t *view_client;
   oh_admin_t *admin;
   oh_readiness_http_t *readiness;
+  oh_listener_watch_t *listener_watch; /* NULL if the listener of the upstream is not watched */
   oh_heartbeat_http_t *heartbeats;
   oh_settings_watch_t watch;
   GArray *balancers; /* of oh_address_t, where load reports go */
@@ -145,6 +148,25 @@
     oh_udp_send (agent->relay_fd, g_array_index (agent->balancers, oh_address_t, i), bytes, length);
 }
 
+static void
+on_listener_gone (void *data)
+{
+  handle_event (data, (oh_segment_agent_event_t){ .kind = OH_SEGMENT_AGENT_LISTENER_GONE });
+}
+
+static void
+watch_listener (oh_segment_agent_sink_t *sink, bool watch)
+{
+  agent_t *agent = (agent_t *)sink;
+
+  if (watch == (agent->listener_watch != NULL))
+    return;
+  if (watch)
+    agent->listener_watch = oh_listener_watch_start (agent->settings.upstream, on_listener_gone, agent);
+  else
+    g_clear_pointer (&agent->listener_watch, oh_listener_watch_stop);
+}
+
 static void
 on_changed (oh_segment_agent_sink_t *sink)
 {
@@ -186,7 +208,8 @@
 static gboolean
 on_upstream_datagram (gint fd, GIOCondition condition, gpointer data)
 {
-  (void)condition;
+  if ((condition & G_IO_ERR) != 0 && oh_udp_take_refusals (fd) > 0)
+    handle_event (data, (oh_segment_agent_event_t){ .kind = OH_SEGMENT_AGENT_REFUSED });
   oh_udp_receive_batch (fd, handle_upstream_datagram, data);
   return G_SOURCE_CONTINUE;
 }
@@ -252,21 +275,23 @@
   return G_SOURCE_REMOVE;
 }
 
-/* If the upstream is gone, the agent keeps running for leave_ms to tell callers so. If the upstream runs, the
- * agent is about to be restarted and exits soon, so that the upstream is without an agent as briefly as
- * possible. */
+/* If the upstream has ended or is about to, the agent keeps running for leave_ms, to tell callers so.
+ * Otherwise the agent is about to be restarted and exits soon, so that the upstream is without an agent as
+ * briefly as possible. */
 static gboolean
 on_stop_signal (gpointer data)
 {
   agent_t *agent = data;
-  const bool upstream_gone = oh_upstream_identity_has_left (&agent->core.identity);
-  const int64_t delay_ms = upstream_gone ? agent->settings.leave_ms : STOP_DELAY_MS;
+  const bool leaves = oh_upstream_identity_has_left (&agent->core.identity);
+  const bool ended = agent->core.upstream_ended;
+  const int64_t delay_ms = leaves || ended ? agent->settings.leave_ms : STOP_DELAY_MS;
 
   if (agent->leaving)
     return G_SOURCE_CONTINUE;
   agent->leaving = true;
-  oh_log_info ("leaving", "name=%s upstream_gone=%d generation=%u delay_ms=%" G_GINT64_FORMAT,
-               agent->settings.name, upstream_gone, agent->core.identity.generation, delay_ms);
+  oh_log_info ("leaving",
+               "name=%s upstream_leaves=%d upstream_gone=%d generation=%u delay_ms=%" G_GINT64_FORMAT,
+               agent->settings.name, leaves, ended, agent->core.identity.generation, delay_ms);
   g_timeout_add ((guint)delay_ms, quit, agent);
   return G_SOURCE_CONTINUE;
 }
@@ -292,7 +317,10 @@
   if (agent->outbound_fd < 0)
     return false;
   g_unix_fd_add (agent->relay_fd, G_IO_IN, on_relay_datagram, agent);
-  g_unix_fd_add (agent->outbound_fd, G_IO_IN, on_upstream_datagram, agent);
+  if (!oh_udp_report_refusals (agent->outbound_fd))
+    oh_log_warning ("refusals_unsupported", "name=%s reason=\"%s\"", agent->settings.name,
+                    g_strerror (errno));
+  g_unix_fd_add (agent->outbound_fd, G_IO_IN | G_IO_ERR, on_upstream_datagram, agent);
   return true;
 }
 
@@ -332,12 +360,13 @@
 stop (agent_t *agent)
 {
   oh_heartbeat_http_stop (agent->heartbeats);
-  /* While the upstream runs, the agent stays listed until its lease ends: the upstream still has its flows,
-   * and no other process can report that. */
-  if (oh_upstream_identity_has_left (&agent->core.identity))
+  /* Otherwise the agent stays listed until its lease ends: the upstream may still have flows, and no other
+   * process can report that. */
+  if (oh_segment_agent_is_done (&agent->core))
     oh_view_client_stop (agent->view_client);
   else
     oh_view_client_stop_without_leaving (agent->view_client);
+  oh_listener_watch_stop (agent->listener_watch);
   oh_readiness_http_stop (agent->readiness);
   oh_admin_stop (agent->admin);
   if (agent->relay_fd >= 0)
@@ -355,6 +384,7 @@
     .send_caller = send_caller,
     .send_balancer = send_balancer,
     .report = report,
+    .watch_listener = watch_listener,
     .changed = on_changed,
     .log = write_log,
   };
--- a/lib/adapters/udp.c
+++ b/lib/adapters/udp.c
@@ -2,6 +2,8 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/errqueue.h>
+#include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -62,13 +64,55 @@
   return from_sockaddr (&sockaddr);
 }
 
+bool
+oh_udp_report_refusals (int fd)
+{
+  const int on = 1;
+
+  return setsockopt (fd, IPPROTO_IP, IP_RECVERR, &on, sizeof on) == 0;
+}
+
+static bool
+is_refusal (struct msghdr *message)
+{
+  for (struct cmsghdr *header = CMSG_FIRSTHDR (message); header != NULL;
+       header = CMSG_NXTHDR (message, header))
+    if (header->cmsg_level == IPPROTO_IP && header->cmsg_type == IP_RECVERR)
+      {
+        const struct sock_extended_err *error = (const struct sock_extended_err *)(void *)CMSG_DATA (header);
+
+        return error->ee_errno == ECONNREFUSED && error->ee_origin == SO_EE_ORIGIN_ICMP;
+      }
+  return false;
+}
+
+unsigned
+oh_udp_take_refusals (int fd)
+{
+  unsigned n_refused = 0;
+
+  for (unsigned i = 0; i < OH_UDP_BATCH_DATAGRAMS; i++)
+    {
+      char control[CMSG_SPACE (sizeof (struct sock_extended_err) + sizeof (struct sockaddr_in))];
+      struct msghdr message = { .msg_control = control, .msg_controllen = sizeof control };
+
+      if (recvmsg (fd, &message, MSG_ERRQUEUE | MSG_DONTWAIT) < 0)
+        break;
+      n_refused += is_refusal (&message);
+    }
+  return n_refused;
+}
+
 bool
 oh_udp_send (int fd, oh_address_t to, const void *bytes, size_t length)
 {
   const struct sockaddr_in sockaddr = to_sockaddr (to);
+  ssize_t sent = sendto (fd, bytes, length, 0, (const struct sockaddr *)&sockaddr, sizeof sockaddr);
 
-  return sendto (fd, bytes, length, 0, (const struct sockaddr *)&sockaddr, sizeof sockaddr)
-         == (ssize_t)length;
+  /* The refusal of an earlier datagram, which the call reports and clears instead of sending this one. */
+  if (sent < 0 && errno == ECONNREFUSED)
+    sent = sendto (fd, bytes, length, 0, (const struct sockaddr *)&sockaddr, sizeof sockaddr);
+  return sent == (ssize_t)length;
 }
 
 ssize_t
--- a/lib/adapters/udp.h
+++ b/lib/adapters/udp.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -23,6 +24,21 @@
 /* The address that the socket is bound to. */
 oh_address_t oh_udp_local_address (int fd);
 
+/*
+ * Lets the socket report datagrams that a process with a bound socket did not get: its descriptor then
+ * becomes ready with an error (G_IO_ERR), and oh_udp_take_refusals tells how many were refused. To be used
+ * with a socket that sends to one address only. Returns false, with errno set, if the system does not support
+ * it.
+ */
+bool oh_udp_report_refusals (int fd);
+
+/*
+ * Reads the errors that have been reported since the last call. To be called when the descriptor is ready
+ * with an error. Returns the number of datagrams that were refused because no socket was bound to the port
+ * that they were sent to.
+ */
+unsigned oh_udp_take_refusals (int fd);
+
 /*
  * Returns false if the kernel does not accept the datagram at once; it is then lost, as it could be on the
  * network.
--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -41,11 +41,7 @@
                                       length);
       return;
     case OH_AGENT_FLOW_OPEN:
-      if (flow->closed)
-        return;
-      flow->caller_acknowledged = segment->acknowledged;
-      oh_segment_agent_reset_flow (agent, flow, "returned");
-      oh_agent_flow_close (agent, flow);
+      oh_agent_flow_returned (agent, flow, segment->acknowledged);
       return;
     case OH_AGENT_FLOW_OPENING:
     case OH_AGENT_FLOW_ABSENT:
@@ -97,6 +93,7 @@
       return;
     }
   agent->upstream_sent_us = agent->now_us;
+  oh_segment_agent_upstream_runs (agent);
   if (segment.returned)
     {
       handle_returned (agent, &segment, bytes, length);
@@ -189,25 +186,36 @@
 
 static void
 apply_identity_change (oh_segment_agent_t *agent, const oh_announcement_t *announcement,
-                       oh_identity_change_t change, const oh_upstream_identity_t *former)
+                       oh_identity_change_t change)
 {
   if (change == OH_IDENTITY_REPLACED)
     {
       agent->unanswered_syns = 0;
       agent->records_complete = is_first_announcement (agent, announcement);
       log_records (agent, announcement);
-      oh_agent_flow_adopt (agent, former);
-      oh_segment_agent_reset_orphaned_flows (agent, "upstream-replaced");
+      oh_segment_agent_handle_replaced (agent);
     }
+  agent->sink->ops->watch_listener (agent->sink, agent->identity.state != OH_ANNOUNCED_READY);
   oh_segment_agent_report_load (agent);
   agent->sink->ops->changed (agent->sink);
 }
 
+/* An announcement shows that the upstream runs, unless it may have been sent before its end became known. */
+static void
+note_announcement (oh_segment_agent_t *agent, const oh_announcement_t *announcement,
+                   oh_announcement_result_t result, oh_identity_change_t change)
+{
+  const bool after_end = agent->now_us - agent->ended_us > (int64_t)OH_SEGMENT_ANNOUNCEMENT_DELAY_MS * 1000;
+
+  if (result == OH_ANNOUNCEMENT_TAKEN && announcement->state != OH_ANNOUNCED_LEFT
+      && (change == OH_IDENTITY_REPLACED || after_end))
+    oh_segment_agent_upstream_runs (agent);
+}
+
 oh_announcement_result_t
 oh_segment_agent_announce (oh_segment_agent_t *agent, const oh_announcement_t *announcement, int64_t now_us,
                            oh_segment_agent_sink_t *sink)
 {
-  const oh_upstream_identity_t former = agent->identity;
   oh_identity_change_t change;
   oh_announcement_result_t result;
 
@@ -219,10 +227,11 @@
     oh_counter_increment (&agent->counters.announcements_stale);
   else if (oh_announcement_refused (result))
     oh_counter_increment (&agent->counters.announcements_refused);
+  note_announcement (agent, announcement, result, change);
   if (change != OH_IDENTITY_REFRESHED)
     log_announcement (agent, announcement, result);
   if (change == OH_IDENTITY_CHANGED || change == OH_IDENTITY_REPLACED)
-    apply_identity_change (agent, announcement, change, &former);
+    apply_identity_change (agent, announcement, change);
   agent->sink = NULL;
   return result;
 }
@@ -309,8 +318,7 @@
 {
   expire_opening_flows (agent);
   expire_awaiting_request (agent);
-  if (agent->n_open > 0 && oh_segment_agent_has_left (agent))
-    oh_segment_agent_reset_orphaned_flows (agent, "upstream-left");
+  oh_segment_agent_ask_leaving (agent);
   if (agent->now_us - agent->reported_us < (int64_t)OH_SEGMENT_REPORT_INTERVAL_MS * 1000)
     return;
   oh_agent_flow_expire (agent);
@@ -393,13 +401,20 @@
   return agent->identity.service;
 }
 
+bool
+oh_segment_agent_is_done (const oh_segment_agent_t *agent)
+{
+  return agent->upstream_ended || (agent->n_open == 0 && oh_upstream_identity_has_left (&agent->identity));
+}
+
 bool
 oh_segment_agent_is_listed (const oh_segment_agent_t *agent, int64_t now_us)
 {
   const int64_t wait_us = agent->config.heartbeat_ms * 1000 * OH_SEGMENT_UNANNOUNCED_HEARTBEATS;
 
+  /* One that was restarted after its upstream's deregister call gets no announcement any more. */
   if (agent->identity.generation == 0)
-    return now_us - agent->config.started_us <= wait_us;
+    return now_us - agent->config.started_us <= wait_us || agent->n_open > 0;
   return agent->identity.service[0] != '\0';
 }
 
@@ -417,6 +432,12 @@
     case OH_SEGMENT_AGENT_UPSTREAM:
       handle_from_upstream (agent, event->datagram.bytes, event->datagram.length);
       break;
+    case OH_SEGMENT_AGENT_REFUSED:
+      oh_segment_agent_handle_refused (agent);
+      break;
+    case OH_SEGMENT_AGENT_LISTENER_GONE:
+      oh_segment_agent_handle_listener_gone (agent);
+      break;
     case OH_SEGMENT_AGENT_TICK:
       handle_tick (agent);
       break;
--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -27,13 +27,16 @@
   OH_SEGMENT_SYN_TIMEOUT_MS = 100,       /* a live upstream answers a SYN within a few milliseconds */
   OH_SEGMENT_SYN_MAX_BYTES = 128,        /* a SYN carries no data */
   OH_SEGMENT_REQUEST_TIMEOUT_MS = 10000, /* a request without a response for this long counts as abandoned */
-  /* An upstream that has announced that it leaves has exited once it was silent for this time. */
-  OH_SEGMENT_LEAVE_GRACE_MS = 500,
-  OH_SEGMENT_ADMIT_PER_SLOT = 3,           /* admission limit: requests per slot, running or expected */
-  OH_SEGMENT_ADMIT_PER_SLOT_WARMING = 2,   /* the same while the upstream warms up */
-  OH_SEGMENT_FIRST_REQUEST_MS = 300,       /* a new flow that brings no request within this time is idle */
-  OH_SEGMENT_ANNOUNCEMENT_DELAY_MS = 1000, /* an announcement may be handled this long after it was sent */
-  OH_SEGMENT_CLOCK_TOLERANCE_MS = 50,      /* between two readings of the time of day on one VM */
+  /* Between two times that a leaving upstream is asked whether it still runs; an upstream that runs and whose
+   * process does not listen any more answers within this time. */
+  OH_SEGMENT_ASK_INTERVAL_MS = 500,
+  OH_SEGMENT_ASK_COPIES = 2,             /* an upstream acknowledges every second segment */
+  OH_SEGMENT_ADMIT_PER_SLOT = 3,         /* admission limit: requests per slot, running or expected */
+  OH_SEGMENT_ADMIT_PER_SLOT_WARMING = 2, /* the same while the upstream warms up */
+  OH_SEGMENT_FIRST_REQUEST_MS = 300,     /* a new flow that brings no request within this time is idle */
+  /* An announcement may be handled this long after it was sent. */
+  OH_SEGMENT_ANNOUNCEMENT_DELAY_MS = 1000,
+  OH_SEGMENT_CLOCK_TOLERANCE_MS = 50, /* between two readings of the time of day on one VM */
   /* An agent without an announcement is listed for this many heartbeat intervals after its start; an upstream
    * that is running announces itself in that time. */
   OH_SEGMENT_UNANNOUNCED_HEARTBEATS = 3,
@@ -50,7 +53,11 @@
 {
   OH_SEGMENT_AGENT_RELAY,    /* a datagram from a balancer */
   OH_SEGMENT_AGENT_UPSTREAM, /* a datagram from the upstream */
-  OH_SEGMENT_AGENT_TICK,     /* every OH_SEGMENT_AGENT_TICK_MS */
+  /* The operating system has refused a datagram to the upstream: no process is bound to its address. */
+  OH_SEGMENT_AGENT_REFUSED,
+  /* No process accepts TCP connections at the upstream's address any more, after one did. */
+  OH_SEGMENT_AGENT_LISTENER_GONE,
+  OH_SEGMENT_AGENT_TICK, /* every OH_SEGMENT_AGENT_TICK_MS */
 } oh_segment_agent_event_kind_t;
 
 /* An input of the state machine. */
@@ -77,6 +84,8 @@
   void (*send_balancer) (oh_segment_agent_sink_t *sink, oh_address_t to, const uint8_t *bytes, size_t length);
   /* Sends a load report to every balancer. */
   void (*report) (oh_segment_agent_sink_t *sink, const uint8_t *bytes, size_t length);
+  /* Starts or stops to watch whether a process accepts TCP connections at the upstream's address. */
+  void (*watch_listener) (oh_segment_agent_sink_t *sink, bool watch);
   /* Called when the data that the agent reports to the control replicas has changed. */
   void (*changed) (oh_segment_agent_sink_t *sink);
   /* pairs: key=value pairs of the event. */
@@ -104,6 +113,7 @@
   oh_agent_flow_state_t state;
   unsigned generation;   /* of the upstream that has the flow */
   oh_address_t balancer; /* to which the agent reports about the flow */
+  uint64_t service;      /* that the SYN was for; 0 if another process of the agent delivered it */
   uint32_t syn_sequence;
   bool answered;                /* the upstream answered the SYN */
   uint32_t syn_ack_sequence;    /* of the upstream's last SYN-ACK */
@@ -113,7 +123,8 @@
   int64_t probes_us;
   bool awaiting_response; /* a request was delivered and no response data has come back yet */
   bool closed;            /* by either end, or reset */
-  GBytes *request;        /* last segment with data, while awaiting_response; otherwise NULL */
+  bool lost;              /* the upstream does not have it any more, and the caller was reset */
+  GBytes *last_data;      /* last segment with data that was delivered, while the flow is open, or NULL */
   int64_t request_us;     /* when the request was delivered, while awaiting_response */
   int64_t opened_us;      /* when the record was added */
   int64_t used_us;        /* when the record last moved to the end of the lru list */
@@ -186,6 +197,11 @@
   oh_histogram_t first_answer_seconds;
   oh_histogram_t request_seconds;
   int64_t upstream_sent_us; /* last segment from the upstream */
+  bool upstream_ended;      /* that was shown, and nothing has shown since that it runs */
+  int64_t ended_us;         /* when that became known */
+  int64_t asked_us;         /* when a leaving upstream was last asked whether it still runs */
+  bool listener_gone;       /* no process listens at its address, while nothing was announced since */
+  int64_t unanswered_us;    /* when it was first asked after its last segment; 0: it was not */
   int64_t now_us;
   oh_segment_agent_sink_t *sink; /* set only while an event is handled */
   oh_arena_t arena;
@@ -219,6 +235,9 @@
 /* Name of the service that the upstream announced; "" before its first announcement. Owned by the agent. */
 const char *oh_segment_agent_service (const oh_segment_agent_t *agent);
 
+/* True if the upstream has ended, or has announced that it leaves and has no open flows. */
+bool oh_segment_agent_is_done (const oh_segment_agent_t *agent);
+
 /*
  * True if the control replicas should list the agent: its upstream has announced itself, or may still do so
  * after the start of the agent. Until it does, the agent is listed without a service, so that balancers
--- a/lib/core/segment_agent_flows.c
+++ b/lib/core/segment_agent_flows.c
@@ -42,7 +42,6 @@
     return;
   agent->n_awaiting_response += awaiting ? 1 : -1;
   flow->awaiting_response = awaiting;
-  g_clear_pointer (&flow->request, g_bytes_unref);
   flow->request_us = agent->now_us;
 }
 
@@ -67,6 +66,7 @@
   flow->closed = true;
   oh_agent_flow_set_awaiting_response (agent, flow, false);
   oh_agent_flow_end_awaiting_request (agent, flow);
+  g_clear_pointer (&flow->last_data, g_bytes_unref);
 }
 
 void
@@ -93,7 +93,7 @@
 {
   oh_agent_flow_t *flow = data;
 
-  g_clear_pointer (&flow->request, g_bytes_unref);
+  g_clear_pointer (&flow->last_data, g_bytes_unref);
   g_free (flow);
 }
 
@@ -151,35 +151,3 @@
       oh_agent_flow_remove (agent, oldest);
     }
 }
-
-void
-oh_agent_flow_adopt (oh_segment_agent_t *agent, const oh_upstream_identity_t *former)
-{
-  const int64_t certain_us = former->last_heard_us - (int64_t)OH_SEGMENT_ANNOUNCEMENT_DELAY_MS * 1000;
-  GHashTableIter iter;
-  gpointer value;
-
-  if (former->generation != 0 && former->service_id != agent->identity.service_id)
-    return;
-  g_hash_table_iter_init (&iter, agent->flows);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      oh_agent_flow_t *flow = value;
-
-      if (flow->generation != 0 && flow->opened_us < certain_us)
-        continue;
-      flow->generation = agent->identity.generation;
-      /* A caller that only waits sends nothing that the upstream could return, so its request is delivered
-       * again. */
-      if (flow->state == OH_AGENT_FLOW_OPEN && flow->request != NULL)
-        {
-          gsize length;
-          const uint8_t *bytes = g_bytes_get_data (flow->request, &length);
-
-          oh_segment_agent_deliver (agent, bytes, length);
-        }
-      /* They are no load of the new incarnation unless their callers send something. */
-      oh_agent_flow_set_awaiting_response (agent, flow, false);
-      oh_agent_flow_end_awaiting_request (agent, flow);
-    }
-}
--- a/lib/core/segment_agent_private.h
+++ b/lib/core/segment_agent_private.h
@@ -34,12 +34,6 @@
 /* Removes records that were not used for the flow timeout. */
 void oh_agent_flow_expire (oh_segment_agent_t *agent);
 
-/* Assigns flows to the new incarnation that may have opened there before its first announcement. former: the
- * identity before that. Flows that opened before its last announcement are certainly of that incarnation. The
- * upstream returns the segments of those that it does not have; requests without a response are delivered
- * again for that. None is assigned to an upstream of another service. */
-void oh_agent_flow_adopt (oh_segment_agent_t *agent, const oh_upstream_identity_t *former);
-
 /* Messages to balancers, callers and the upstream (segment_agent_replies.c). */
 
 /* Why the agent reports a flow as absent. */
@@ -70,12 +64,39 @@
  * response will never come. */
 void oh_segment_agent_reset_flow (oh_segment_agent_t *agent, oh_agent_flow_t *flow, const char *reason);
 
-/* Resets the flows whose upstream is gone. A caller that only waits for a response sends no segment that a
- * reset could answer, so the agent does not wait for one. */
-void oh_segment_agent_reset_orphaned_flows (oh_segment_agent_t *agent, const char *reason);
-
-/* True once the upstream has announced that it leaves, and was silent since. */
-bool oh_segment_agent_has_left (const oh_segment_agent_t *agent);
+/*
+ * Ends of flows (segment_agent_ends.c). A flow that has opened is reset only if
+ *
+ * - its upstream returns a segment of it,
+ * - the operating system refuses a datagram, as no process is bound to the upstream's address,
+ * - no process accepts TCP connections there any more, after one did, and data that a running upstream has to
+ *   acknowledge is not acknowledged either, or
+ * - an upstream of another service has announced itself at that address.
+ *
+ * Silence alone proves nothing: an upstream may be idle, slow or paused. A deregister call announces an end,
+ * which may come seconds later. An announcement of a new start may be a late one, of an incarnation between
+ * an earlier one and the present one. So after either the upstream is asked: data of the caller is delivered
+ * again.
+ */
+
+/* The upstream has returned a segment of an open flow. */
+void oh_agent_flow_returned (oh_segment_agent_t *agent, oh_agent_flow_t *flow, uint32_t acknowledged);
+
+/* A new incarnation was announced. */
+void oh_segment_agent_handle_replaced (oh_segment_agent_t *agent);
+
+/* A datagram to the upstream was refused: its process has ended. */
+void oh_segment_agent_handle_refused (oh_segment_agent_t *agent);
+
+/* No process listens at the upstream's address any more. */
+void oh_segment_agent_handle_listener_gone (oh_segment_agent_t *agent);
+
+/* Notes that the upstream runs: it has sent a segment or announced itself. */
+void oh_segment_agent_upstream_runs (oh_segment_agent_t *agent);
+
+/* Asks an upstream that leaves, or whose listener is gone, whether it still runs, if it is time to. To be
+ * called at each tick. */
+void oh_segment_agent_ask_leaving (oh_segment_agent_t *agent);
 
 /* Messages from balancers (segment_agent_relay.c). */
 
--- a/lib/core/segment_agent_relay.c
+++ b/lib/core/segment_agent_relay.c
@@ -23,7 +23,7 @@
     *result = OH__RESULT__RESULT_WRONG_SERVICE;
   else if (identity->state != OH_ANNOUNCED_READY)
     *result = OH__RESULT__RESULT_NOT_RUN_DRAINING;
-  else if (!oh_upstream_identity_accepts_flows (identity, agent->now_us))
+  else if (!oh_upstream_identity_accepts_flows (identity, agent->now_us) || agent->upstream_ended)
     *result = OH__RESULT__RESULT_NO_UPSTREAM;
   else if (agent->n_open + agent->n_opening >= agent->config.max_flows || is_overloaded (agent))
     *result = OH__RESULT__RESULT_NOT_RUN_OVERLOADED;
@@ -56,6 +56,7 @@
     }
   flow = oh_agent_flow_add (agent, key, OH_AGENT_FLOW_OPENING);
   flow->balancer = balancer;
+  flow->service = service;
   flow->syn_sequence = segment->sequence;
   flow->syn_length = length;
   memcpy (flow->syn, bytes, length);
@@ -75,8 +76,8 @@
   if (segment->length > 0 && !flow->closed)
     {
       oh_agent_flow_set_awaiting_response (agent, flow, true);
-      g_clear_pointer (&flow->request, g_bytes_unref);
-      flow->request = g_bytes_new (bytes, length);
+      g_clear_pointer (&flow->last_data, g_bytes_unref);
+      flow->last_data = g_bytes_new (bytes, length);
       oh_agent_flow_end_awaiting_request (agent, flow);
     }
   if (segment->fin || segment->rst)
@@ -155,7 +156,7 @@
     {
       flow->caller_acknowledged = segment->acknowledged;
       if (flow->state == OH_AGENT_FLOW_OPEN)
-        oh_segment_agent_reset_flow (agent, flow, "upstream-replaced");
+        oh_segment_agent_reset_flow (agent, flow, "service-replaced");
       else
         oh_segment_agent_answer_absent (agent, key, balancer, query, OH_ABSENT_DENIED, bytes, length);
       return;
@@ -190,10 +191,10 @@
     oh_segment_agent_answer (agent, balancer, OH__SEGMENT_RELAY_KIND__SEGMENT_OWNED, OH__RESULT__RESULT_NONE,
                              key, NULL, 0);
   flow->balancer = balancer;
-  if (oh_segment_agent_has_left (agent))
+  if (agent->upstream_ended)
     {
       flow->caller_acknowledged = segment->acknowledged;
-      oh_segment_agent_reset_flow (agent, flow, "upstream-left");
+      oh_segment_agent_reset_flow (agent, flow, "upstream-ended");
       return;
     }
   deliver_to_flow (agent, flow, segment, bytes, length);
--- a/lib/core/segment_agent_replies.c
+++ b/lib/core/segment_agent_replies.c
@@ -8,7 +8,7 @@
 {
   const oh_upstream_identity_t *identity = &agent->identity;
 
-  if (!oh_upstream_identity_accepts_flows (identity, agent->now_us))
+  if (!oh_upstream_identity_accepts_flows (identity, agent->now_us) || agent->upstream_ended)
     return 0;
   if (agent->now_us < identity->warmup_ends_us)
     return MAX (1u, (unsigned)(identity->slots * WARMING_SHARE));
@@ -22,7 +22,7 @@
 
   if (identity->state != OH_ANNOUNCED_READY)
     return OH__UPSTREAM_STATE__UPSTREAM_DRAINING;
-  if (!oh_upstream_identity_accepts_flows (identity, agent->now_us)
+  if (!oh_upstream_identity_accepts_flows (identity, agent->now_us) || agent->upstream_ended
       || agent->unanswered_syns >= OH_SEGMENT_SUSPECT_SYNS)
     return OH__UPSTREAM_STATE__UPSTREAM_SUSPECT;
   if (agent->now_us < identity->warmup_ends_us)
@@ -155,35 +155,6 @@
   agent->sink->ops->send_caller (agent->sink, flow->key.caller, buffer, length);
 }
 
-bool
-oh_segment_agent_has_left (const oh_segment_agent_t *agent)
-{
-  const int64_t heard_us = MAX (agent->identity.last_heard_us, agent->upstream_sent_us);
-
-  return oh_upstream_identity_has_left (&agent->identity)
-         && agent->now_us - heard_us >= (int64_t)OH_SEGMENT_LEAVE_GRACE_MS * 1000;
-}
-
-void
-oh_segment_agent_reset_orphaned_flows (oh_segment_agent_t *agent, const char *reason)
-{
-  const bool left = oh_segment_agent_has_left (agent);
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, agent->flows);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      oh_agent_flow_t *flow = value;
-
-      if (flow->state != OH_AGENT_FLOW_OPEN || flow->closed || flow->generation == 0
-          || (!left && flow->generation == agent->identity.generation))
-        continue;
-      oh_segment_agent_reset_flow (agent, flow, reason);
-      oh_agent_flow_close (agent, flow);
-    }
-}
-
 void
 oh_segment_agent_answer_absent (oh_segment_agent_t *agent, const oh_flow_key_t *key, oh_address_t balancer,
                                 uint32_t query, oh_absent_reason_t reason, const uint8_t *bytes,
--- a/tests/segment_sim.c
+++ b/tests/segment_sim.c
@@ -598,6 +598,13 @@
     transmit (((sim_node_t *)sink)->sim, receive_relay_at_balancer, i, bytes, length);
 }
 
+static void
+on_watch_listener (oh_segment_agent_sink_t *sink, bool watch)
+{
+  (void)sink;
+  (void)watch;
+}
+
 static void
 on_changed (oh_segment_agent_sink_t *sink)
 {
@@ -620,6 +627,7 @@
     .send_caller = on_agent_send_caller,
     .send_balancer = on_send_balancer,
     .report = on_report,
+    .watch_listener = on_watch_listener,
     .changed = on_changed,
     .log = on_agent_log,
   };
