--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -94,14 +94,18 @@
             oh_address_t agent)
 {
   oh_offer_t *offer = find_offer (flow, agent);
+  bool restarted;
 
   if (offer == NULL || offer->state == OH_OFFER_REFUSED)
     return;
   oh_counter_increment (&balancer->counters.refused_by_agent);
   oh_placement_open_answered (&balancer->placement, relay->load, oh_flow_key_digest (&flow->key), false,
                               balancer->now_us);
+  /* An agent that was restarted does not know that it has delivered an earlier transmission of the SYN. */
+  restarted = relay->load->incarnation != offer->incarnation;
+  flow->may_be_open
+    |= relay->refused == OH__RESULT__RESULT_NOT_RUN_UPSTREAM || (offer->repeated && restarted);
   offer->state = OH_OFFER_REFUSED;
-  flow->may_be_open |= relay->refused == OH__RESULT__RESULT_NOT_RUN_UPSTREAM;
   flow->overloaded = relay->refused == OH__RESULT__RESULT_NOT_RUN_OVERLOADED;
   oh_balancer_flow_log (balancer, OH_LOG_INFO, "offer_refused", &flow->key, "upstream=%s result=%d",
                         relay->load->upstream, (int)relay->refused);
--- a/lib/core/segment_balancer.h
+++ b/lib/core/segment_balancer.h
@@ -113,6 +113,7 @@
   uint64_t incarnation; /* of the upstream */
   uint64_t service;
   int64_t sent_us;
+  bool repeated; /* a retransmission of the SYN was sent there, too */
   oh_offer_state_t state;
 } oh_offer_t;
 
--- a/lib/core/segment_placing.c
+++ b/lib/core/segment_placing.c
@@ -152,8 +152,9 @@
 }
 
 static void
-repeat_offer (oh_segment_balancer_t *balancer, const oh_offer_t *offer, const uint8_t *bytes, size_t length)
+repeat_offer (oh_segment_balancer_t *balancer, oh_offer_t *offer, const uint8_t *bytes, size_t length)
 {
+  offer->repeated = true;
   oh_segment_send_relay (balancer, offer->agent, OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN, offer->service, bytes,
                          length);
 }
--- a/tests/test_segment_balancer.c
+++ b/tests/test_segment_balancer.c
@@ -45,6 +45,7 @@
   STEP_AGENT_MESSAGE, /* a: agent, b: kind, c: result; answers the last query that the agent got */
   STEP_LAST_AGENT_MESSAGE, /* the same, from the agent that got the last message */
   STEP_WANTED,             /* a: agent; it needs a segment to answer the last query; b: to compare it only */
+  STEP_RESTART_LAST_AGENT, /* the agent that got the last message is restarted */
   STEP_WAIT,               /* a: ms, with ticks meanwhile */
   STEP_PAUSE,              /* a: ms without an event, as while a process is stopped */
   EXPECT_SENT,             /* a: kind, b: messages of it since the last such check */
@@ -80,6 +81,7 @@
   int durable;       /* index of the balancer with a disk: 0 is this one, below 0 none */
   unsigned stored;
   oh_address_t stored_owner;
+  int restarted; /* agent that is another process now, and has heard of no upstream yet; -1: none */
   bool unannounced_upstream; /* views list the last agent without a service */
 } fixture_t;
 
@@ -157,7 +159,8 @@
     .max_flows = 100,
   };
 
-  *fixture = (fixture_t){ .sink = { .ops = &ops }, .now_us = 10 * G_USEC_PER_SEC, .durable = -1 };
+  *fixture
+    = (fixture_t){ .sink = { .ops = &ops }, .now_us = 10 * G_USEC_PER_SEC, .durable = -1, .restarted = -1 };
   fixture_keyring (&fixture->keyring);
   oh_seeded_random_init (&fixture->random, 1);
   oh_segment_balancer_init (&fixture->core, &config, &fixture->keyring, &fixture->random.base);
@@ -178,7 +181,9 @@
   oh_address_to_wire (agent_address (agent), address);
   load->upstream = (char *)name;
   load->service = oh_service_id (agent_service (agent));
-  load->incarnation = 1000 + (uint64_t)agent;
+  load->incarnation = 1000 + (uint64_t)agent + (fixture->restarted == agent ? 100 : 0);
+  if (fixture->restarted == agent)
+    load->state = OH__UPSTREAM_STATE__UPSTREAM_DRAINING;
   load->sequence = ++fixture->sequence;
   load->slots = 4;
   load->queued = 1;
@@ -411,6 +416,9 @@
     case STEP_AGENT_MESSAGE:
       handle_agent_message (fixture, step, step->a);
       return;
+    case STEP_RESTART_LAST_AGENT:
+      fixture->restarted = last_agent (fixture);
+      return;
     case STEP_LAST_AGENT_MESSAGE:
       handle_agent_message (fixture, step, last_agent (fixture));
       return;
@@ -495,6 +503,10 @@
   {                                                                                                          \
     STEP_WANTED, agent, 0, 0, NULL                                                                           \
   }
+#define RESTART_LAST_AGENT                                                                                   \
+  {                                                                                                          \
+    STEP_RESTART_LAST_AGENT, 0, 0, 0, NULL                                                                   \
+  }
 #define LIST_PEERS                                                                                           \
   {                                                                                                          \
     STEP_LIST_PEERS, 0, 0, 0, NULL                                                                           \
@@ -551,6 +563,20 @@
   { "a flow is reset although its caller has opened it, by a late answer to its SYN",
     { CONFIRMED_VIEW (kiln_text), WAIT (4000), SYN, FROM_LAST_AGENT (REFUSED, DRAINING),
       FROM_LAST_AGENT (REFUSED, DRAINING), REQUEST, FROM_LAST_AGENT (REFUSED, DRAINING), RESETS (0) } },
+  { "a flow is reset although an upstream has answered its SYN, as the agent there was restarted",
+    { CONFIRMED_VIEW (kiln_text), WAIT (4000), SYN, FROM_LAST_AGENT (ACCEPTED, 0), WAIT (200),
+      RESTART_LAST_AGENT, RETRANSMITTED_SYN (1), FROM_LAST_AGENT (REFUSED, DRAINING),
+      FROM_LAST_AGENT (REFUSED, DRAINING), FROM_LAST_AGENT (REFUSED, DRAINING), RESETS (0) } },
+  { "a flow is reset although an agent may have delivered its SYN before it was restarted",
+    { { STEP_VIEW, 1, 1, 1, kiln_text },
+      WAIT (4000),
+      SYN,
+      WAIT (200),
+      RESTART_LAST_AGENT,
+      RETRANSMITTED_SYN (1),
+      SENT (OPEN, 2),
+      FROM_LAST_AGENT (REFUSED, DRAINING),
+      RESETS (0) } },
   { "a flow is reset that a retransmission of its SYN may have opened through another balancer",
     { CONFIRMED_VIEW (kiln_text), WAIT (4000), SYN, FROM_LAST_AGENT (REFUSED, DRAINING),
       FROM_LAST_AGENT (REFUSED, DRAINING), WAIT (200), FROM_LAST_AGENT (REFUSED, DRAINING), RESETS (0) } },
