--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -40,10 +40,11 @@
   /* An agent without an announcement is listed for this many heartbeat intervals after its start; an upstream
    * that is running announces itself in that time. */
   OH_SEGMENT_UNANNOUNCED_HEARTBEATS = 3,
-  /* At most this many segments of a flow are delivered to learn whether the upstream has it, per interval:
-   * two, as an upstream acknowledges every second segment of a flow that it has. */
+  /* At most this many segments of a flow are delivered to learn whether the upstream has it, within any
+   * interval of this length: two, as an upstream acknowledges every second segment of a flow that it has. The
+   * interval exceeds the 2 s in which three segments elsewhere break the flow by the delay of a probe. */
   OH_SEGMENT_PROBES_MAX = 2,
-  OH_SEGMENT_PROBES_INTERVAL_MS = 2000,
+  OH_SEGMENT_PROBES_INTERVAL_MS = 2500,
   OH_SEGMENT_SUSPECT_SYNS = 2, /* consecutive unanswered SYNs after which the upstream is suspect */
   OH_SEGMENT_AGENT_QUERY_FLOWS_MAX = 128, /* per query of a balancer */
   OH_SEGMENT_AGENT_LOG_BYTES = 480,
@@ -115,12 +116,12 @@
   oh_address_t balancer; /* to which the agent reports about the flow */
   uint64_t service;      /* that the SYN was for; 0 if another process of the agent delivered it */
   uint32_t syn_sequence;
-  bool answered;                /* the upstream answered the SYN */
-  uint32_t syn_ack_sequence;    /* of the upstream's last SYN-ACK */
-  uint32_t caller_acknowledged; /* by the caller's last segment */
-  uint32_t query;               /* number of the query that the probe answers; 0: none */
-  unsigned n_probes;            /* segments delivered as probes since probes_us */
-  int64_t probes_us;
+  bool answered;                            /* the upstream answered the SYN */
+  uint32_t syn_ack_sequence;                /* of the upstream's last SYN-ACK */
+  uint32_t caller_acknowledged;             /* by the caller's last segment */
+  uint32_t query;                           /* number of the query that the probe answers; 0: none */
+  unsigned n_probes;                        /* segments delivered as probes */
+  int64_t probed_us[OH_SEGMENT_PROBES_MAX]; /* when the last ones were, as a ring */
   bool awaiting_response; /* a request was delivered and no response data has come back yet */
   bool closed;            /* by either end, or reset */
   bool lost;              /* the upstream does not have it any more, and the caller was reset */
--- a/lib/core/segment_agent_relay.c
+++ b/lib/core/segment_agent_relay.c
@@ -90,16 +90,15 @@
 static void
 probe (oh_segment_agent_t *agent, oh_agent_flow_t *flow, const uint8_t *bytes, size_t length)
 {
-  if (agent->now_us - flow->probes_us >= (int64_t)OH_SEGMENT_PROBES_INTERVAL_MS * 1000)
-    {
-      flow->probes_us = agent->now_us;
-      flow->n_probes = 0;
-    }
-  if (flow->n_probes >= OH_SEGMENT_PROBES_MAX)
+  int64_t *oldest_us = &flow->probed_us[flow->n_probes % OH_SEGMENT_PROBES_MAX];
+
+  if (flow->n_probes >= OH_SEGMENT_PROBES_MAX
+      && agent->now_us - *oldest_us < (int64_t)OH_SEGMENT_PROBES_INTERVAL_MS * 1000)
     {
       oh_counter_increment (&agent->counters.probes_held);
       return;
     }
+  *oldest_us = agent->now_us;
   flow->n_probes++;
   oh_counter_increment (&agent->counters.probes);
   oh_segment_agent_deliver (agent, bytes, length);
@@ -127,7 +126,6 @@
   flow->balancer = balancer;
   flow->query = query;
   flow->caller_acknowledged = segment->acknowledged;
-  flow->probes_us = agent->now_us;
   probe (agent, flow, bytes, length);
 }
 
