--- a/lib/core/upstream_identity.c
+++ b/lib/core/upstream_identity.c
@@ -62,23 +62,81 @@
   return OH_ANNOUNCEMENT_TAKEN;
 }
 
+static bool
+is_incarnation (const oh_incarnation_t *incarnation, const oh_announcement_t *announcement)
+{
+  return incarnation->started_ms == announcement->started_ms
+         && strcmp (incarnation->id, announcement->id) == 0;
+}
+
+static bool
+was_replaced (const oh_upstream_identity_t *identity, const oh_announcement_t *announcement)
+{
+  for (unsigned i = 0; i < MIN (identity->n_former, OH_UPSTREAM_FORMER_MAX); i++)
+    if (is_incarnation (&identity->former[i], announcement))
+      return true;
+  return false;
+}
+
+/* Counts the announcement for the claim of its incarnation. Returns true if the claim holds. */
+static bool
+update_claim (oh_upstream_identity_t *identity, const oh_announcement_t *announcement, int64_t now_us)
+{
+  oh_incarnation_claim_t *claim = &identity->claim;
+  const int64_t interval_us = identity->silent_after_us / OH_UPSTREAM_MISSED_HEARTBEATS;
+
+  if (claim->n == 0 || !is_incarnation (&claim->incarnation, announcement))
+    {
+      *claim = (oh_incarnation_claim_t){ .sequence = announcement->sequence, .heard_us = now_us, .n = 1 };
+      g_strlcpy (claim->incarnation.id, announcement->id, sizeof claim->incarnation.id);
+      claim->incarnation.started_ms = announcement->started_ms;
+      return false;
+    }
+  if (announcement->sequence <= claim->sequence)
+    return false;
+  claim->sequence = announcement->sequence;
+  if (now_us - claim->heard_us < interval_us / 2)
+    return false;
+  claim->heard_us = now_us;
+  claim->n++;
+  return claim->n >= OH_UPSTREAM_CLAIM_ANNOUNCEMENTS && oh_upstream_identity_is_silent (identity, now_us);
+}
+
+/* Sets *replaces if the announcement, if it is taken, begins an incarnation. */
 static oh_announcement_result_t
-check (const oh_upstream_identity_t *identity, const oh_announcement_t *announcement)
+check (oh_upstream_identity_t *identity, const oh_announcement_t *announcement, int64_t now_us,
+       bool *replaces)
 {
+  *replaces = false;
   if (announcement->state == OH_ANNOUNCED_LEFT)
     return check_leaving (identity, announcement);
   if (!oh_address_equal (announcement->address, identity->address))
     return OH_ANNOUNCEMENT_OTHER_ADDRESS;
-  if (identity->generation == 0 || announcement->started_ms > identity->started_ms)
-    return check_new_start (identity, announcement);
-  if (announcement->started_ms < identity->started_ms)
+  if (identity->generation > 0 && announcement->started_ms == identity->started_ms)
+    return check_same_start (identity, announcement);
+  if (identity->generation > 0
+      && (announcement->started_ms < identity->started_ms || was_replaced (identity, announcement))
+      && !update_claim (identity, announcement, now_us))
     return OH_ANNOUNCEMENT_STALE;
-  return check_same_start (identity, announcement);
+  *replaces = true;
+  return check_new_start (identity, announcement);
+}
+
+static void
+remember_former (oh_upstream_identity_t *identity)
+{
+  oh_incarnation_t *former = &identity->former[identity->n_former % OH_UPSTREAM_FORMER_MAX];
+
+  g_strlcpy (former->id, identity->id, sizeof former->id);
+  former->started_ms = identity->started_ms;
+  identity->n_former++;
 }
 
 static void
 start_incarnation (oh_upstream_identity_t *identity, const oh_announcement_t *announcement)
 {
+  if (identity->generation > 0)
+    remember_former (identity);
   identity->generation++;
   identity->started_ms = announcement->started_ms;
   g_strlcpy (identity->id, announcement->id, sizeof identity->id);
@@ -88,34 +146,35 @@
 }
 
 static oh_identity_change_t
-apply (oh_upstream_identity_t *identity, const oh_announcement_t *announcement, int64_t now_us)
+apply (oh_upstream_identity_t *identity, const oh_announcement_t *announcement, bool replaces, int64_t now_us)
 {
-  const oh_upstream_identity_t before = *identity;
-  const bool replaced = announcement->state != OH_ANNOUNCED_LEFT
-                        && (identity->generation == 0 || announcement->started_ms > identity->started_ms);
+  const oh_announced_state_t state = identity->state;
+  const unsigned slots = identity->slots;
 
+  identity->claim.n = 0;
   identity->state = announcement->state;
   identity->last_heard_us = now_us;
   if (announcement->state == OH_ANNOUNCED_LEFT)
     return OH_IDENTITY_CHANGED;
-  if (replaced)
+  if (replaces)
     start_incarnation (identity, announcement);
   identity->sequence = announcement->sequence;
   identity->slots = announcement->slots;
   identity->warmup_ends_us = now_us + announcement->warmup_ms * 1000;
-  if (replaced)
+  if (replaces)
     return OH_IDENTITY_REPLACED;
-  return before.state != identity->state || before.slots != identity->slots ? OH_IDENTITY_CHANGED
-                                                                            : OH_IDENTITY_REFRESHED;
+  return state != identity->state || slots != identity->slots ? OH_IDENTITY_CHANGED : OH_IDENTITY_REFRESHED;
 }
 
 oh_announcement_result_t
 oh_upstream_identity_update (oh_upstream_identity_t *identity, const oh_announcement_t *announcement,
                              int64_t now_us, oh_identity_change_t *change)
 {
-  const oh_announcement_result_t result = check (identity, announcement);
-  const oh_identity_change_t made
-    = result == OH_ANNOUNCEMENT_TAKEN ? apply (identity, announcement, now_us) : OH_IDENTITY_UNCHANGED;
+  bool replaces;
+  const oh_announcement_result_t result = check (identity, announcement, now_us, &replaces);
+  const oh_identity_change_t made = result == OH_ANNOUNCEMENT_TAKEN
+                                      ? apply (identity, announcement, replaces, now_us)
+                                      : OH_IDENTITY_UNCHANGED;
 
   if (change != NULL)
     *change = made;
--- a/lib/core/upstream_identity.h
+++ b/lib/core/upstream_identity.h
@@ -17,8 +17,31 @@
   OH_UPSTREAM_ID_BYTES = OH_ANNOUNCEMENT_ID_MAX_BYTES + 1,
   OH_UPSTREAM_SERVICE_BYTES = OH_CONFIG_NAME_MAX_BYTES + 1,
   OH_UPSTREAM_MISSED_HEARTBEATS = 3, /* in a row, until the upstream is silent */
+  OH_UPSTREAM_FORMER_MAX = 8,        /* former incarnations that are remembered */
+  /* Announcements that an incarnation with an earlier start needs to replace a silent one. */
+  OH_UPSTREAM_CLAIM_ANNOUNCEMENTS = 3,
 };
 
+/* Names an incarnation. */
+typedef struct
+{
+  char id[OH_UPSTREAM_ID_BYTES];
+  int64_t started_ms;
+} oh_incarnation_t;
+
+/*
+ * An incarnation that announces itself although it started before the present one, or was replaced: late
+ * announcements, or those of an upstream that started after the time of day was set back. Late ones come once
+ * or together; an upstream that runs announces itself in intervals, and the present one is silent then.
+ */
+typedef struct
+{
+  oh_incarnation_t incarnation;
+  uint64_t sequence; /* of its last announcement */
+  int64_t heard_us;  /* when the last one came that counts */
+  unsigned n;        /* announcements that came in intervals; 0: there is no claim */
+} oh_incarnation_claim_t;
+
 typedef struct
 {
   const oh_service_set_t *services; /* of the configuration; may be NULL */
@@ -35,6 +58,9 @@
   int64_t warmup_ends_us;  /* end of the warm-up that the upstream announced */
   int64_t last_heard_us;   /* last announcement that was not stale */
   int64_t silent_after_us; /* age of the last announcement beyond which the upstream is silent */
+  oh_incarnation_t former[OH_UPSTREAM_FORMER_MAX]; /* as a ring; n_former were added */
+  unsigned n_former;
+  oh_incarnation_claim_t claim;
 } oh_upstream_identity_t;
 
 typedef enum
--- a/tests/test_upstream_identity.c
+++ b/tests/test_upstream_identity.c
@@ -9,7 +9,7 @@
 
 enum
 {
-  STEPS_MAX = 6,
+  STEPS_MAX = 9,
   HEARTBEAT_MS = 1000,
 };
 
@@ -27,7 +27,8 @@
   uint64_t sequence;
   oh_announcement_result_t result;
   oh_identity_change_t change;
-  bool elsewhere; /* announced with another address */
+  bool elsewhere;   /* announced with another address */
+  unsigned wait_ms; /* before the announcement; 0: 1 us */
 } step_t;
 
 #define READY OH_ANNOUNCED_READY
@@ -46,51 +47,80 @@
   step_t steps[STEPS_MAX];
 } cases[] = {
   { "a start under an old id is ignored",
-    { { "a", "kiln", READY, 10, 9, TAKEN, REPLACED, false },
-      { "a", "kiln", READY, 20, 1, TAKEN, REPLACED, false },
-      { "a", "kiln", READY, 20, 2, TAKEN, REFRESHED, false } } },
+    { { "a", "kiln", READY, 10, 9, TAKEN, REPLACED, false, 0 },
+      { "a", "kiln", READY, 20, 1, TAKEN, REPLACED, false, 0 },
+      { "a", "kiln", READY, 20, 2, TAKEN, REFRESHED, false, 0 } } },
   { "an address does not go to another service",
-    { { "a", "kiln", READY, 10, 9, TAKEN, REPLACED, false },
-      { "b", "scan", READY, 20, 1, TAKEN, REPLACED, false },
-      { "a", "kiln", READY, 10, 10, STALE, NONE, false } } },
+    { { "a", "kiln", READY, 10, 9, TAKEN, REPLACED, false, 0 },
+      { "b", "scan", READY, 20, 1, TAKEN, REPLACED, false, 0 },
+      { "a", "kiln", READY, 10, 10, STALE, NONE, false, 0 } } },
   { "an upstream at another address replaces the agent's",
-    { { "b", "scan", READY, 20, 1, OH_ANNOUNCEMENT_OTHER_ADDRESS, NONE, true },
-      { "a", "kiln", READY, 10, 1, TAKEN, REPLACED, false },
-      { "b", "scan", READY, 20, 1, OH_ANNOUNCEMENT_OTHER_ADDRESS, NONE, true },
-      { "a", "kiln", READY, 10, 2, TAKEN, REFRESHED, false } } },
+    { { "b", "scan", READY, 20, 1, OH_ANNOUNCEMENT_OTHER_ADDRESS, NONE, true, 0 },
+      { "a", "kiln", READY, 10, 1, TAKEN, REPLACED, false, 0 },
+      { "b", "scan", READY, 20, 1, OH_ANNOUNCEMENT_OTHER_ADDRESS, NONE, true, 0 },
+      { "a", "kiln", READY, 10, 2, TAKEN, REFRESHED, false, 0 } } },
   { "an incarnation changes its service",
-    { { "a", "kiln", READY, 10, 1, TAKEN, REPLACED, false },
-      { "a", "scan", READY, 10, 2, OH_ANNOUNCEMENT_OTHER_SERVICE, NONE, false },
-      { "a", "kiln", READY, 10, 2, TAKEN, REFRESHED, false } } },
+    { { "a", "kiln", READY, 10, 1, TAKEN, REPLACED, false, 0 },
+      { "a", "scan", READY, 10, 2, OH_ANNOUNCEMENT_OTHER_SERVICE, NONE, false, 0 },
+      { "a", "kiln", READY, 10, 2, TAKEN, REFRESHED, false, 0 } } },
   { "a start of a service that the configuration does not name replaces the present one",
-    { { "b", "oven", READY, 9, 1, OH_ANNOUNCEMENT_UNKNOWN_SERVICE, NONE, false },
-      { "a", "kiln", READY, 10, 1, TAKEN, REPLACED, false },
-      { "b", "oven", READY, 20, 1, OH_ANNOUNCEMENT_UNKNOWN_SERVICE, NONE, false },
-      { "a", "kiln", READY, 10, 2, TAKEN, REFRESHED, false } } },
+    { { "b", "oven", READY, 9, 1, OH_ANNOUNCEMENT_UNKNOWN_SERVICE, NONE, false, 0 },
+      { "a", "kiln", READY, 10, 1, TAKEN, REPLACED, false, 0 },
+      { "b", "oven", READY, 20, 1, OH_ANNOUNCEMENT_UNKNOWN_SERVICE, NONE, false, 0 },
+      { "a", "kiln", READY, 10, 2, TAKEN, REFRESHED, false, 0 } } },
   { "two ids with one start time replace each other at each announcement",
-    { { "a", "kiln", READY, 10, 1, TAKEN, REPLACED, false },
-      { "b", "kiln", READY, 10, 1, OH_ANNOUNCEMENT_OTHER_ID, NONE, false },
-      { "a", "kiln", READY, 10, 2, TAKEN, REFRESHED, false } } },
+    { { "a", "kiln", READY, 10, 1, TAKEN, REPLACED, false, 0 },
+      { "b", "kiln", READY, 10, 1, OH_ANNOUNCEMENT_OTHER_ID, NONE, false, 0 },
+      { "a", "kiln", READY, 10, 2, TAKEN, REFRESHED, false, 0 } } },
   { "the late leaving of an earlier start under the same id ends the present one",
-    { { "a", "kiln", DRAINING, 10, 9, TAKEN, REPLACED, false },
-      { "a", "kiln", READY, 20, 1, TAKEN, REPLACED, false },
-      { "a", "", LEFT, 10, 0, STALE, NONE, false },
-      { "a", "kiln", READY, 20, 2, TAKEN, REFRESHED, false } } },
+    { { "a", "kiln", DRAINING, 10, 9, TAKEN, REPLACED, false, 0 },
+      { "a", "kiln", READY, 20, 1, TAKEN, REPLACED, false, 0 },
+      { "a", "", LEFT, 10, 0, STALE, NONE, false, 0 },
+      { "a", "kiln", READY, 20, 2, TAKEN, REFRESHED, false, 0 } } },
   { "a leaving without a start time ends an incarnation that has not been draining",
-    { { "a", "kiln", READY, 20, 1, TAKEN, REPLACED, false },
-      { "a", "", LEFT, OH_ANNOUNCED_START_UNKNOWN, 0, OH_ANNOUNCEMENT_AMBIGUOUS_LEAVING, NONE, false },
-      { "a", "kiln", DRAINING, 20, 2, TAKEN, CHANGED, false },
-      { "a", "", LEFT, OH_ANNOUNCED_START_UNKNOWN, 0, TAKEN, CHANGED, false } } },
+    { { "a", "kiln", READY, 20, 1, TAKEN, REPLACED, false, 0 },
+      { "a", "", LEFT, OH_ANNOUNCED_START_UNKNOWN, 0, OH_ANNOUNCEMENT_AMBIGUOUS_LEAVING, NONE, false, 0 },
+      { "a", "kiln", DRAINING, 20, 2, TAKEN, CHANGED, false, 0 },
+      { "a", "", LEFT, OH_ANNOUNCED_START_UNKNOWN, 0, TAKEN, CHANGED, false, 0 } } },
   { "the leaving of the present start is ignored",
-    { { "a", "kiln", READY, 20, 1, TAKEN, REPLACED, false },
-      { "a", "", LEFT, 20, 0, TAKEN, CHANGED, false } } },
+    { { "a", "kiln", READY, 20, 1, TAKEN, REPLACED, false, 0 },
+      { "a", "", LEFT, 20, 0, TAKEN, CHANGED, false, 0 } } },
   { "an incarnation that has left returns with a late announcement",
-    { { "a", "kiln", READY, 20, 1, TAKEN, REPLACED, false },
-      { "a", "", LEFT, 20, 0, TAKEN, CHANGED, false },
-      { "a", "kiln", READY, 20, 2, STALE, NONE, false },
-      { "a", "", LEFT, 20, 0, STALE, NONE, false } } },
+    { { "a", "kiln", READY, 20, 1, TAKEN, REPLACED, false, 0 },
+      { "a", "", LEFT, 20, 0, TAKEN, CHANGED, false, 0 },
+      { "a", "kiln", READY, 20, 2, STALE, NONE, false, 0 },
+      { "a", "", LEFT, 20, 0, STALE, NONE, false, 0 } } },
+  { "an upstream that started after the time of day was set back is shut out",
+    { { "a", "kiln", READY, 20, 9, TAKEN, REPLACED, false, 0 },
+      { "b", "kiln", READY, 10, 1, STALE, NONE, false, 1500 },
+      { "b", "kiln", READY, 10, 2, STALE, NONE, false, 1000 },
+      { "b", "kiln", READY, 10, 3, TAKEN, REPLACED, false, 1000 },
+      { "b", "kiln", READY, 10, 4, TAKEN, REFRESHED, false, 1000 } } },
+  { "late announcements of an earlier start replace an upstream that announces itself",
+    { { "a", "kiln", READY, 20, 1, TAKEN, REPLACED, false, 0 },
+      { "b", "kiln", READY, 10, 7, STALE, NONE, false, 1000 },
+      { "a", "kiln", READY, 20, 2, TAKEN, REFRESHED, false, 900 },
+      { "b", "kiln", READY, 10, 8, STALE, NONE, false, 1000 },
+      { "a", "kiln", READY, 20, 3, TAKEN, REFRESHED, false, 900 },
+      { "b", "kiln", READY, 10, 9, STALE, NONE, false, 1000 } } },
+  { "late announcements that come together replace a silent upstream",
+    { { "a", "kiln", READY, 20, 1, TAKEN, REPLACED, false, 0 },
+      { "b", "kiln", READY, 10, 7, STALE, NONE, false, 6000 },
+      { "b", "kiln", READY, 10, 8, STALE, NONE, false, 0 },
+      { "b", "kiln", READY, 10, 9, STALE, NONE, false, 0 },
+      { "b", "kiln", READY, 10, 9, STALE, NONE, false, 1000 },
+      { "b", "kiln", READY, 10, 8, STALE, NONE, false, 1000 },
+      { "a", "kiln", READY, 20, 2, TAKEN, REFRESHED, false, 0 } } },
+  { "a late announcement of a replaced incarnation with a later start replaces the present one",
+    { { "a", "kiln", READY, 20, 9, TAKEN, REPLACED, false, 0 },
+      { "b", "kiln", READY, 10, 1, STALE, NONE, false, 1500 },
+      { "b", "kiln", READY, 10, 2, STALE, NONE, false, 1000 },
+      { "b", "kiln", READY, 10, 3, TAKEN, REPLACED, false, 1000 },
+      { "a", "kiln", READY, 20, 10, STALE, NONE, false, 0 },
+      { "b", "kiln", READY, 10, 4, TAKEN, REFRESHED, false, 1000 } } },
   { "the leaving of another id ends the present incarnation",
-    { { "a", "kiln", READY, 20, 1, TAKEN, REPLACED, false }, { "b", "", LEFT, 20, 0, STALE, NONE, false } } },
+    { { "a", "kiln", READY, 20, 1, TAKEN, REPLACED, false, 0 },
+      { "b", "", LEFT, 20, 0, STALE, NONE, false, 0 } } },
 };
 
 static void
@@ -109,6 +139,7 @@
 {
   oh_upstream_identity_t identity;
   oh_service_set_t services;
+  int64_t now_us = 0;
 
   assign_services (&services);
   oh_upstream_identity_init (&identity, own_address, &services, HEARTBEAT_MS);
@@ -125,8 +156,10 @@
         .sequence = step->sequence,
       };
       oh_identity_change_t change;
-      const oh_announcement_result_t result
-        = oh_upstream_identity_update (&identity, &announcement, i + 1, &change);
+      oh_announcement_result_t result;
+
+      now_us += step->wait_ms > 0 ? (int64_t)step->wait_ms * 1000 : 1;
+      result = oh_upstream_identity_update (&identity, &announcement, now_us, &change);
 
       if (result != step->result || change != step->change)
         g_error ("case '%s', step %u: %s, change %d", cases[number].name, i,
