--- a/tests/segment_sim.c
+++ b/tests/segment_sim.c
@@ -428,6 +428,11 @@
   caller->own_us = node->sim->now_us;
 }
 
+static void receive_refusal (segment_sim_t *sim, unsigned index, unsigned number, uint8_t *bytes,
+                             size_t length);
+static void receive_later (segment_sim_t *sim, int64_t until_us, event_fn run, unsigned index,
+                           unsigned number, const uint8_t *bytes, size_t length);
+
 static void
 receive_at_upstream (segment_sim_t *sim, unsigned index, unsigned number, uint8_t *bytes, size_t length)
 {
@@ -438,6 +443,17 @@
   sim_flow_t *flow;
   fixture_segment_t answer;
 
+  if (!node->running)
+    {
+      if (sim->refusals)
+        schedule (sim, 100, receive_refusal, index, node->process);
+      return;
+    }
+  if (node->paused_until_us > sim->now_us)
+    {
+      receive_later (sim, node->paused_until_us, receive_at_upstream, index, number, bytes, length);
+      return;
+    }
   g_assert_true (format->ops->decode (format, bytes, length, &segment));
   key = (oh_flow_key_t){ .caller = segment.from, .route = segment.to };
   if (segment.syn)
@@ -514,6 +530,21 @@
     handle_agent_event (node, OH_SEGMENT_AGENT_UPSTREAM, bytes, length);
 }
 
+static void
+receive_refusal (segment_sim_t *sim, unsigned index, unsigned number, uint8_t *bytes, size_t length)
+{
+  sim_node_t *node = &sim->nodes[index];
+
+  (void)bytes;
+  (void)length;
+  if (!node->alive || node->process != number)
+    return;
+  if (node->frozen_until_us > sim->now_us)
+    receive_later (sim, node->frozen_until_us, receive_refusal, index, number, NULL, 0);
+  else
+    handle_agent_event (node, OH_SEGMENT_AGENT_REFUSED, NULL, 0);
+}
+
 static void
 tick_agent (segment_sim_t *sim, unsigned index, unsigned number, uint8_t *bytes, size_t length)
 {
@@ -536,14 +567,19 @@
   g_autofree char *id = NULL;
   oh_announcement_t announcement;
 
-  if (node->incarnation != number)
+  if (node->incarnation != number || node->deregistered)
     return;
+  if (node->paused_until_us > sim->now_us)
+    {
+      receive_later (sim, node->paused_until_us, announce, index, number, NULL, 0);
+      return;
+    }
   id = g_strdup_printf ("i-%u-%u", index, node->incarnation);
   announcement = (oh_announcement_t){
     .id = id,
     .service = "kiln-log",
     .address = upstream_address (index),
-    .state = OH_ANNOUNCED_READY,
+    .state = node->draining ? OH_ANNOUNCED_DRAINING : OH_ANNOUNCED_READY,
     .slots = 4,
     .started_ms = node->started_us / SIM_MS,
     .sequence = ++node->sequence,
@@ -560,6 +596,9 @@
 
   g_hash_table_remove_all (node->flows);
   node->incarnation++;
+  node->running = true;
+  node->draining = node->deregistered = false;
+  node->paused_until_us = 0;
   node->started_us = sim->now_us;
   node->sequence = 0;
   /* The first announcement may be held up. */
@@ -601,8 +640,7 @@
 static void
 on_watch_listener (oh_segment_agent_sink_t *sink, bool watch)
 {
-  (void)sink;
-  (void)watch;
+  ((sim_node_t *)sink)->watched = watch;
 }
 
 static void
@@ -651,6 +689,7 @@
   node->alive = true;
   node->process++;
   node->frozen_until_us = 0;
+  node->watched = false;
   node->sink.ops = &ops;
   oh_segment_agent_init (&node->core, &config, &sim->keyring);
   tick_agent (sim, index, node->process, NULL, 0);
@@ -877,6 +916,8 @@
 {
   sim_node_t *node = &sim->nodes[random_index (sim, SIM_UPSTREAMS)];
 
+  if (!node->running)
+    return;
   start_upstream (node);
   if (random_share (sim) < 0.7)
     schedule (sim, random_between (sim, 0, 2500 * SIM_MS), restart_agent, node->index, 0);
@@ -910,11 +951,154 @@
     sim->balancers[random_index (sim, SIM_BALANCERS)].frozen_until_us = until_us;
 }
 
+/* Upstreams that leave. */
+
+/* A copy of an announcement that an incarnation had sent. */
+typedef struct
+{
+  char id[32];
+  int64_t started_us;
+  uint64_t sequence;
+} sim_announcement_t;
+
+static void
+announce_late (segment_sim_t *sim, unsigned index, unsigned number, uint8_t *bytes, size_t length)
+{
+  sim_node_t *node = &sim->nodes[index];
+  sim_announcement_t copy;
+  oh_announcement_t announcement;
+
+  (void)number;
+  g_assert_cmpuint (length, ==, sizeof copy);
+  memcpy (&copy, bytes, sizeof copy);
+  announcement = (oh_announcement_t){
+    .id = copy.id,
+    .service = "kiln-log",
+    .address = upstream_address (index),
+    .slots = 4,
+    .started_ms = copy.started_us / SIM_MS,
+    .sequence = copy.sequence,
+  };
+  if (node->alive && node->frozen_until_us <= sim->now_us)
+    oh_segment_agent_announce (&node->core, &announcement, sim->now_us, &node->sink);
+}
+
+static void
+start_successor (segment_sim_t *sim, unsigned index, unsigned number, uint8_t *bytes, size_t length)
+{
+  sim_node_t *node = &sim->nodes[index];
+  sim_announcement_t former = { .started_us = node->started_us, .sequence = node->sequence };
+
+  (void)bytes;
+  (void)length;
+  if (node->incarnation != number)
+    return;
+  g_snprintf (former.id, sizeof former.id, "i-%u-%u", index, node->incarnation - 1);
+  start_upstream (node);
+  if (random_share (sim) < 0.2)
+    node->started_us -= 60 * (int64_t)SIM_S;
+  if (random_share (sim) < 0.4)
+    schedule_bytes (sim, random_between (sim, 0, 5 * SIM_S), announce_late, index, 0, (uint8_t *)&former,
+                    sizeof former);
+}
+
+static void
+listener_gone (segment_sim_t *sim, unsigned index, unsigned number, uint8_t *bytes, size_t length)
+{
+  sim_node_t *node = &sim->nodes[index];
+
+  (void)bytes;
+  (void)length;
+  if (!node->alive || !node->watched || node->incarnation != number)
+    return;
+  if (node->frozen_until_us > sim->now_us)
+    receive_later (sim, node->frozen_until_us, listener_gone, index, number, NULL, 0);
+  else
+    handle_agent_event (node, OH_SEGMENT_AGENT_LISTENER_GONE, NULL, 0);
+}
+
+static void
+end_upstream (segment_sim_t *sim, unsigned index, unsigned number, uint8_t *bytes, size_t length)
+{
+  sim_node_t *node = &sim->nodes[index];
+
+  (void)bytes;
+  (void)length;
+  if (node->incarnation != number)
+    return;
+  node->running = false;
+  node->incarnation++;
+  g_hash_table_remove_all (node->flows);
+  schedule (sim, random_between (sim, 10 * SIM_MS, 200 * SIM_MS), listener_gone, index, node->incarnation);
+  schedule (sim, random_between (sim, 20 * SIM_MS, 3 * SIM_S), start_successor, index, node->incarnation);
+}
+
+static void
+deregister (segment_sim_t *sim, unsigned index, unsigned number, uint8_t *bytes, size_t length)
+{
+  sim_node_t *node = &sim->nodes[index];
+  g_autofree char *id = NULL;
+  oh_announcement_t announcement;
+
+  (void)bytes;
+  (void)length;
+  if (node->incarnation != number)
+    return;
+  id = g_strdup_printf ("i-%u-%u", index, node->incarnation);
+  announcement = (oh_announcement_t){
+    .id = id, .service = "", .state = OH_ANNOUNCED_LEFT, .started_ms = OH_ANNOUNCED_START_UNKNOWN
+  };
+  if (node->alive && node->frozen_until_us <= sim->now_us)
+    oh_segment_agent_announce (&node->core, &announcement, sim->now_us, &node->sink);
+  node->deregistered = true;
+  schedule (sim, random_share (sim) < 0.3 ? SIM_MS : random_between (sim, 0, 6 * SIM_S), end_upstream, index,
+            number);
+}
+
+static void
+leave_upstream (segment_sim_t *sim)
+{
+  sim_node_t *node = &sim->nodes[random_index (sim, SIM_UPSTREAMS)];
+  const int64_t drain_us = random_between (sim, 1500 * SIM_MS, 6 * SIM_S);
+
+  if (!node->running || node->draining)
+    return;
+  node->draining = true;
+  schedule (sim, drain_us, deregister, node->index, node->incarnation);
+  if (random_share (sim) < 0.5)
+    schedule (sim, drain_us + random_between (sim, -SIM_S, 4 * SIM_S), restart_agent, node->index, 0);
+}
+
+static void
+disturb_upstream (segment_sim_t *sim)
+{
+  sim_node_t *node = &sim->nodes[random_index (sim, SIM_UPSTREAMS)];
+
+  switch (random_index (sim, 4))
+    {
+    case 0:
+      end_upstream (sim, node->index, node->running ? node->incarnation : 0, NULL, 0); /* a crash */
+      break;
+    case 1:
+      node->paused_until_us = sim->now_us + random_between (sim, 200 * SIM_MS, 5 * SIM_S);
+      break;
+    default:
+      leave_upstream (sim);
+      break;
+    }
+}
+
 static void
 cause_fault (segment_sim_t *sim, unsigned index, unsigned number, uint8_t *bytes, size_t length)
 {
   if (!sim->faults)
     return;
+  if (sim->leaving && random_share (sim) < 0.4)
+    {
+      disturb_upstream (sim);
+      schedule (sim, random_between (sim, 50 * SIM_MS, 3 * SIM_S), cause_fault, 0, 0);
+      return;
+    }
   switch (random_index (sim, 9))
     {
     case 0:
@@ -944,10 +1128,15 @@
 /* The simulation. */
 
 void
-segment_sim_init (segment_sim_t *sim, uint32_t seed)
+segment_sim_init (segment_sim_t *sim, uint32_t seed, bool leaving)
 {
   *sim = (segment_sim_t){
-    .seed = seed, .now_us = 1000 * (int64_t)SIM_S, .events = G_QUEUE_INIT, .faults = true
+    .seed = seed,
+    .now_us = 1000 * (int64_t)SIM_S,
+    .events = G_QUEUE_INIT,
+    .faults = true,
+    .leaving = leaving,
+    .refusals = seed % 2 == 0,
   };
   oh_seeded_random_init (&sim->random, seed);
   fixture_keyring (&sim->keyring);
--- a/tests/segment_sim.h
+++ b/tests/segment_sim.h
@@ -11,7 +11,8 @@
  * Simulation of segment balancers and agents in one process, with a virtual clock, upstreams and callers, and
  * a network that delays and loses messages. Callers keep flows open with pauses between their requests, and
  * move between the availability zones. Agents and balancers are ended, restarted and frozen, upstreams
- * replaced.
+ * replaced. If the simulation has leaving upstreams, some also drain, send a deregister call and live on for
+ * seconds, are paused, start with a clock that was set back, and their last announcement comes late.
  *
  * It checks the rule for open flows from what callers and upstreams get: no reset of a flow whose upstream
  * has it, and never three of its segments at other upstreams and none at its own within two seconds.
@@ -58,6 +59,11 @@
   unsigned incarnation;
   int64_t started_us;
   uint64_t sequence; /* of its announcements */
+  bool running;
+  bool draining;
+  bool deregistered; /* announces itself no more */
+  int64_t paused_until_us;
+  bool watched; /* the agent watches its listener */
 } sim_node_t;
 
 typedef struct
@@ -111,13 +117,16 @@
   sim_node_t nodes[SIM_UPSTREAMS];
   sim_caller_t callers[SIM_CALLERS];
   bool faults;       /* false: no new ones */
+  bool leaving;      /* upstreams leave, and do more as above */
+  bool refusals;     /* datagrams to an upstream that has ended are reported as refused; otherwise only its
+                        listener     tells of its end */
   double loss;       /* share of the messages that are lost */
   unsigned answered; /* requests */
   unsigned resets;   /* of flows that their upstream does not have */
   unsigned timed_out;
 };
 
-void segment_sim_init (segment_sim_t *sim, uint32_t seed);
+void segment_sim_init (segment_sim_t *sim, uint32_t seed, bool leaving);
 void segment_sim_finish (segment_sim_t *sim);
 
 /* Runs for the time. Fails the test if the rule is broken. */
--- a/tests/test_segment_sim.c
+++ b/tests/test_segment_sim.c
@@ -15,16 +15,17 @@
 
 /* Guards against resets of open flows, and against their segments at other upstreams, when agents and
  * balancers are restarted and frozen in series beside young and old upstreams while callers use their flows,
- * move to another availability zone and pause; and against callers that are not served once the faults have
- * ended. */
+ * move to another availability zone and pause; leaving: also when upstreams outlive their deregister calls,
+ * are paused, crash, and start with a clock that was set back; and against callers that are not served once
+ * the faults have ended. */
 static void
-run_seed (uint32_t seed)
+run_seed (uint32_t seed, bool leaving)
 {
   static segment_sim_t sim;
   unsigned answered;
   unsigned timed_out;
 
-  segment_sim_init (&sim, seed);
+  segment_sim_init (&sim, seed, leaving);
   segment_sim_run (&sim, (int64_t)FAULTS_S * SIM_S);
   sim.faults = false;
   segment_sim_run (&sim, (int64_t)CALM_S * SIM_S);
@@ -58,12 +59,12 @@
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       g_test_message ("%s", cases[i].cause);
-      run_seed (cases[i].seed);
+      run_seed (cases[i].seed, false);
     }
 }
 
 static void
-test_random (void)
+run_random_seeds (bool leaving)
 {
   const char *first = g_getenv ("SEGMENT_SIM_FIRST");
   const char *count = g_getenv ("SEGMENT_SIM_SEEDS");
@@ -71,7 +72,19 @@
   const uint32_t n = count != NULL ? (uint32_t)strtoul (count, NULL, 10) : SEEDS;
 
   for (uint32_t seed = begin; seed < begin + n; seed++)
-    run_seed (seed);
+    run_seed (seed, leaving);
+}
+
+static void
+test_random (void)
+{
+  run_random_seeds (false);
+}
+
+static void
+test_leaving (void)
+{
+  run_random_seeds (true);
 }
 
 int
@@ -80,5 +93,6 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/segment-sim/failed-seeds", test_failed_seeds);
   g_test_add_func ("/segment-sim/random", test_random);
+  g_test_add_func ("/segment-sim/leaving", test_leaving);
   return g_test_run ();
 }
