--- a/daemons/oriole_flow_agent.c
+++ b/daemons/oriole_flow_agent.c
@@ -155,16 +155,19 @@
 }
 
 static void
-watch_listener (oh_segment_agent_sink_t *sink, bool watch)
+watch_listener (oh_segment_agent_sink_t *sink, oh_listener_attention_t attention)
 {
   agent_t *agent = (agent_t *)sink;
 
-  if (watch == (agent->listener_watch != NULL))
-    return;
-  if (watch)
+  if (attention == OH_LISTENER_IGNORED)
+    {
+      g_clear_pointer (&agent->listener_watch, oh_listener_watch_stop);
+      return;
+    }
+  if (agent->listener_watch == NULL)
     agent->listener_watch = oh_listener_watch_start (agent->settings.upstream, on_listener_gone, agent);
-  else
-    g_clear_pointer (&agent->listener_watch, oh_listener_watch_stop);
+  if (attention == OH_LISTENER_POLLED)
+    oh_listener_watch_poll (agent->listener_watch);
 }
 
 static void
--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -184,6 +184,21 @@
   agent->sink->ops->log (agent->sink, OH_LOG_INFO, "flow_records", pairs);
 }
 
+static oh_listener_attention_t
+listener_attention (oh_announced_state_t state)
+{
+  switch (state)
+    {
+    case OH_ANNOUNCED_READY:
+      return OH_LISTENER_IGNORED;
+    case OH_ANNOUNCED_DRAINING:
+      return OH_LISTENER_CHECKED;
+    case OH_ANNOUNCED_LEFT:
+      return OH_LISTENER_POLLED;
+    }
+  g_assert_not_reached ();
+}
+
 static void
 apply_identity_change (oh_segment_agent_t *agent, const oh_announcement_t *announcement,
                        oh_identity_change_t change)
@@ -195,7 +210,7 @@
       log_records (agent, announcement);
       oh_segment_agent_handle_replaced (agent);
     }
-  agent->sink->ops->watch_listener (agent->sink, agent->identity.state != OH_ANNOUNCED_READY);
+  agent->sink->ops->watch_listener (agent->sink, listener_attention (agent->identity.state));
   oh_segment_agent_report_load (agent);
   agent->sink->ops->changed (agent->sink);
 }
--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -75,6 +75,14 @@
 
 typedef struct oh_segment_agent_sink oh_segment_agent_sink_t;
 
+/* How the listener at the upstream's address is watched. */
+typedef enum
+{
+  OH_LISTENER_IGNORED,
+  OH_LISTENER_CHECKED, /* until it has accepted a connection */
+  OH_LISTENER_POLLED,  /* until it refuses one */
+} oh_listener_attention_t;
+
 /* Outputs of the state machine, implemented by the adapter. */
 typedef struct
 {
@@ -85,8 +93,8 @@
   void (*send_balancer) (oh_segment_agent_sink_t *sink, oh_address_t to, const uint8_t *bytes, size_t length);
   /* Sends a load report to every balancer. */
   void (*report) (oh_segment_agent_sink_t *sink, const uint8_t *bytes, size_t length);
-  /* Starts or stops to watch whether a process accepts TCP connections at the upstream's address. */
-  void (*watch_listener) (oh_segment_agent_sink_t *sink, bool watch);
+  /* Sets how it is watched whether a process accepts TCP connections at the upstream's address. */
+  void (*watch_listener) (oh_segment_agent_sink_t *sink, oh_listener_attention_t attention);
   /* Called when the data that the agent reports to the control replicas has changed. */
   void (*changed) (oh_segment_agent_sink_t *sink);
   /* pairs: key=value pairs of the event. */
