--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -30,6 +30,9 @@
   /* Between two times that a leaving upstream is asked whether it still runs; an upstream that runs and whose
    * process does not listen any more answers within this time. */
   OH_SEGMENT_ASK_INTERVAL_MS = 500,
+  /* At a new start the upstream is asked about the flows that were used within this time, in which a response
+   * may be outstanding; the others are asked about when their callers send something. */
+  OH_SEGMENT_ASK_ACTIVE_MS = 5000,
   OH_SEGMENT_ASK_COPIES = 2,             /* an upstream acknowledges every second segment */
   OH_SEGMENT_ADMIT_PER_SLOT = 3,         /* admission limit: requests per slot, running or expected */
   OH_SEGMENT_ADMIT_PER_SLOT_WARMING = 2, /* the same while the upstream warms up */
--- a/lib/core/segment_agent_ends.c
+++ b/lib/core/segment_agent_ends.c
@@ -55,7 +55,7 @@
           continue;
         }
       flow->generation = agent->identity.generation;
-      if (open)
+      if (open && agent->now_us - flow->used_us < (int64_t)OH_SEGMENT_ASK_ACTIVE_MS * 1000)
         ask_for_flow (agent, flow, 1);
       /* They are no load of the new incarnation unless their callers send something. */
       oh_agent_flow_set_awaiting_response (agent, flow, false);
