--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -208,12 +208,12 @@
   oh_segment_agent_counters_t counters;
   oh_histogram_t first_answer_seconds;
   oh_histogram_t request_seconds;
-  int64_t upstream_sent_us; /* last segment from the upstream */
-  bool upstream_ended;      /* that was shown, and nothing has shown since that it runs */
-  int64_t ended_us;         /* when that became known */
-  int64_t asked_us;         /* when a leaving upstream was last asked whether it still runs */
-  bool listener_gone;       /* no process listens at its address, while nothing was announced since */
-  int64_t unanswered_us;    /* when it was first asked after its last segment; 0: it was not */
+  int64_t upstream_sent_us;  /* last segment from the upstream */
+  bool upstream_ended;       /* that was shown, and nothing has shown since that it runs */
+  int64_t ended_us;          /* when that became known */
+  int64_t asked_us;          /* when a leaving upstream was last asked whether it still runs */
+  bool listener_gone;        /* no process listens at its address, while nothing was announced since */
+  unsigned unanswered_ticks; /* since it was first asked after its last segment; 0: it was not */
   int64_t now_us;
   oh_segment_agent_sink_t *sink; /* set only while an event is handled */
   oh_arena_t arena;
--- a/lib/core/segment_agent_ends.c
+++ b/lib/core/segment_agent_ends.c
@@ -1,5 +1,10 @@
 #include "core/segment_agent_private.h"
 
+enum
+{
+  UNANSWERED_TICKS_MAX = OH_SEGMENT_ASK_INTERVAL_MS / OH_SEGMENT_AGENT_TICK_MS,
+};
+
 /* Delivers the caller's last data again. An upstream that has the flow acknowledges it, one that does not
  * have the flow returns it. Returns false if there is none. */
 static bool
@@ -120,7 +125,7 @@
 oh_segment_agent_handle_listener_gone (oh_segment_agent_t *agent)
 {
   agent->listener_gone = true;
-  agent->unanswered_us = 0;
+  agent->unanswered_ticks = 0;
   agent->asked_us = agent->now_us - (int64_t)OH_SEGMENT_ASK_INTERVAL_MS * 1000;
 }
 
@@ -128,7 +133,7 @@
 oh_segment_agent_upstream_runs (oh_segment_agent_t *agent)
 {
   agent->upstream_ended = false;
-  agent->unanswered_us = 0;
+  agent->unanswered_ticks = 0;
 }
 
 /* Returns false if no flow has data to ask with. */
@@ -155,8 +160,8 @@
   if (agent->upstream_ended || agent->n_open == 0
       || !(agent->listener_gone || oh_upstream_identity_has_left (&agent->identity)))
     return;
-  if (agent->listener_gone && agent->unanswered_us != 0
-      && agent->now_us - agent->unanswered_us >= interval_us)
+  /* Ticks, as an answer may wait in the socket after a pause of this process. */
+  if (agent->unanswered_ticks > 0 && ++agent->unanswered_ticks > UNANSWERED_TICKS_MAX && agent->listener_gone)
     {
       end_upstream (agent, "listener-gone");
       return;
@@ -164,6 +169,6 @@
   if (agent->now_us - since_us < interval_us || !ask_upstream (agent))
     return;
   agent->asked_us = agent->now_us;
-  if (agent->unanswered_us == 0)
-    agent->unanswered_us = agent->now_us;
+  if (agent->unanswered_ticks == 0)
+    agent->unanswered_ticks = 1;
 }
--- a/tests/test_segment_agent.c
+++ b/tests/test_segment_agent.c
@@ -36,6 +36,7 @@
   STEP_RETURN,             /* a: caller, b: flags; the upstream returns a segment */
   STEP_REFUSED,            /* the system refuses a datagram to the upstream */
   STEP_LISTENER_GONE,      /* no process listens at the upstream's address any more */
+  STEP_PAUSE,              /* a: ms without an event */
   STEP_WAIT,               /* a: ms, with ticks meanwhile */
   EXPECT_DELIVERED,        /* a: segments that the upstream got since the last such check */
   EXPECT_CALLERS,          /* a: segments to callers since the last such check, b: resets among them */
@@ -332,6 +333,9 @@
     case STEP_LISTENER_GONE:
       handle (fixture, (oh_segment_agent_event_t){ .kind = OH_SEGMENT_AGENT_LISTENER_GONE });
       return;
+    case STEP_PAUSE:
+      fixture->now_us += (int64_t)step->a * 1000;
+      return;
     case STEP_WAIT:
       for (int ms = 0; ms < step->a; ms += OH_SEGMENT_AGENT_TICK_MS)
         {
@@ -629,6 +633,21 @@
     { READY (1, 1), OPENS (0),  ACCEPTS (0),   REQUESTS (0),  RESPONDS (0), CALLERS (2, 0), DRAINS (1, 2),
       LEAVES (1),   WAIT (600), DELIVERED (4), LISTENER_GONE, WAIT (400),   RESPONDS (0),   WAIT (400),
       RESPONDS (0), WAIT (400), RESPONDS (0),  WAIT (400),    RESPONDS (0), CALLERS (4, 0), DELIVERED (8) } },
+  { "an answer that waits after a pause of the agent comes too late",
+    { READY (1, 1),
+      OPENS (0),
+      ACCEPTS (0),
+      REQUESTS (0),
+      RESPONDS (0),
+      CALLERS (2, 0),
+      DRAINS (1, 2),
+      LEAVES (1),
+      LISTENER_GONE,
+      WAIT (100),
+      { STEP_PAUSE, 2000, 0, 0, NULL },
+      WAIT (50),
+      RESPONDS (0),
+      CALLERS (1, 0) } },
   { "a flow is reset at a leaving upstream that was not asked, as its process does not listen any more",
     { READY (1, 7), RESPONDS (0), CALLERS (1, 0), DRAINS (1, 8), LEAVES (1), LISTENER_GONE, WAIT (5000),
       CALLERS (0, 0), REQUESTS (0), WAIT (400), CALLERS (0, 0), WAIT (700), CALLERS (1, 1) } },
