--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -427,7 +427,7 @@
 {
   const int64_t wait_us = agent->config.heartbeat_ms * 1000 * OH_SEGMENT_UNANNOUNCED_HEARTBEATS;
 
-  /* One that was restarted after its upstream's deregister call gets no announcement any more. */
+  /* One that was restarted after its upstream announced that it leaves hears nothing from it any more. */
   if (agent->identity.generation == 0)
     return now_us - agent->config.started_us <= wait_us || agent->n_open > 0;
   return agent->identity.service[0] != '\0';
--- a/lib/core/segment_agent_private.h
+++ b/lib/core/segment_agent_private.h
@@ -73,10 +73,10 @@
  *   acknowledge is not acknowledged either, or
  * - an upstream of another service has announced itself at that address.
  *
- * Silence alone proves nothing: an upstream may be idle, slow or paused. A deregister call announces an end,
- * which may come seconds later. An announcement of a new start may be a late one, of an incarnation between
- * an earlier one and the present one. So after either the upstream is asked: data of the caller is delivered
- * again.
+ * Silence alone proves nothing: an upstream may be idle, slow or paused. That an upstream announces that it
+ * leaves tells of an end which may come seconds later. An announcement of a new start may be a late one, of
+ * an incarnation between an earlier one and the present one. So after either the upstream is asked: data of
+ * the caller is delivered again.
  */
 
 /* The upstream has returned a segment of an open flow. */
