wire: fields for zone drain, warm-up rates, limits of agents and classes of flows

Cause: two further deployments need drain of an availability zone, limits of an upstream's warm-up, and admission by class and pace. The parts are built side by side, so that their messages are agreed on first. Result: builds; nothing else was run on this commit.

--- a/lib/core/control_state.c
+++ b/lib/core/control_state.c
@@ -68,6 +68,8 @@
     case OH__CHANGE_KIND__CHANGE_DRAIN:
     case OH__CHANGE_KIND__CHANGE_UNDRAIN:
     case OH__CHANGE_KIND__CHANGE_REMOVE_REPLICA:
+    case OH__CHANGE_KIND__CHANGE_DRAIN_ZONE:
+    case OH__CHANGE_KIND__CHANGE_UNDRAIN_ZONE:
       return target_valid (change->target);
     case OH__CHANGE_KIND__CHANGE_ADD_REPLICA:
       return target_valid (change->target) && endpoint_valid (change->endpoint);
@@ -194,6 +196,10 @@
     case OH__CHANGE_KIND__CHANGE_ADD_REPLICA:
     case OH__CHANGE_KIND__CHANGE_REMOVE_REPLICA:
       return false;
+    case OH__CHANGE_KIND__CHANGE_DRAIN_ZONE:
+    case OH__CHANGE_KIND__CHANGE_UNDRAIN_ZONE:
+      reject (state, result, OH__CHANGE_STATUS__CHANGE_INVALID, "zones cannot be drained yet");
+      return false;
     case _OH__CHANGE_KIND_IS_INT_SIZE:
       break;
     }
--- a/lib/wire/control.pb-c.c
+++ b/lib/wire/control.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &oh__view__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   oh__service_warmup__init
+                     (Oh__ServiceWarmup         *message)
+{
+  static const Oh__ServiceWarmup init_value = OH__SERVICE_WARMUP__INIT;
+  *message = init_value;
+}
+size_t oh__service_warmup__get_packed_size
+                     (const Oh__ServiceWarmup *message)
+{
+  assert(message->base.descriptor == &oh__service_warmup__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t oh__service_warmup__pack
+                     (const Oh__ServiceWarmup *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &oh__service_warmup__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t oh__service_warmup__pack_to_buffer
+                     (const Oh__ServiceWarmup *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &oh__service_warmup__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Oh__ServiceWarmup *
+       oh__service_warmup__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Oh__ServiceWarmup *)
+     protobuf_c_message_unpack (&oh__service_warmup__descriptor,
+                                allocator, len, data);
+}
+void   oh__service_warmup__free_unpacked
+                     (Oh__ServiceWarmup *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &oh__service_warmup__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   oh__change__init
                      (Oh__Change         *message)
 {
@@ -1050,7 +1095,7 @@
   (ProtobufCMessageInit) oh__poll__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__view__field_descriptors[22] =
+static const ProtobufCFieldDescriptor oh__view__field_descriptors[24] =
 {
   {
     "replica_epoch",
@@ -1316,12 +1361,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "drained_zones",
+    23,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Oh__View, n_drained_zones),
+    offsetof(Oh__View, drained_zones),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "warmups",
+    24,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Oh__View, n_warmups),
+    offsetof(Oh__View, warmups),
+    &oh__service_warmup__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__view__field_indices_by_name[] = {
   21,   /* field[21] = after */
   11,   /* field[11] = balancers */
   3,   /* field[3] = confirmed */
   8,   /* field[8] = drained */
+  22,   /* field[22] = drained_zones */
   17,   /* field[17] = has_services */
   5,   /* field[5] = has_text */
   7,   /* field[7] = key_generation */
@@ -1340,11 +1410,12 @@
   6,   /* field[6] = text */
   15,   /* field[15] = text_withheld */
   4,   /* field[4] = version */
+  23,   /* field[23] = warmups */
 };
 static const ProtobufCIntRange oh__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 22 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor oh__view__descriptor =
 {
@@ -1354,13 +1425,64 @@
   "Oh__View",
   "oh",
   sizeof(Oh__View),
-  22,
+  24,
   oh__view__field_descriptors,
   oh__view__field_indices_by_name,
   1,  oh__view__number_ranges,
   (ProtobufCMessageInit) oh__view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor oh__service_warmup__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Oh__ServiceWarmup, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "milli_per_s",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Oh__ServiceWarmup, milli_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned oh__service_warmup__field_indices_by_name[] = {
+  1,   /* field[1] = milli_per_s */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange oh__service_warmup__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor oh__service_warmup__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "oh.ServiceWarmup",
+  "ServiceWarmup",
+  "Oh__ServiceWarmup",
+  "oh",
+  sizeof(Oh__ServiceWarmup),
+  2,
+  oh__service_warmup__field_descriptors,
+  oh__service_warmup__field_indices_by_name,
+  1,  oh__service_warmup__number_ranges,
+  (ProtobufCMessageInit) oh__service_warmup__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor oh__change__field_descriptors[9] =
 {
   {
@@ -1657,7 +1779,7 @@
   (ProtobufCMessageInit) oh__status_query__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__status_reply__field_descriptors[11] =
+static const ProtobufCFieldDescriptor oh__status_reply__field_descriptors[12] =
 {
   {
     "replica",
@@ -1791,11 +1913,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "drained_zones",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Oh__StatusReply, n_drained_zones),
+    offsetof(Oh__StatusReply, drained_zones),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__status_reply__field_indices_by_name[] = {
   8,   /* field[8] = balancers */
   2,   /* field[2] = confirmed */
   7,   /* field[7] = drained */
+  11,   /* field[11] = drained_zones */
   6,   /* field[6] = key_generation */
   1,   /* field[1] = leader */
   9,   /* field[9] = members */
@@ -1808,7 +1943,7 @@
 static const ProtobufCIntRange oh__status_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor oh__status_reply__descriptor =
 {
@@ -1818,7 +1953,7 @@
   "Oh__StatusReply",
   "oh",
   sizeof(Oh__StatusReply),
-  11,
+  12,
   oh__status_reply__field_descriptors,
   oh__status_reply__field_indices_by_name,
   1,  oh__status_reply__number_ranges,
@@ -2563,7 +2698,7 @@
   oh__node_role__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue oh__change_kind__enum_values_by_number[7] =
+static const ProtobufCEnumValue oh__change_kind__enum_values_by_number[9] =
 {
   { "CHANGE_APPLY", "OH__CHANGE_KIND__CHANGE_APPLY", 0 },
   { "CHANGE_DRAIN", "OH__CHANGE_KIND__CHANGE_DRAIN", 1 },
@@ -2572,19 +2707,23 @@
   { "CHANGE_ADD_REPLICA", "OH__CHANGE_KIND__CHANGE_ADD_REPLICA", 4 },
   { "CHANGE_REMOVE_REPLICA", "OH__CHANGE_KIND__CHANGE_REMOVE_REPLICA", 5 },
   { "CHANGE_PUBLISH", "OH__CHANGE_KIND__CHANGE_PUBLISH", 6 },
+  { "CHANGE_DRAIN_ZONE", "OH__CHANGE_KIND__CHANGE_DRAIN_ZONE", 7 },
+  { "CHANGE_UNDRAIN_ZONE", "OH__CHANGE_KIND__CHANGE_UNDRAIN_ZONE", 8 },
 };
 static const ProtobufCIntRange oh__change_kind__value_ranges[] = {
-{0, 0},{0, 7}
+{0, 0},{0, 9}
 };
-static const ProtobufCEnumValueIndex oh__change_kind__enum_values_by_name[7] =
+static const ProtobufCEnumValueIndex oh__change_kind__enum_values_by_name[9] =
 {
   { "CHANGE_ADD_REPLICA", 4 },
   { "CHANGE_APPLY", 0 },
   { "CHANGE_DRAIN", 1 },
+  { "CHANGE_DRAIN_ZONE", 7 },
   { "CHANGE_PUBLISH", 6 },
   { "CHANGE_REMOVE_REPLICA", 5 },
   { "CHANGE_ROTATE_KEYS", 3 },
   { "CHANGE_UNDRAIN", 2 },
+  { "CHANGE_UNDRAIN_ZONE", 8 },
 };
 const ProtobufCEnumDescriptor oh__change_kind__descriptor =
 {
@@ -2593,9 +2732,9 @@
   "ChangeKind",
   "Oh__ChangeKind",
   "oh",
-  7,
+  9,
   oh__change_kind__enum_values_by_number,
-  7,
+  9,
   oh__change_kind__enum_values_by_name,
   1,
   oh__change_kind__value_ranges,
--- a/lib/wire/control.pb-c.h
+++ b/lib/wire/control.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Oh__BalancerEntry Oh__BalancerEntry;
 typedef struct Oh__Poll Oh__Poll;
 typedef struct Oh__View Oh__View;
+typedef struct Oh__ServiceWarmup Oh__ServiceWarmup;
 typedef struct Oh__Change Oh__Change;
 typedef struct Oh__ChangeReply Oh__ChangeReply;
 typedef struct Oh__StatusQuery Oh__StatusQuery;
@@ -50,7 +51,12 @@
   /*
    * text with a version number set by its author; the highest number wins
    */
-  OH__CHANGE_KIND__CHANGE_PUBLISH = 6
+  OH__CHANGE_KIND__CHANGE_PUBLISH = 6,
+  /*
+   * no new flows to the upstreams of an availability zone
+   */
+  OH__CHANGE_KIND__CHANGE_DRAIN_ZONE = 7,
+  OH__CHANGE_KIND__CHANGE_UNDRAIN_ZONE = 8
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(OH__CHANGE_KIND)
 } Oh__ChangeKind;
 typedef enum _Oh__ChangeStatus {
@@ -255,10 +261,37 @@
   uint64_t list_epoch;
   uint64_t list_sequence;
   uint64_t after;
+  /*
+   * all drained availability zones
+   */
+  size_t n_drained_zones;
+  char **drained_zones;
+  /*
+   * with services: those that limit new flows while an upstream warms up
+   */
+  size_t n_warmups;
+  Oh__ServiceWarmup **warmups;
 };
 #define OH__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__view__descriptor) \
-    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, {0,NULL}, 0, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, {0,NULL}, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * Rate of new flows that an upstream of the service bears while it warms up.
+ */
+struct  Oh__ServiceWarmup
+{
+  ProtobufCMessage base;
+  uint64_t service;
+  /*
+   * flows per 1000 s
+   */
+  uint32_t milli_per_s;
+};
+#define OH__SERVICE_WARMUP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&oh__service_warmup__descriptor) \
+    , 0, 0 }
 
 
 /*
@@ -281,7 +314,7 @@
    */
   char *text;
   /*
-   * name of an upstream or replica
+   * name of an upstream, replica or availability zone
    */
   char *target;
   /*
@@ -359,10 +392,12 @@
   Oh__Member **members;
   size_t n_replicas;
   Oh__Replica **replicas;
+  size_t n_drained_zones;
+  char **drained_zones;
 };
 #define OH__STATUS_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__status_reply__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -615,6 +650,25 @@
 void   oh__view__free_unpacked
                      (Oh__View *message,
                       ProtobufCAllocator *allocator);
+/* Oh__ServiceWarmup methods */
+void   oh__service_warmup__init
+                     (Oh__ServiceWarmup         *message);
+size_t oh__service_warmup__get_packed_size
+                     (const Oh__ServiceWarmup   *message);
+size_t oh__service_warmup__pack
+                     (const Oh__ServiceWarmup   *message,
+                      uint8_t             *out);
+size_t oh__service_warmup__pack_to_buffer
+                     (const Oh__ServiceWarmup   *message,
+                      ProtobufCBuffer     *buffer);
+Oh__ServiceWarmup *
+       oh__service_warmup__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   oh__service_warmup__free_unpacked
+                     (Oh__ServiceWarmup *message,
+                      ProtobufCAllocator *allocator);
 /* Oh__Change methods */
 void   oh__change__init
                      (Oh__Change         *message);
@@ -819,6 +873,9 @@
 typedef void (*Oh__View_Closure)
                  (const Oh__View *message,
                   void *closure_data);
+typedef void (*Oh__ServiceWarmup_Closure)
+                 (const Oh__ServiceWarmup *message,
+                  void *closure_data);
 typedef void (*Oh__Change_Closure)
                  (const Oh__Change *message,
                   void *closure_data);
@@ -862,6 +919,7 @@
 extern const ProtobufCMessageDescriptor oh__balancer_entry__descriptor;
 extern const ProtobufCMessageDescriptor oh__poll__descriptor;
 extern const ProtobufCMessageDescriptor oh__view__descriptor;
+extern const ProtobufCMessageDescriptor oh__service_warmup__descriptor;
 extern const ProtobufCMessageDescriptor oh__change__descriptor;
 extern const ProtobufCMessageDescriptor oh__change_reply__descriptor;
 extern const ProtobufCMessageDescriptor oh__status_query__descriptor;
--- a/lib/wire/packet.pb-c.c
+++ b/lib/wire/packet.pb-c.c
@@ -2055,7 +2055,7 @@
   (ProtobufCMessageInit) oh__packet__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__load__field_descriptors[11] =
+static const ProtobufCFieldDescriptor oh__load__field_descriptors[14] =
 {
   {
     "upstream",
@@ -2189,16 +2189,55 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Oh__Load, limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reserved",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Oh__Load, reserved),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service_us",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Oh__Load, service_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__load__field_indices_by_name[] = {
   10,   /* field[10] = agent */
   5,   /* field[5] = busy */
   7,   /* field[7] = flows */
   2,   /* field[2] = incarnation */
+  11,   /* field[11] = limit */
   8,   /* field[8] = max_flows */
   6,   /* field[6] = queued */
+  12,   /* field[12] = reserved */
   3,   /* field[3] = sequence */
   1,   /* field[1] = service */
+  13,   /* field[13] = service_us */
   4,   /* field[4] = slots */
   9,   /* field[9] = state */
   0,   /* field[0] = upstream */
@@ -2206,7 +2245,7 @@
 static const ProtobufCIntRange oh__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor oh__load__descriptor =
 {
@@ -2216,14 +2255,14 @@
   "Oh__Load",
   "oh",
   sizeof(Oh__Load),
-  11,
+  14,
   oh__load__field_descriptors,
   oh__load__field_indices_by_name,
   1,  oh__load__number_ranges,
   (ProtobufCMessageInit) oh__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__segment_relay__field_descriptors[15] =
+static const ProtobufCFieldDescriptor oh__segment_relay__field_descriptors[17] =
 {
   {
     "kind",
@@ -2405,6 +2444,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "yields",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Oh__SegmentRelay, yields),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_ms",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Oh__SegmentRelay, target_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__segment_relay__field_indices_by_name[] = {
   1,   /* field[1] = balancer */
@@ -2421,12 +2484,14 @@
   8,   /* field[8] = search */
   3,   /* field[3] = segment */
   2,   /* field[2] = service */
+  16,   /* field[16] = target_ms */
   12,   /* field[12] = wanted */
+  15,   /* field[15] = yields */
 };
 static const ProtobufCIntRange oh__segment_relay__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor oh__segment_relay__descriptor =
 {
@@ -2436,7 +2501,7 @@
   "Oh__SegmentRelay",
   "oh",
   sizeof(Oh__SegmentRelay),
-  15,
+  17,
   oh__segment_relay__field_descriptors,
   oh__segment_relay__field_indices_by_name,
   1,  oh__segment_relay__number_ranges,
--- a/lib/wire/packet.pb-c.h
+++ b/lib/wire/packet.pb-c.h
@@ -481,10 +481,22 @@
   uint32_t max_flows;
   Oh__UpstreamState state;
   Oh__Address *agent;
+  /*
+   * requests that the agent admits at the same time; 0: not reported
+   */
+  uint32_t limit;
+  /*
+   * part of the limit that flows which yield do not get
+   */
+  uint32_t reserved;
+  /*
+   * mean time that the upstream works on a request; 0: not known
+   */
+  uint32_t service_us;
 };
 #define OH__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, OH__UPSTREAM_STATE__UPSTREAM_READY, NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, OH__UPSTREAM_STATE__UPSTREAM_READY, NULL, 0, 0, 0 }
 
 
 /*
@@ -546,6 +558,14 @@
    * DELIVER: the agent was offered the flow, and has not said that it is open
    */
   protobuf_c_boolean offered;
+  /*
+   * OPEN: leaves the reserved part of the agent's limit to other flows
+   */
+  protobuf_c_boolean yields;
+  /*
+   * OPEN: latency objective of the route; 0: none
+   */
+  uint32_t target_ms;
   /*
    * ABSENT: the upstream itself has said that it does not have the flow
    */
@@ -553,7 +573,7 @@
 };
 #define OH__SEGMENT_RELAY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__segment_relay__descriptor) \
-    , OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD, NULL, 0, {0,NULL}, OH__RESULT__RESULT_NONE, NULL, NULL, NULL, 0, NULL, 0,NULL, {0,NULL}, {0,NULL}, 0, 0 }
+    , OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD, NULL, 0, {0,NULL}, OH__RESULT__RESULT_NONE, NULL, NULL, NULL, 0, NULL, 0,NULL, {0,NULL}, {0,NULL}, 0, 0, 0, 0 }
 
 
 /*
--- a/lib/wire/replica.pb-c.c
+++ b/lib/wire/replica.pb-c.c
@@ -213,7 +213,7 @@
   (ProtobufCMessageInit) oh__change_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__control_state__field_descriptors[10] =
+static const ProtobufCFieldDescriptor oh__control_state__field_descriptors[11] =
 {
   {
     "version",
@@ -335,10 +335,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "drained_zones",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Oh__ControlState, n_drained_zones),
+    offsetof(Oh__ControlState, drained_zones),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__control_state__field_indices_by_name[] = {
   9,   /* field[9] = document */
   4,   /* field[4] = drained */
+  10,   /* field[10] = drained_zones */
   3,   /* field[3] = key_generation */
   6,   /* field[6] = last_author */
   5,   /* field[5] = last_id */
@@ -351,7 +364,7 @@
 static const ProtobufCIntRange oh__control_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor oh__control_state__descriptor =
 {
@@ -361,7 +374,7 @@
   "Oh__ControlState",
   "oh",
   sizeof(Oh__ControlState),
-  10,
+  11,
   oh__control_state__field_descriptors,
   oh__control_state__field_indices_by_name,
   1,  oh__control_state__number_ranges,
--- a/lib/wire/replica.pb-c.h
+++ b/lib/wire/replica.pb-c.h
@@ -80,10 +80,12 @@
    * its document
    */
   ProtobufCBinaryData document;
+  size_t n_drained_zones;
+  char **drained_zones;
 };
 #define OH__CONTROL_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__control_state__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, 0,NULL, 0, {0,NULL} }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, 0,NULL, 0, {0,NULL}, 0,NULL }
 
 
 /* Oh__ChangeResult methods */
