base: read decimal settings in thousandths

Settings were integers only; the margin of the limit for warming upstreams is a decimal number. OH_SETTING_DECIMAL reads one into an integer in thousandths. Digits beyond the third place are cut off, since a platform may print any number of them and a refused settings file would keep the agent from starting. No sign, exponent or white space.

--- a/lib/base/settings.c
+++ b/lib/base/settings.c
@@ -4,6 +4,8 @@
 #include <glib.h>
 #include <string.h>
 
+#include "base/decimal.h"
+
 static const char *
 expected_form (const oh_setting_t *setting, char *text, size_t length)
 {
@@ -19,6 +21,12 @@
       return "true or false";
     case OH_SETTING_ADDRESS:
       return "IPV4:PORT";
+    case OH_SETTING_DECIMAL:
+      g_snprintf (text, length,
+                  "a decimal number from %" G_GINT64_FORMAT ".%03d to %" G_GINT64_FORMAT ".%03d",
+                  setting->minimum / 1000, (int)(setting->minimum % 1000), setting->maximum / 1000,
+                  (int)(setting->maximum % 1000));
+      return text;
     }
   return "";
 }
@@ -48,6 +56,11 @@
       return true;
     case OH_SETTING_ADDRESS:
       return oh_address_parse (value, field);
+    case OH_SETTING_DECIMAL:
+      if (!oh_decimal_parse (value, setting->maximum, &number, NULL) || number < setting->minimum)
+        return false;
+      *(int64_t *)field = number;
+      return true;
     }
   return false;
 }
@@ -139,6 +152,7 @@
           g_clear_pointer ((char **)field, g_free);
           break;
         case OH_SETTING_INTEGER:
+        case OH_SETTING_DECIMAL:
           *(int64_t *)field = 0;
           break;
         case OH_SETTING_BOOLEAN:
--- a/lib/base/settings.h
+++ b/lib/base/settings.h
@@ -18,6 +18,7 @@
   OH_SETTING_INTEGER, /* int64_t in [minimum, maximum] */
   OH_SETTING_BOOLEAN, /* bool */
   OH_SETTING_ADDRESS, /* oh_address_t, written as IPV4:PORT */
+  OH_SETTING_DECIMAL, /* int64_t in thousandths, in [minimum, maximum]; further digits are cut off */
 } oh_setting_type_t;
 
 /* IPv4 address and port, both in host byte order. */
@@ -36,8 +37,8 @@
   size_t offset;             /* of the field in the settings struct */
   bool required;             /* a string must not be empty either */
   const char *default_value; /* as written in a file; NULL: the field is zero or NULL */
-  int64_t minimum;           /* OH_SETTING_INTEGER only */
-  int64_t maximum;           /* OH_SETTING_INTEGER only */
+  int64_t minimum;           /* OH_SETTING_INTEGER, and OH_SETTING_DECIMAL in thousandths */
+  int64_t maximum;           /* the same */
 } oh_setting_t;
 
 /* Reads the file at path into the settings struct. Previous values of the fields in the table are discarded
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "base/counters.h"
+#include "base/decimal.h"
 #include "base/list.h"
 #include "base/seeded_random.h"
 #include "base/settings.h"
@@ -16,6 +17,7 @@
   int64_t slots;
   oh_address_t listen;
   bool enabled;
+  int64_t ratio_milli;
 } sample_settings_t;
 
 static const oh_setting_t sample_table[] = {
@@ -23,6 +25,8 @@
   { "agent", "slots", OH_SETTING_INTEGER, offsetof (sample_settings_t, slots), false, "4", 1, 64 },
   { "agent", "listen", OH_SETTING_ADDRESS, offsetof (sample_settings_t, listen), false, NULL, 0, 0 },
   { "agent", "enabled", OH_SETTING_BOOLEAN, offsetof (sample_settings_t, enabled), false, "false", 0, 0 },
+  { "agent", "ratio", OH_SETTING_DECIMAL, offsetof (sample_settings_t, ratio_milli), false, "1.5", 500,
+    9000 },
 };
 
 /* A mistake in a settings file must be rejected, with a message that names the section, key and value. */
@@ -44,6 +48,9 @@
       { "listen", "127.0.0.1", "IPV4:PORT" } },
     { "[agent]\nname=a\nlisten=127.0.0.1:0\n", OH_ERROR_CODE_BAD_VALUE, { "listen" } },
     { "[agent]\nname=a\nenabled=yes\n", OH_ERROR_CODE_BAD_VALUE, { "enabled", "yes" } },
+    { "[agent]\nname=a\nratio=0.499\n", OH_ERROR_CODE_BAD_VALUE, { "ratio", "0.499", "0.500 to 9.000" } },
+    { "[agent]\nname=a\nratio=9.001\n", OH_ERROR_CODE_BAD_VALUE, { "ratio", "9.001" } },
+    { "[agent]\nname=a\nratio=1,5\n", OH_ERROR_CODE_BAD_VALUE, { "ratio", "1,5" } },
     { "[agent\n", OH_ERROR_CODE_MALFORMED, { NULL } },
   };
   g_autofree char *path = g_strdup_printf ("%s/oh-settings-%d.ini", g_get_tmp_dir (), (int)g_random_int ());
@@ -64,6 +71,36 @@
   g_unlink (path);
 }
 
+/* A limit that is read from a decimal number must not be above that number, and not be another one. */
+static void
+test_decimals (void)
+{
+  static const struct
+  {
+    const char *text;
+    int64_t milli; /* -1: refused */
+    unsigned places;
+  } cases[] = {
+    { "0", 0, 0 },      { "5", 5000, 0 },     { "1.5", 1500, 1 },
+    { "5.0", 5000, 1 }, { "0.001", 1, 3 },    { "1.9999", 1999, 4 },
+    { "9", 9000, 0 },   { "9.000", 9000, 3 }, { "9.0001", 9000, 4 },
+    { "9.001", -1, 0 }, { "10", -1, 0 },      { "", -1, 0 },
+    { ".5", -1, 0 },    { "5.", -1, 0 },      { "-1", -1, 0 },
+    { "+1", -1, 0 },    { "1e0", -1, 0 },     { " 1", -1, 0 },
+    { "1 ", -1, 0 },    { "1.5.0", -1, 0 },   { "99999999999999999999999", -1, 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int64_t milli = -1;
+      unsigned places = 0;
+
+      g_assert_cmpint (oh_decimal_parse (cases[i].text, 9000, &milli, &places), ==, cases[i].milli >= 0);
+      g_assert_cmpint (milli, ==, cases[i].milli);
+      g_assert_cmpuint (places, ==, cases[i].places);
+    }
+}
+
 /* A removed link must not be reachable any more, and removing it twice must be harmless. */
 static void
 test_list (void)
@@ -231,6 +268,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/base/settings", test_settings);
+  g_test_add_func ("/base/decimals", test_decimals);
   g_test_add_func ("/base/list", test_list);
   g_test_add_func ("/base/seeded-random", test_seeded_random);
   g_test_add_func ("/base/counters", test_counters);
