config: rate of new flows for services with warming upstreams

Section 4 of docs/design/load.md. The text has warmup_per_s in [service NAME]; the platform's document gives it as WarmupPerS. A value that is negative or of another type, also of WarmupS, is no limit and leaves the document valid. The text gets the key only where there is a limit, as the previous release rejects a text with it. Views carry the limits beside the services. The digest covers them; without limits it is that of the previous release, so that its agents are not sent the services with each view.

test_config_text, test_platform, test_view, test_control_views and test_wire_names pass.

--- a/lib/core/config_text.c
+++ b/lib/core/config_text.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/decimal.h"
 #include "core/keyring.h"
 
 enum
@@ -150,6 +151,25 @@
   return true;
 }
 
+/* Reads warmup_per_s, a decimal number; a missing one leaves the service without a limit. */
+static bool
+parse_warmup (const location_t *location, GKeyFile *file, oh_config_service_t *service)
+{
+  static const char key[] = "warmup_per_s";
+  g_autofree char *value = get_value (location, file, key);
+  int64_t milli;
+  unsigned places;
+
+  if (!g_key_file_has_key (file, location->section, key, NULL))
+    return true;
+  if (!oh_decimal_parse (value, OH_CONFIG_WARMUP_MAX_MILLI_PER_S, &milli, &places)
+      || places > OH_DECIMAL_PLACES)
+    return fail (location, OH_ERROR_CODE_BAD_VALUE, key, value,
+                 "a decimal number from 0 to 1000000 with at most three digits after the point");
+  service->warmup_milli_per_s = (unsigned)milli;
+  return true;
+}
+
 static bool
 parse_addresses (const location_t *location, GKeyFile *file, const oh_config_t *config, GArray *addresses)
 {
@@ -184,7 +204,8 @@
 static bool
 parse_service (const location_t *location, GKeyFile *file, oh_config_t *config)
 {
-  static const char *const known[] = { "address", "depends", "max_class", "queue_per_slot", NULL };
+  static const char *const known[]
+    = { "address", "depends", "max_class", "queue_per_slot", "warmup_per_s", NULL };
   const char *name = location->section + strlen (service_prefix);
   oh_config_service_t *service;
 
@@ -203,7 +224,8 @@
   service->queue_per_slot = DEFAULT_QUEUE_PER_SLOT;
   if (!parse_addresses (location, file, config, service->addresses)
       || !parse_number (location, file, "max_class", 0, MAX_CLASS, &service->max_class)
-      || !parse_number (location, file, "queue_per_slot", 1, MAX_QUEUE_PER_SLOT, &service->queue_per_slot))
+      || !parse_number (location, file, "queue_per_slot", 1, MAX_QUEUE_PER_SLOT, &service->queue_per_slot)
+      || !parse_warmup (location, file, service))
     {
       free_service (service);
       return false;
--- a/lib/core/config_text.h
+++ b/lib/core/config_text.h
@@ -16,6 +16,7 @@
 {
   OH_CONFIG_TEXT_MAX_BYTES = 1024 * 1024,
   OH_CONFIG_NAME_MAX_BYTES = 63,
+  OH_CONFIG_WARMUP_MAX_MILLI_PER_S = 1000000 * 1000,
 };
 
 typedef struct
@@ -26,6 +27,8 @@
   GPtrArray *depends;      /* direct dependencies, of oh_config_service_t *, borrowed */
   unsigned max_class;      /* lowest priority number that callers may use: 0 command, 1 normal, 2 bulk */
   unsigned queue_per_slot; /* maximum number of queued requests for each slot of an upstream */
+  /* New flows per 1,000 s that an upstream can take while it is warming; 0: no limit. */
+  unsigned warmup_milli_per_s;
 } oh_config_service_t;
 
 typedef enum
--- a/lib/core/control_core.c
+++ b/lib/core/control_core.c
@@ -780,6 +780,7 @@
   g_clear_pointer (&core->pending, g_ptr_array_unref);
   g_clear_pointer (&core->snapshot, g_bytes_unref);
   oh_service_set_finish (&core->services);
+  g_clear_pointer (&core->warmups, g_ptr_array_unref);
   g_clear_pointer (&core->packed_text, g_bytes_unref);
   g_clear_pointer (&core->committed_replicas, g_ptr_array_unref);
   oh_raft_finish (&core->raft);
--- a/lib/core/control_core.h
+++ b/lib/core/control_core.h
@@ -131,6 +131,7 @@
   uint64_t packed_version;
   oh_service_set_t services; /* of the text of services_version */
   uint64_t services_version;
+  GPtrArray *warmups; /* of Oh__ServiceWarmup *, owned: the limits of services, for views */
   uint64_t next_tag;
   int64_t confirmation_query_us; /* when the last query that the leader replied to was sent */
   uint64_t confirmation_index;   /* commit index in the leader's reply to it */
--- a/lib/core/control_views.c
+++ b/lib/core/control_views.c
@@ -27,6 +27,27 @@
   return core->packed_text;
 }
 
+/* Prepares the limits of the services for views. */
+static void
+pack_warmups (oh_control_core_t *core)
+{
+  const GArray *limits = core->services.warmups;
+
+  if (core->warmups == NULL)
+    core->warmups = g_ptr_array_new_with_free_func (g_free);
+  g_ptr_array_set_size (core->warmups, 0);
+  for (guint i = 0; limits != NULL && i < limits->len; i++)
+    {
+      const oh_service_warmup_t *limit = &g_array_index (limits, oh_service_warmup_t, i);
+      Oh__ServiceWarmup *wire = g_new (Oh__ServiceWarmup, 1);
+
+      oh__service_warmup__init (wire);
+      wire->service = limit->service;
+      wire->milli_per_s = (uint32_t)limit->milli_per_s;
+      g_ptr_array_add (core->warmups, wire);
+    }
+}
+
 /* The services of the current text; cached for each text version. */
 static const oh_service_set_t *
 current_services (oh_control_core_t *core)
@@ -47,11 +68,12 @@
       return &core->services;
     }
   oh_service_set_assign_config (&core->services, &config);
+  pack_warmups (core);
   oh_config_finish (&config);
   return &core->services;
 }
 
-/* Adds the services for an agent that does not have them yet. */
+/* Adds the services and their limits for an agent that does not have them yet. */
 static void
 fill_services (oh_control_core_t *core, const view_request_t *request, Oh__View *view)
 {
@@ -63,6 +85,8 @@
   view->has_services = true;
   view->n_services = services->ids->len;
   view->services = (uint64_t *)(void *)services->ids->data;
+  view->n_warmups = core->warmups->len;
+  view->warmups = (Oh__ServiceWarmup **)core->warmups->pdata;
 }
 
 /* Adds the text if the node has an older one. A node takes a version that is newer than its own only with its
--- a/lib/core/view.c
+++ b/lib/core/view.c
@@ -429,7 +429,25 @@
   return true;
 }
 
-/* Returns true if the services changed. Those of an earlier version are ignored. */
+static void
+assign_warmups (oh_service_set_t *services, const Oh__View *message)
+{
+  g_autoptr (GArray) warmups = g_array_new (FALSE, FALSE, sizeof (oh_service_warmup_t));
+
+  for (size_t i = 0; i < message->n_warmups; i++)
+    {
+      const oh_service_warmup_t warmup = {
+        .service = message->warmups[i]->service,
+        .milli_per_s = message->warmups[i]->milli_per_s,
+      };
+
+      g_array_append_val (warmups, warmup);
+    }
+  oh_service_set_assign_warmups (services, (const oh_service_warmup_t *)(const void *)warmups->data,
+                                 warmups->len);
+}
+
+/* Returns true if the services or their limits changed. Those of an earlier version are ignored. */
 static bool
 apply_services (oh_view_t *view, const Oh__View *message)
 {
@@ -438,6 +456,7 @@
   if (!message->has_services || message->version < view->version)
     return false;
   oh_service_set_assign (&view->services, message->services, message->n_services);
+  assign_warmups (&view->services, message);
   return view->services.digest != digest;
 }
 
--- a/tests/test_config_text.c
+++ b/tests/test_config_text.c
@@ -51,6 +51,16 @@
     { HEAD KILN "queue_per_slot=0\n",
       OH_ERROR_CODE_BAD_VALUE,
       { "[service kiln-log]", "key queue_per_slot", "\"0\"", "1 to 64" } },
+    { HEAD KILN "warmup_per_s=0.0001\n",
+      OH_ERROR_CODE_BAD_VALUE,
+      { "[service kiln-log]", "key warmup_per_s", "0.0001", "three digits" } },
+    { HEAD KILN "warmup_per_s=-1\n", OH_ERROR_CODE_BAD_VALUE, { "warmup_per_s", "-1" } },
+    { HEAD KILN "warmup_per_s=1e3\n", OH_ERROR_CODE_BAD_VALUE, { "warmup_per_s", "1e3" } },
+    { HEAD KILN "warmup_per_s=.5\n", OH_ERROR_CODE_BAD_VALUE, { "warmup_per_s", ".5" } },
+    { HEAD KILN "warmup_per_s=5.\n", OH_ERROR_CODE_BAD_VALUE, { "warmup_per_s", "5." } },
+    { HEAD KILN "warmup_per_s=\n", OH_ERROR_CODE_BAD_VALUE, { "warmup_per_s" } },
+    { HEAD KILN "warmup_per_s=1000000.001\n", OH_ERROR_CODE_BAD_VALUE, { "warmup_per_s", "1000000" } },
+    { HEAD KILN "warmup_per_s=99999999999999999999999999\n", OH_ERROR_CODE_BAD_VALUE, { "warmup_per_s" } },
     { HEAD KILN "depends=plan-fetch\n",
       OH_ERROR_CODE_BAD_VALUE,
       { "[service kiln-log]", "key depends", "plan-fetch", "names of services" } },
@@ -112,10 +122,11 @@
   g_assert_true (oh_config_parse (&config, "site.ini",
                                   HEAD "# comment\n[service a]\naddress = 127.0.0.1:1, 127.0.0.1:2\n"
                                        "depends=b\nmax_class=1\nqueue_per_slot=3\n"
-                                       "[service b]\naddress=127.0.0.1:3\ndepends=c\n"
+                                       "[service b]\naddress=127.0.0.1:3\ndepends=c\nwarmup_per_s=12.05\n"
                                        "[service c]\naddress=127.0.0.1:4\ndepends=\n",
                                   &error));
   const oh_config_service_t *a = oh_config_find (&config, oh_service_id ("a"));
+  const oh_config_service_t *b = oh_config_find (&config, oh_service_id ("b"));
   const oh_config_service_t *c = oh_config_find (&config, oh_service_id ("c"));
 
   g_assert_cmpstr (config.name, ==, "foundation");
@@ -125,6 +136,8 @@
   g_assert_cmpuint (a->max_class, ==, 1);
   g_assert_cmpuint (a->queue_per_slot, ==, 3);
   g_assert_cmpuint (c->queue_per_slot, ==, 8);
+  g_assert_cmpuint (b->warmup_milli_per_s, ==, 12050);
+  g_assert_cmpuint (c->warmup_milli_per_s, ==, 0);
   g_assert_true (oh_config_depends_on (a, c));
   g_assert_false (oh_config_depends_on (c, a));
   g_assert_null (oh_config_find (&config, oh_service_id ("d")));
--- a/tests/test_control_views.c
+++ b/tests/test_control_views.c
@@ -39,7 +39,8 @@
   oh_list_reader_t reader;
   oh_view_t view;
   int64_t poll_due_us;
-  uint64_t bytes; /* of the views that it was sent */
+  uint64_t bytes;           /* of the views that it was sent */
+  unsigned n_service_views; /* of them those with services */
 } node_t;
 
 typedef struct
@@ -78,6 +79,7 @@
   if (node == NULL || message->body_case != OH__CONTROL__BODY_VIEW)
     return;
   node->bytes += oh__control__get_packed_size (message);
+  node->n_service_views += message->view->has_services;
   if (node->away || oh_random_below (&fleet->random.base, 100) < fleet->loss_percent)
     return;
   if (oh_list_reader_accept (&node->reader, message->view))
@@ -197,6 +199,7 @@
   poll.role = node->agent ? OH__NODE_ROLE__NODE_AGENT : OH__NODE_ROLE__NODE_BALANCER;
   poll.without_text = node->agent;
   poll.without_members = node->agent;
+  poll.services_digest = node->view.services.digest;
   if (node->agent)
     poll.member = &node->member;
   else
@@ -400,6 +403,55 @@
   fleet_free (fleet);
 }
 
+static void
+set_text (fleet_t *fleet, const char *text)
+{
+  g_free (fleet->core.state.text);
+  fleet->core.state.text = g_strdup (text);
+  fleet->core.state.version++;
+  fleet->core.state.text_version = fleet->core.state.version;
+}
+
+/* Guards against agents that keep to a limit of warming upstreams that was changed or removed, and against
+ * services that are sent again with each view. */
+static void
+test_warmups (void)
+{
+  static const struct
+  {
+    const char *key;
+    uint32_t milli_per_s;
+  } steps[] = {
+    { "", 0 },
+    { "warmup_per_s=12.5\n", 12500 },
+    { "warmup_per_s=12.500\n", 12500 },
+    { "warmup_per_s=7\n", 7000 },
+    { "warmup_per_s=0\n", 0 },
+  };
+  const uint64_t kiln = oh_service_id ("kiln-log");
+  fleet_t *fleet = fleet_new (4);
+  const node_t *agent = &fleet->nodes[BALANCERS];
+
+  for (size_t i = 0; i < G_N_ELEMENTS (steps); i++)
+    {
+      g_autofree char *text
+        = g_strdup_printf ("[oriolehaven]\nname=foundation\n[service kiln-log]\naddress=127.0.0.1:7000\n%s"
+                           "[service other]\naddress=127.0.0.1:7001\n",
+                           steps[i].key);
+      unsigned n_service_views;
+
+      set_text (fleet, text);
+      run_for (fleet, 3 * SECOND);
+      n_service_views = agent->n_service_views;
+      run_for (fleet, 3 * SECOND);
+      g_assert_cmpuint (oh_service_set_warmup (&agent->view.services, kiln), ==, steps[i].milli_per_s);
+      g_assert_cmpuint (oh_service_set_warmup (&agent->view.services, oh_service_id ("other")), ==, 0);
+      g_assert_true (oh_service_set_contains (&agent->view.services, kiln));
+      g_assert_cmpuint (agent->n_service_views, ==, n_service_views);
+    }
+  fleet_free (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -408,5 +460,6 @@
   g_test_add_func ("/control-views/replica-restarted", test_replica_restarted);
   g_test_add_func ("/control-views/lost-views", test_lost_views);
   g_test_add_func ("/control-views/former-nodes", test_former_nodes);
+  g_test_add_func ("/control-views/warmups", test_warmups);
   return g_test_run ();
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -187,6 +187,64 @@
   oh_publication_clear (&publication);
 }
 
+/* Guards against a document that is rejected for a rate of warming upstreams, against a limit that was not
+ * meant, and against a rate that is raised when it is rounded. */
+static void
+test_warmups (void)
+{
+  static const struct
+  {
+    const char *fields;
+    unsigned milli_per_s;
+  } cases[] = {
+    { "", 0 },
+    { ",\"WarmupPerS\":20,\"WarmupS\":2", 20000 },
+    { ",\"WarmupPerS\":12.5", 12500 },
+    { ",\"WarmupPerS\":0.57,\"WarmupS\":null", 570 },
+    { ",\"WarmupPerS\":0.0016", 1 },
+    { ",\"WarmupPerS\":0.0004", 1 },
+    { ",\"WarmupPerS\":1.9999", 1999 },
+    { ",\"WarmupPerS\":1e12", 1000000000 },
+    { ",\"WarmupPerS\":0", 0 },
+    { ",\"WarmupPerS\":-3", 0 },
+    { ",\"WarmupPerS\":-0.5", 0 },
+    { ",\"WarmupPerS\":\"20\"", 0 },
+    { ",\"WarmupPerS\":null", 0 },
+    { ",\"WarmupPerS\":true", 0 },
+    { ",\"WarmupPerS\":[20]", 0 },
+    { ",\"WarmupPerS\":20,\"WarmupS\":-1", 0 },
+    { ",\"WarmupPerS\":20,\"WarmupS\":\"2\"", 0 },
+    { ",\"WarmupPerS\":20,\"WarmupS\":0", 20000 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *text
+        = g_strdup_printf ("{\"Version\":7,\"Routes\":[%s,%s],\"Services\":[{\"Name\":\"a\"},"
+                           "{\"Name\":\"K b\"%s}]}",
+                           VALID_ROUTE,
+                           "{\"Host\":\"198.18.0.2\",\"PathPrefix\":\"/1/\",\"TimeoutMs\":1,"
+                           "\"Service\":\"K b\"}",
+                           cases[i].fields);
+      g_autoptr (GBytes) document = g_bytes_new (text, strlen (text));
+      g_autofree char *name = oh_platform_service_name ("K b");
+      oh_publication_t publication;
+      oh_error_t error = { 0 };
+      oh_config_t config;
+
+      if (!oh_publication_parse (&publication, document, &error))
+        g_error ("%s: %s", cases[i].fields, error.message);
+      g_assert_true (oh_config_parse (&config, "test", publication.text, NULL));
+      g_assert_cmpuint (oh_config_find (&config, oh_service_id (name))->warmup_milli_per_s, ==,
+                        cases[i].milli_per_s);
+      g_assert_cmpuint (oh_config_find (&config, oh_service_id ("a"))->warmup_milli_per_s, ==, 0);
+      /* Replicas of the previous release reject a text with the key. */
+      g_assert_cmpint (strstr (publication.text, "warmup") != NULL, ==, cases[i].milli_per_s > 0);
+      oh_config_finish (&config);
+      oh_publication_clear (&publication);
+    }
+}
+
 /* Guards against flows that do not follow the weights of a traffic split, or that each balancer distributes
  * differently. */
 static void
@@ -438,6 +496,7 @@
   g_test_add_func ("/platform/documents", test_documents);
   g_test_add_func ("/platform/unreadable-documents", test_unreadable_documents);
   g_test_add_func ("/platform/large-document", test_large_document);
+  g_test_add_func ("/platform/warmups", test_warmups);
   g_test_add_func ("/platform/weights", test_weights);
   g_test_add_func ("/platform/heartbeats", test_heartbeats);
   g_test_add_func ("/platform/deregister", test_deregister);
--- a/tests/test_view.c
+++ b/tests/test_view.c
@@ -246,6 +246,57 @@
   oh_view_finish (&view);
 }
 
+/* Guards against limits of warming upstreams that an agent keeps although a later view has none, that change
+ * the digest of services without limits (agents of the previous release would be sent them with each view),
+ * or that do not change the digest of the others. */
+static void
+test_warmups (void)
+{
+  static const struct
+  {
+    uint64_t version;
+    uint32_t milli_per_s[2]; /* in the view, both for service 12 */
+    bool changed;
+    uint32_t expected;
+  } steps[] = {
+    { 5, { 0, 0 }, true, 0 },          { 6, { 20000, 0 }, true, 20000 }, { 6, { 20000, 0 }, false, 20000 },
+    { 6, { 0, 20000 }, false, 20000 }, { 5, { 0, 0 }, false, 20000 },    { 7, { 30000, 500 }, true, 500 },
+    { 8, { 0, 0 }, true, 0 },
+  };
+  uint64_t ids[] = { 13, 12 };
+  oh_service_set_t plain;
+  oh_view_t view;
+
+  oh_service_set_init (&plain);
+  oh_service_set_assign (&plain, ids, G_N_ELEMENTS (ids));
+  oh_view_init (&view);
+  view.without_text = true;
+  for (size_t i = 0; i < G_N_ELEMENTS (steps); i++)
+    {
+      Oh__ServiceWarmup warmups[2] = { OH__SERVICE_WARMUP__INIT, OH__SERVICE_WARMUP__INIT };
+      Oh__ServiceWarmup *pointers[2] = { &warmups[0], &warmups[1] };
+      message_t message;
+
+      for (unsigned j = 0; j < 2; j++)
+        {
+          warmups[j].service = 12;
+          warmups[j].milli_per_s = steps[i].milli_per_s[j];
+        }
+      version_message (&message, steps[i].version, false, NULL);
+      message.view.has_services = true;
+      message.view.services = ids;
+      message.view.n_services = G_N_ELEMENTS (ids);
+      message.view.warmups = pointers;
+      message.view.n_warmups = G_N_ELEMENTS (pointers);
+      g_assert_cmpint (oh_view_merge (&view, 0, &message.view), ==, steps[i].changed);
+      g_assert_cmpuint (oh_service_set_warmup (&view.services, 12), ==, steps[i].expected);
+      g_assert_cmpuint (oh_service_set_warmup (&view.services, 13), ==, 0);
+      g_assert_cmpint (view.services.digest == plain.digest, ==, steps[i].expected == 0);
+    }
+  oh_service_set_finish (&plain);
+  oh_view_finish (&view);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -255,5 +306,6 @@
   g_test_add_func ("/view/snapshot", test_snapshot);
   g_test_add_func ("/view/texts", test_texts);
   g_test_add_func ("/view/services", test_services);
+  g_test_add_func ("/view/warmups", test_warmups);
   return g_test_run ();
 }
--- a/tests/test_wire_names.py
+++ b/tests/test_wire_names.py
@@ -8,7 +8,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 # Names of fields, paths and flags in the platform's formats. Left out are those that lib/ or daemons/ use with another
 # meaning.
-NAMES = ['HeartbeatUrl', 'TrafficSplit', 'PathPrefix', 'DatagramAddr', 'WarmupLeftMs', 'MaxConcurrency', 'InternalPortRange',
+NAMES = ['HeartbeatUrl', 'TrafficSplit', 'PathPrefix', 'DatagramAddr', 'WarmupLeftMs', 'WarmupPerS', 'MaxConcurrency',
+         'InternalPortRange',
          'ContactMs', 'TimeoutMs', 'TargetLatencyMs', 'IdleTimeoutMs', 'FlowTimeoutS', 'HeartbeatMs', 'MaxConns', 'HealthPath',
          'BOUNCED', '/config/put', '/config/get', '/instances', 'deregister', '"born"']
 FOLDERS = ('lib', 'daemons')
@@ -26,7 +27,7 @@
     def test_platform(self):
         """Guards against a list of names that has become outdated, so that the other test can no longer fail."""
         text = ''.join(path.read_text(encoding='utf-8') for path in (ROOT / 'platform').glob('*.c'))
-        for name in ('TrafficSplit', 'PathPrefix', 'WarmupLeftMs', '/config/put', '"born"'):
+        for name in ('TrafficSplit', 'PathPrefix', 'WarmupLeftMs', 'WarmupPerS', '/config/put', '"born"'):
             self.assertIn(name, text)
 
 
