agent: limit new flows while the upstream is warming

The agent decides, as it sees all flows of its upstream. A new flow needs room in a window over the last second (rate x overshoot + slack, 101 slices of 10 ms) and a token of a bucket that is filled at the rate. Every delivered SYN counts, also repeated and returned ones, and while nothing is limited. At the limit SYNs are refused as overloaded, repeated ones are dropped (the upstream may have opened their flow), and the load report has no free position. An agent that may have had a predecessor at the incarnation lets in none for 1.1 s; one that does not know the services, with the margin in its settings, lets in the slack. The margin is read from warmup_overshoot and warmup_slack.

--- a/daemons/oriole_flow_agent.c
+++ b/daemons/oriole_flow_agent.c
@@ -32,6 +32,9 @@
 {
   /* From the stop signal (the readiness check fails from then on) to the exit, if the upstream runs. */
   STOP_DELAY_MS = 200,
+  /* In thousandths. */
+  WARMUP_OVERSHOOT_MAX_MILLI = 1000 * 1000,
+  WARMUP_SLACK_MAX_MILLI = 1000000 * 1000,
 };
 
 const char *argp_program_version = "oriole-flow-agent 0.1.0";
@@ -50,8 +53,11 @@
   int64_t max_flows;
   int64_t flow_timeout_s;
   int64_t leave_ms; /* from the stop signal to the exit if the upstream has ended or said that it leaves */
-  char *seeds;      /* IPV4:PORT,... of the VMs of control replicas */
-  int64_t port;     /* of the control replicas' endpoints */
+  /* Margin of the limit of new flows while the upstream is warming, in thousandths; see segment_agent.h. */
+  int64_t warmup_overshoot_milli;
+  int64_t warmup_slack_milli;
+  char *seeds;  /* IPV4:PORT,... of the VMs of control replicas */
+  int64_t port; /* of the control replicas' endpoints */
   char *key_file;
   char *log_level;
 } settings_t;
@@ -71,6 +77,10 @@
   { "agent", "flow_timeout_s", OH_SETTING_INTEGER, offsetof (settings_t, flow_timeout_s), false, "60", 1,
     86400 },
   { "agent", "leave_ms", OH_SETTING_INTEGER, offsetof (settings_t, leave_ms), false, "3000", 0, 3600000 },
+  { "agent", "warmup_overshoot", OH_SETTING_DECIMAL, offsetof (settings_t, warmup_overshoot_milli), false,
+    NULL, 0, WARMUP_OVERSHOOT_MAX_MILLI },
+  { "agent", "warmup_slack", OH_SETTING_DECIMAL, offsetof (settings_t, warmup_slack_milli), false, NULL, 0,
+    WARMUP_SLACK_MAX_MILLI },
   { "control", "seeds", OH_SETTING_STRING, offsetof (settings_t, seeds), true, NULL, 0, 0 },
   { "control", "port", OH_SETTING_INTEGER, offsetof (settings_t, port), true, NULL, 1, G_MAXUINT16 },
   { "keys", "file", OH_SETTING_STRING, offsetof (settings_t, key_file), true, NULL, 0, 0 },
@@ -426,6 +436,8 @@
     .max_flows = (unsigned)settings->max_flows,
     .started_ms = g_get_real_time () / 1000,
     .started_us = now_us (),
+    .warmup_overshoot_milli = settings->warmup_overshoot_milli,
+    .warmup_slack_milli = settings->warmup_slack_milli,
   };
   bool ok;
 
--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -206,6 +206,7 @@
   if (change == OH_IDENTITY_REPLACED)
     {
       agent->unanswered_syns = 0;
+      oh_agent_warmup_update (agent, true);
       agent->records_complete = is_first_announcement (agent, announcement);
       log_records (agent, announcement);
       oh_segment_agent_handle_replaced (agent);
@@ -257,13 +258,19 @@
 {
   const oh_upstream_identity_t before = agent->identity;
   char pairs[OH_SEGMENT_AGENT_LOG_BYTES];
+  bool known;
 
   if (!oh_service_set_is_known (services) || services->digest == agent->services.digest)
     return;
-  oh_service_set_assign (&agent->services, (const uint64_t *)(void *)services->ids->data, services->ids->len);
-  if (oh_upstream_identity_check_service (&agent->identity))
-    return;
+  oh_service_set_copy (&agent->services, services);
   agent->sink = sink;
+  known = oh_upstream_identity_check_service (&agent->identity);
+  oh_agent_warmup_update (agent, false);
+  if (known)
+    {
+      agent->sink = NULL;
+      return;
+    }
   agent->records_complete = false;
   g_snprintf (pairs, sizeof pairs, "id=%s service=%s started_ms=%" G_GINT64_FORMAT " result=%s", before.id,
               before.service, before.started_ms,
@@ -359,6 +366,7 @@
   oh_service_set_init (&agent->services);
   oh_upstream_identity_init (&agent->identity, config->upstream, &agent->services, config->heartbeat_ms);
   oh_arena_init (&agent->arena);
+  oh_agent_warmup_init (agent);
 }
 
 void
@@ -385,6 +393,8 @@
     { &own->sent, "segments_sent_total", "Segments sent to callers" },
     { &own->opened, "flows_opened_total", "Flows that callers opened at the upstream" },
     { &own->refused, "firsts_refused_total", "First segments refused" },
+    { &own->limited, "firsts_limited_total",
+      "First segments refused or not repeated by the rate limit of a warming upstream" },
     { &own->unanswered, "firsts_unanswered_total", "First segments that the upstream left unanswered" },
     { &own->probes, "probes_total", "Segments delivered to learn whether the upstream holds the flow" },
     { &own->searches, "searches_total", "Flows that balancers asked for, and searched segments received" },
--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -10,6 +10,7 @@
 #include "core/codec.h"
 #include "core/segment.h"
 #include "core/upstream_identity.h"
+#include "core/warmup_limit.h"
 
 /*
  * Agent side of segment forwarding (see core/segment.h). The agent sits between the balancers and one
@@ -155,6 +156,7 @@
   oh_counter_t sent;        /* segments to callers */
   oh_counter_t opened;      /* flows */
   oh_counter_t refused;     /* SYNs */
+  oh_counter_t limited;     /* SYNs beyond the limit of a warming upstream */
   oh_counter_t unanswered;  /* SYNs that the upstream did not answer in time */
   oh_counter_t probes;      /* segments delivered to learn whether the upstream has the flow */
   oh_counter_t probes_held; /* segments not delivered, as enough probes of the flow were */
@@ -185,6 +187,11 @@
   unsigned max_flows;      /* that the upstream may have open */
   int64_t started_ms;      /* time of day at the start of the process */
   int64_t started_us;      /* the same on the clock of the events (now_us) */
+  /* Margin of the limit of new flows while the upstream is warming; an overshoot of 0 means 1. If both are 0,
+   * the settings ask for no limit: the slack is one flow, and there is no limit while the services are not
+   * known. */
+  int64_t warmup_overshoot_milli;
+  int64_t warmup_slack_milli;
 } oh_segment_agent_config_t;
 
 typedef struct
@@ -204,6 +211,8 @@
   unsigned n_open;
   unsigned n_awaiting_response;
   unsigned unanswered_syns; /* consecutive */
+  oh_warmup_limit_t warmup_limit;
+  oh_warmup_rate_t warmup_rate; /* of the upstream's service, in effect while it is warming */
   uint64_t report_sequence;
   int64_t reported_us;
   oh_segment_agent_counters_t counters;
@@ -236,7 +245,7 @@
                                                     const oh_announcement_t *announcement, int64_t now_us,
                                                     oh_segment_agent_sink_t *sink);
 
-/* Replaces the services of the configuration; announcements of others are refused. */
+/* Replaces the services of the configuration and their limits; announcements of others are refused. */
 void oh_segment_agent_set_services (oh_segment_agent_t *agent, const oh_service_set_t *services,
                                     oh_segment_agent_sink_t *sink);
 
--- a/lib/core/segment_agent_private.h
+++ b/lib/core/segment_agent_private.h
@@ -98,6 +98,26 @@
  * called at each tick. */
 void oh_segment_agent_ask_leaving (oh_segment_agent_t *agent);
 
+/* Limit of new flows while the upstream is warming (segment_agent_warmup.c, warmup_limit.h). */
+
+void oh_agent_warmup_init (oh_segment_agent_t *agent);
+
+/* Takes the limit of the upstream's service, when that or the services may have changed. replaced: a new
+ * incarnation was announced. */
+void oh_agent_warmup_update (oh_segment_agent_t *agent, bool replaced);
+
+/* False if the limit does not allow a new flow now. */
+bool oh_agent_warmup_admits (oh_segment_agent_t *agent);
+
+/* False if the limit does not allow that the SYN of a flow is delivered again now. The caller repeats it. */
+bool oh_agent_warmup_admits_again (oh_segment_agent_t *agent);
+
+/* Sends a SYN to the upstream and counts it. */
+void oh_agent_warmup_deliver_syn (oh_segment_agent_t *agent, const uint8_t *bytes, size_t length);
+
+/* Reports no free position while the limit allows no new flow. */
+void oh_agent_warmup_fill_load (const oh_segment_agent_t *agent, Oh__Load *load);
+
 /* Messages from balancers (segment_agent_relay.c). */
 
 /* Handles a datagram from a balancer. */
--- a/lib/core/segment_agent_relay.c
+++ b/lib/core/segment_agent_relay.c
@@ -13,7 +13,7 @@
 }
 
 static bool
-check_admission (const oh_segment_agent_t *agent, uint64_t service, Oh__Result *result)
+check_admission (oh_segment_agent_t *agent, uint64_t service, Oh__Result *result)
 {
   const oh_upstream_identity_t *identity = &agent->identity;
 
@@ -25,6 +25,8 @@
     *result = OH__RESULT__RESULT_NOT_RUN_DRAINING;
   else if (!oh_upstream_identity_accepts_flows (identity, agent->now_us) || agent->upstream_ended)
     *result = OH__RESULT__RESULT_NO_UPSTREAM;
+  else if (!oh_agent_warmup_admits (agent))
+    *result = OH__RESULT__RESULT_NOT_RUN_OVERLOADED;
   else if (agent->n_open + agent->n_opening >= agent->config.max_flows || is_overloaded (agent))
     *result = OH__RESULT__RESULT_NOT_RUN_OVERLOADED;
   else
@@ -45,8 +47,8 @@
     {
       /* A retransmission: the upstream answers it again. */
       flow->balancer = balancer;
-      if (flow->state == OH_AGENT_FLOW_OPENING)
-        oh_segment_agent_deliver (agent, bytes, length);
+      if (flow->state == OH_AGENT_FLOW_OPENING && oh_agent_warmup_admits_again (agent))
+        oh_agent_warmup_deliver_syn (agent, bytes, length);
       return;
     }
   if (!check_admission (agent, service, &result) || length > OH_SEGMENT_SYN_MAX_BYTES)
@@ -64,7 +66,7 @@
   agent->n_opening++;
   oh_list_append (&agent->awaiting_request, &flow->awaiting_request_link);
   agent->n_awaiting_request++;
-  oh_segment_agent_deliver (agent, bytes, length);
+  oh_agent_warmup_deliver_syn (agent, bytes, length);
 }
 
 static void
--- a/lib/core/segment_agent_replies.c
+++ b/lib/core/segment_agent_replies.c
@@ -49,6 +49,7 @@
   load->max_flows = agent->config.max_flows;
   load->state = upstream_state (agent);
   load->agent = relay;
+  oh_agent_warmup_fill_load (agent, load);
 }
 
 static size_t
--- a/scripts/lib/platform_system.py
+++ b/scripts/lib/platform_system.py
@@ -31,19 +31,23 @@
 def render(template, fields):
     """Renders the part of the platform's template language that deploy/templates uses: {{name}}, {{list.0}},
     {{#name}}...{{/name}} if the field is set, and {{^name}}...{{/name}} if it is not."""
-    def value(name):
+    def look_up(name):
         result = fields
         for part in name.split('.'):
             result = result[int(part)] if isinstance(result, list) else result.get(part)
+        return result
+
+    def value(name):
+        result = look_up(name)
         if isinstance(result, list):
             return ','.join(str(item) for item in result)
         return '' if result is None else str(result)
 
     def section(match):
         wanted = match.group(1) == '#'
-        return match.group(3) if bool(fields.get(match.group(2))) == wanted else ''
+        return match.group(3) if bool(look_up(match.group(2))) == wanted else ''
 
-    template = re.sub(r'\{\{([#^])(\w+)\}\}(.*?)\{\{/\2\}\}', section, template)
+    template = re.sub(r'\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}', section, template)
     return re.sub(r'\{\{([\w.]+)\}\}', lambda match: value(match.group(1)), template)
 
 
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -1,6 +1,6 @@
 #!/usr/bin/env python3
-"""Guards against example settings and configuration texts that the programs reject, and invalid settings that --check
-accepts."""
+"""Guards against example settings, templates and configuration texts that the programs reject, and invalid settings that
+--check accepts."""
 
 import pathlib
 import secrets
@@ -9,8 +9,12 @@
 import tempfile
 import unittest
 
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "scripts" / "lib"))
+import platform_system  # noqa: E402
+
 BUILD = pathlib.Path(sys.argv.pop(1))
-EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+EXAMPLES = ROOT / "examples"
 KEY_FILE = "/etc/oriolehaven/master.key"
 PROGRAMS = {"agent.ini": "oriole-agent", "balancer.ini": "oriole-balancer", "control.ini": "oriole-control"}
 
@@ -45,6 +49,24 @@
                 result = self.check(user, name)
                 self.assertEqual(result.returncode, 0, f"{user}/{name}: {result.stderr}")
 
+    def test_agent_template(self):
+        """Guards against a template that yields invalid settings where the platform gives the margin of the limit of
+        new flows, or gives none."""
+        address = "127.0.0.1:7000"
+        fields = {"NodeName": "a", "Zone": "z", "Ip": "127.0.0.1", "app": address, "HeartbeatMs": 500, "Seeds": [address],
+                  "InternalPortRange": [7720, 7735],
+                  "BindAddrs": dict.fromkeys(("DatagramAddr", "outbound", "Control", "Readiness"), address)}
+        template = (ROOT / "deploy" / "templates" / "agent.ini").read_text()
+        path = pathlib.Path(self.folder.name, "agent.ini")
+        for margin, lines in (({}, []), ({"WarmupOvershoot": 1.5, "WarmupSlack": 5}, ["1.5", "5"]),
+                              ({"WarmupOvershoot": 1.3333333, "WarmupSlack": 5.0}, ["1.3333333", "5.0"])):
+            text = platform_system.render(template, {**fields, "PolicyParams": {"FlowTimeoutS": 60, **margin}})
+            path.write_text(text)
+            self.assertEqual([line.split("=")[1] for line in text.splitlines() if line.startswith("warmup")], lines)
+            result = subprocess.run([BUILD / "daemons" / "oriole-flow-agent", "--settings", path, "--check"], cwd=ROOT,
+                                    capture_output=True, text=True, timeout=10)
+            self.assertEqual(result.returncode, 0, result.stderr)
+
     def test_texts(self):
         for user in ("foundation", "shire"):
             settings = pathlib.Path(self.folder.name, "oriolectl.ini")
