tests: limit of new flows at a warming upstream through the whole deployment

The rate passes from the platform's document over text and view to the agent, which only processes show. The stand-in of an upstream announces a warm-up, and deployments take parameters of the templates. Two balancers offer 60 flows a second to one upstream with a rate of 10 (limit 20); one balancer and the agent are killed and restarted meanwhile.

--- a/scripts/lib/platform_system.py
+++ b/scripts/lib/platform_system.py
@@ -55,8 +55,10 @@
     """One deployment. As a context manager it ends its processes and deletes its folder; with ORIOLEHAVEN_KEEP_LOGS in
     the environment, the folder stays after an exception. keep_logs copies it to logs_folder."""
 
-    def __init__(self, build, seed=1, n_control=3, n_balancers=3, logs_folder=None, n_zones=1, tolerate=1):
+    def __init__(self, build, seed=1, n_control=3, n_balancers=3, logs_folder=None, n_zones=1, tolerate=1,
+                 policy=None):
         self.build, self.logs_folder, self.n_zones, self.tolerate = build, logs_folder, n_zones, tolerate
+        self.policy = {'FlowTimeoutS': 60, **(policy or {})}  # PolicyParams of the templates
         self.proxies = {}  # IP of a control process: the fault proxy in front of it
         self.folder = tempfile.mkdtemp(prefix='oriolehaven-platform-')
         self.network = f'127.{10 + os.getpid() % 200}'
@@ -115,7 +117,7 @@
                           'Control': f'{ip}:{PORTS.control}', 'outbound': f'{ip}:{PORTS.outbound}'},
             'Seeds': self.seeds, 'Bootstrap': bootstrap, 'DataDir': os.path.join(self.folder, f'data-{name}'),
             'HeartbeatMs': PORTS.heartbeat_ms, 'FaultTolerance': {'Machines': self.tolerate},
-            'PolicyParams': {'FlowTimeoutS': 60}, 'app': f'{ip}:{PORTS.app}',
+            'PolicyParams': self.policy, 'app': f'{ip}:{PORTS.app}',
         }
 
     def start(self, program, template, name, ip, bootstrap=True, preexec=None):
--- a/standins/platform_standins.py
+++ b/standins/platform_standins.py
@@ -261,13 +261,15 @@
     """
 
     def __init__(self, loop, service, ip, ports, slots=4, identity=None, clock_offset_ms=0, first_sequence=1,
-                 max_flows=2000):
-        """clock_offset_ms: of the time of day that it announces as its start; first_sequence: of its first heartbeat."""
+                 max_flows=2000, warmup_s=0):
+        """clock_offset_ms: of the time of day that it announces as its start; first_sequence: of its first heartbeat;
+        warmup_s: for which it announces that it is warming."""
         self.loop, self.service, self.ip, self.ports, self.slots = loop, service, ip, ports, slots
         self.id = identity or f'i-{loop.random.getrandbits(32):08x}'
         self.started_ms = int(time.time() * 1000) + clock_offset_ms
         self.sequence, self.state, self.alive = first_sequence - 1, 'ready', True
         self.max_flows = max_flows
+        self.warm_at = loop.now() + warmup_s
         self.deregistered = False  # it has sent its deregister call, and sends no heartbeats any more
         self.flows = {}  # key(segment): state of the flow, as in accept
         self.ended_flows = set()  # keys of flows that both sides have closed
@@ -305,7 +307,8 @@
             self.sequence += 1
             self.last_heartbeat = json.dumps({
                 'Service': self.service, 'Address': f'{self.ip}:{self.ports.app}', 'Zone': 'a', 'Version': 'v1',
-                'MaxConcurrency': self.slots, 'State': self.state, 'WarmupLeftMs': 0, 'Sequence': self.sequence,
+                'MaxConcurrency': self.slots, 'State': self.state,
+                'WarmupLeftMs': max(0, int((self.warm_at - self.loop.now()) * 1000)), 'Sequence': self.sequence,
                 'born': self.started_ms})
             self.post('heartbeat', self.last_heartbeat)
         self.loop.after(self.ports.heartbeat_ms / 1000, self.send_heartbeat)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -52,6 +52,35 @@
             system.loop.run(2, lambda: unroutable.ended)
             self.assertEqual(unroutable.reason, 'reset', 'a flow to an unknown route must be reset at once')
 
+    def test_warmup_limit(self):
+        """Guards against more new flows at a warming upstream than its service allows in any second, from several
+        balancers, after a restart of a balancer and of the agent, and against a limit that holds up the others."""
+        policy = {'WarmupOvershoot': 1.5, 'WarmupSlack': 5}
+        with platform_system.PlatformSystem(BUILD, n_balancers=2, policy=policy) as system:
+            document = system.document(1, ROUTES)
+            document['Services'][0].update(WarmupPerS=10, WarmupS=60)
+            system.start_all({'scan': 1}, document)
+            system.add_upstream('kiln-0', 'kiln', warmup_s=60, agent_lead_s=1.5)
+            system.loop.run(3)
+
+            def offer(seconds):
+                for _ in range(int(seconds * 20)):
+                    for _ in range(3):
+                        system.call(SAFE_ROUTE, 'safe', deadline_s=1)
+                    system.loop.run(0.05)
+            offer(2)
+            system.kill('balancer-0')
+            system.restart('balancer-0')
+            offer(1)
+            system.kill('agent-kiln-0')
+            system.restart('agent-kiln-0')
+            offer(3)
+            opened = [at for at, _ in system.upstreams['kiln-0'].opened]
+            most = max(sum(at <= other <= at + 1 for other in opened) for at in opened)
+            self.assertLessEqual(most, 20, opened)
+            self.assertGreaterEqual(len(opened), 30, 'the limit holds up more flows than it has to')
+            system.check_running()
+
     def test_publication(self):
         """Guards against a version that decreases, a document that is returned altered or is lost when all control
         processes are killed, invalid documents that are accepted, and a published route that has no effect."""
