balancer: place managed services by free positions, class and pace

Cause: balancers offered flows to agents that had refused a moment before, without regard to classes, oldest first and at ticks of 100 ms only. Change: yields and target_ms in each OPEN; choice by free positions; comparison by work per capacity; flows without a position wait in the order of held_queue.h (class, in time, newest) and are offered when a report shows a position, or every 10 ms; reset 100 ms before their callers give up if nothing can have run. Only services with an objective or with several classes, and agents that report limits, are served so.

--- a/daemons/oriole_flow_balancer.c
+++ b/daemons/oriole_flow_balancer.c
@@ -81,14 +81,31 @@
   int listen_fd;             /* -1 if not open */
   int relay_fd;              /* -1 if not open */
   bool leaving;              /* a stop signal was received */
+  guint held_timer;          /* source of OH_SEGMENT_BALANCER_HELD; 0: none */
   GMainLoop *loop;
 } balancer_t;
 
+static gboolean on_held_timer (gpointer data);
+
 static void
 handle_event (balancer_t *balancer, oh_segment_balancer_event_t event)
 {
   event.now_us = oh_clock_now_us (oh_system_clock ());
   oh_segment_balancer_handle (&balancer->core, &event, &balancer->sink);
+  if (balancer->held_timer == 0 && oh_segment_balancer_waits (&balancer->core))
+    balancer->held_timer = g_timeout_add (OH_SEGMENT_HELD_INTERVAL_MS, on_held_timer, balancer);
+}
+
+static gboolean
+on_held_timer (gpointer data)
+{
+  balancer_t *balancer = data;
+
+  handle_event (balancer, (oh_segment_balancer_event_t){ .kind = OH_SEGMENT_BALANCER_HELD });
+  if (oh_segment_balancer_waits (&balancer->core))
+    return G_SOURCE_CONTINUE;
+  balancer->held_timer = 0;
+  return G_SOURCE_REMOVE;
 }
 
 /* Actions of the core. */
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -9,10 +9,17 @@
  * is below 1 because the real load is unknown and must not be the highest. */
 #define PACED_FRACTION 0.9
 
+/* Bounds of the pace of an upstream. A difference below PACE_NOISE is one of the requests, not of the
+ * upstreams. */
+#define PACE_MIN 0.25
+#define PACE_MAX 4.0
+#define PACE_NOISE 1.25
+
 typedef struct
 {
   const oh_placement_service_t *config; /* NULL if the configuration does not name the service */
   GPtrArray *upstreams;                 /* of oh_placement_upstream_t *, borrowed, sorted by name */
+  unsigned service_us;                  /* mean of the upstreams as of the last choice; 0: not known */
 } service_entry_t;
 
 static void
@@ -48,6 +55,7 @@
   upstream->n_unanswered = 0;
   upstream->probing = false;
   upstream->false_reports = 0;
+  upstream->full_us[false] = upstream->full_us[true] = 0;
 }
 
 /*
@@ -100,6 +108,9 @@
   upstream->queued = member->queued;
   upstream->flows = member->flows;
   upstream->max_flows = member->max_flows;
+  upstream->limit = member->limit;
+  upstream->reserved = member->reserved;
+  upstream->service_us = member->service_us;
   upstream->state = member->state;
   set_slots (upstream, member->slots);
 }
@@ -184,16 +195,87 @@
   return MAX (upstream->slots > 0 ? upstream->slots : upstream->last_slots, 1u);
 }
 
+/* In slots of mean pace. */
+static double
+capacity (const oh_placement_upstream_t *upstream)
+{
+  return effective_slots (upstream) * (upstream->pace > 0 ? upstream->pace : 1);
+}
+
+/* Computes the paces of a managed service. The mean is that of the rates, so that one slow upstream does not
+ * make all others look fast. */
+static void
+update_paces (service_entry_t *entry)
+{
+  double rate = 0;
+  unsigned slots = 0;
+
+  for (guint i = 0; i < entry->upstreams->len; i++)
+    {
+      oh_placement_upstream_t *upstream = g_ptr_array_index (entry->upstreams, i);
+
+      upstream->pace = 0;
+      if (!entry->config->managed || upstream->service_us == 0 || is_draining (upstream))
+        continue;
+      rate += (double)effective_slots (upstream) / upstream->service_us;
+      slots += effective_slots (upstream);
+    }
+  entry->service_us = rate > 0 ? (unsigned)(slots / rate) : 0;
+  for (guint i = 0; i < entry->upstreams->len && entry->service_us > 0; i++)
+    {
+      oh_placement_upstream_t *upstream = g_ptr_array_index (entry->upstreams, i);
+      const double pace = upstream->service_us > 0 ? (double)entry->service_us / upstream->service_us : 1;
+
+      upstream->pace = pace < PACE_NOISE && pace > 1 / PACE_NOISE ? 1 : CLAMP (pace, PACE_MIN, PACE_MAX);
+    }
+}
+
+static int
+free_positions (const oh_placement_upstream_t *upstream, bool yields)
+{
+  const unsigned reserved = yields ? MIN (upstream->reserved, upstream->limit) : 0;
+
+  return (int)(upstream->limit - reserved)
+         - (int)(upstream->busy + upstream->queued + upstream->n_unanswered);
+}
+
+/* Time in which a position at a full agent becomes free on average. */
+static int64_t
+position_wait_us (const oh_placement_upstream_t *upstream)
+{
+  const int64_t wait_us = upstream->service_us / effective_slots (upstream);
+
+  return upstream->service_us == 0 ? (int64_t)OH_PLACEMENT_FULL_MAX_MS * 1000
+                                   : CLAMP (wait_us, (int64_t)OH_PLACEMENT_FULL_MIN_MS * 1000,
+                                            (int64_t)OH_PLACEMENT_FULL_MAX_MS * 1000);
+}
+
+static oh_position_t
+find_position (const service_entry_t *entry, const oh_placement_upstream_t *upstream, bool yields,
+               int64_t now_us)
+{
+  const int64_t full_us = upstream->full_us[yields];
+
+  if (!entry->config->managed || upstream->limit == 0)
+    return OH_POSITION_FREE;
+  if (full_us != 0 && now_us - full_us < position_wait_us (upstream))
+    return OH_POSITION_TAKEN;
+  if (free_positions (upstream, yields) > 0)
+    return OH_POSITION_FREE;
+  /* One offer at a time finds out whether a position is free. */
+  return upstream->n_unanswered == 0 ? OH_POSITION_POSSIBLE : OH_POSITION_TAKEN;
+}
+
 double
 oh_placement_work_per_slot (const oh_placement_upstream_t *upstream)
 {
-  return (double)(upstream->busy + upstream->queued + upstream->n_unanswered) / effective_slots (upstream);
+  return (double)(upstream->busy + upstream->queued + upstream->n_unanswered) / capacity (upstream);
 }
 
 double
 oh_placement_flows_per_slot (const oh_placement_upstream_t *upstream)
 {
-  return (double)(upstream->flows + upstream->n_unanswered) / effective_slots (upstream);
+  return (double)(upstream->flows + upstream->n_unanswered) / capacity (upstream);
 }
 
 /* Returns true if the upstream at the index is one of the max_excluded suspects with the strongest
@@ -254,8 +336,8 @@
   return false;
 }
 
-/* Compares by work per slot, then flows per slot, then the zone; returns a negative value if a is the better
- * choice. The reason is the criterion that decided, the zone if all are equal. */
+/* Compares by work per capacity, then flows per capacity, then the zone; returns a negative value if a is the
+ * better choice. The reason is the criterion that decided, the zone if all are equal. */
 static int
 compare (const oh_placement_t *placement, const oh_placement_upstream_t *a, const oh_placement_upstream_t *b,
          oh_placement_reason_t *reason)
@@ -348,16 +430,20 @@
   return fewest;
 }
 
+/* Chooses among the upstreams with at least this position. */
 static void
-choose_candidate (oh_placement_t *placement, const service_entry_t *entry, const uint64_t *tried,
-                  size_t n_tried, unsigned max_excluded, int64_t now_us, oh_placement_decision_t *decision)
+choose_candidate (oh_placement_t *placement, const service_entry_t *entry,
+                  const oh_placement_request_t *request, oh_position_t least, unsigned max_excluded,
+                  int64_t now_us, oh_placement_decision_t *decision)
 {
   /* Trusted upstreams fill the array from the front, distrusted ones from the back. */
   oh_placement_upstream_t **candidates = (oh_placement_upstream_t **)placement->candidates->pdata;
   unsigned trusted = 0;
   unsigned distrusted = 0;
+  unsigned full = 0;
   oh_placement_upstream_t *paced;
 
+  decision->excluded = 0;
   for (guint i = 0; i < entry->upstreams->len; i++)
     {
       oh_placement_upstream_t *upstream = g_ptr_array_index (entry->upstreams, i);
@@ -366,14 +452,17 @@
         continue;
       if (is_excluded (entry, i, max_excluded, now_us))
         decision->excluded++;
-      else if (is_full (upstream) || is_tried (upstream, tried, n_tried))
+      else if (is_full (upstream) || is_tried (upstream, request->tried, request->n_tried))
         continue;
+      else if (find_position (entry, upstream, request->yields, now_us) < least)
+        full++;
       else if (is_distrusted (upstream, now_us))
         candidates[placement->candidates->len - ++distrusted] = upstream;
       else
         candidates[trusted++] = upstream;
     }
   decision->candidates = trusted + distrusted;
+  decision->full = full;
   decision->distrusted = distrusted;
   paced = find_paced_candidate (candidates + placement->candidates->len - distrusted, distrusted, candidates,
                                 trusted, now_us);
@@ -456,6 +545,12 @@
   upstream->queued = load->queued;
   upstream->flows = load->flows;
   upstream->max_flows = load->max_flows;
+  upstream->limit = load->limit;
+  upstream->reserved = load->reserved;
+  upstream->service_us = load->service_us;
+  for (int yields = false; yields <= true; yields++)
+    if (free_positions (upstream, yields) > 0)
+      upstream->full_us[yields] = 0;
   upstream->state = load->state;
   set_slots (upstream, load->slots);
   if (load->agent != NULL && load->agent->port > 0 && load->agent->port <= G_MAXUINT16)
@@ -467,7 +562,21 @@
 oh_placement_choose (oh_placement_t *placement, uint64_t service, const uint64_t *tried, size_t n_tried,
                      int64_t now_us, oh_placement_decision_t *decision)
 {
-  const service_entry_t *entry = g_hash_table_lookup (placement->services, &service);
+  const oh_placement_request_t request = {
+    .service = service,
+    .tried = tried,
+    .n_tried = n_tried,
+    .position = OH_POSITION_POSSIBLE,
+  };
+
+  return oh_placement_choose_position (placement, &request, now_us, decision);
+}
+
+bool
+oh_placement_choose_position (oh_placement_t *placement, const oh_placement_request_t *request,
+                              int64_t now_us, oh_placement_decision_t *decision)
+{
+  service_entry_t *entry = g_hash_table_lookup (placement->services, &request->service);
   const char *unavailable_dependency;
   unsigned eligible = 0;
 
@@ -495,13 +604,19 @@
       if (suspicion (upstream, now_us) != SUSPICION_NONE)
         decision->suspects++;
     }
-  if (n_tried >= OH_PLACEMENT_TRIED_MAX)
+  if (request->n_tried >= OH_PLACEMENT_TRIED_MAX)
     return refuse (decision, OH_PLACEMENT_TRIED_ALL, OH__RESULT__RESULT_NO_UPSTREAM);
   /* Suspicion excludes at most a third of the upstreams that do not drain. */
-  choose_candidate (placement, entry, tried, n_tried, eligible / 3, now_us, decision);
+  update_paces (entry);
+  choose_candidate (placement, entry, request, OH_POSITION_FREE, eligible / 3, now_us, decision);
+  if (decision->upstream == NULL && decision->full > 0 && request->position < OH_POSITION_FREE)
+    choose_candidate (placement, entry, request, OH_POSITION_POSSIBLE, eligible / 3, now_us, decision);
+  if (decision->upstream == NULL && decision->full > 0)
+    return refuse (decision, OH_PLACEMENT_NO_POSITION, OH__RESULT__RESULT_NOT_RUN_OVERLOADED);
   if (decision->upstream == NULL)
-    return refuse (decision, n_tried > 0 ? OH_PLACEMENT_TRIED_ALL : OH_PLACEMENT_NO_UPSTREAM,
+    return refuse (decision, request->n_tried > 0 ? OH_PLACEMENT_TRIED_ALL : OH_PLACEMENT_NO_UPSTREAM,
                    OH__RESULT__RESULT_NO_UPSTREAM);
+  decision->position = find_position (entry, decision->upstream, request->yields, now_us);
   decision->refused = OH__RESULT__RESULT_NONE;
   decision->load = oh_placement_work_per_slot (decision->upstream);
   return true;
@@ -517,6 +632,52 @@
     upstream->unanswered[upstream->n_unanswered++] = (oh_unanswered_open_t){ .key = key, .sent_us = now_us };
 }
 
+/* The agent has accepted an Open: if that took its last position, the next one becomes free later. */
+static void
+note_last_position (oh_placement_upstream_t *upstream, int64_t now_us)
+{
+  for (int yields = false; yields <= true; yields++)
+    if (upstream->limit > 0 && free_positions (upstream, yields) <= 0)
+      upstream->full_us[yields] = now_us;
+}
+
+void
+oh_placement_overloaded (oh_placement_t *placement, const Oh__Load *load, bool yields, int64_t now_us)
+{
+  oh_placement_upstream_t *upstream = g_hash_table_lookup (placement->upstreams, load->upstream);
+
+  if (upstream == NULL)
+    return;
+  upstream->full_us[true] = now_us;
+  if (!yields)
+    upstream->full_us[false] = now_us;
+}
+
+bool
+oh_placement_has_position (oh_placement_t *placement, const Oh__Load *load)
+{
+  const oh_placement_upstream_t *upstream = g_hash_table_lookup (placement->upstreams, load->upstream);
+
+  return upstream != NULL && upstream->limit > 0 && free_positions (upstream, false) > 0;
+}
+
+unsigned
+oh_placement_service_us (const oh_placement_t *placement, uint64_t service)
+{
+  const service_entry_t *entry = g_hash_table_lookup (placement->services, &service);
+
+  return entry != NULL ? entry->service_us : 0;
+}
+
+unsigned
+oh_placement_upstream_share (const oh_placement_t *placement)
+{
+  const unsigned n_balancers = placement->view != NULL ? placement->view->n_balancers : 0;
+  const unsigned n_upstreams = g_hash_table_size (placement->upstreams);
+
+  return MAX (n_upstreams / MAX (n_balancers, 1u), 1u);
+}
+
 void
 oh_placement_open_answered (oh_placement_t *placement, const Oh__Load *load, uint64_t key, bool accepted,
                             int64_t now_us)
@@ -535,6 +696,8 @@
           upstream->false_reports++;
         else
           upstream->false_reports = 0;
+        if (accepted)
+          note_last_position (upstream, now_us);
         return;
       }
 }
@@ -597,6 +760,8 @@
       return "no-upstream";
     case OH_PLACEMENT_TRIED_ALL:
       return "tried-all";
+    case OH_PLACEMENT_NO_POSITION:
+      return "no-position";
     }
   return "";
 }
--- a/lib/core/placement.h
+++ b/lib/core/placement.h
@@ -17,6 +17,11 @@
  * report that comes with the answer includes it. A report that shows no work right after the agent accepted
  * an Open is false. An upstream that sends several of them in a row gets Opens at a limited rate, whatever
  * load it reports.
+ *
+ * Services that the configuration manages (placement_view.h) are also placed by positions and by pace, as far
+ * as their agents report them. A position is a request that the agent admits beyond those that it has. An
+ * agent that has none, as far as is known, is chosen only if no other agent has one, and not again right
+ * after it refused for overload or gave its last position away: only when a position may have become free.
  */
 
 enum
@@ -46,6 +51,11 @@
 
   /* An agent's reservation for an Open ends then, so an unanswered Open stops counting as load. */
   OH_PLACEMENT_RESERVATION_MS = 2000,
+
+  /* Bounds of the wait until a full agent may have a position again; the longest if its service time is not
+   * known. The shortest is the time of an offer and its refusal. */
+  OH_PLACEMENT_FULL_MIN_MS = 5,
+  OH_PLACEMENT_FULL_MAX_MS = 100,
 };
 
 /* An Open that was sent to an agent and has no answer yet. */
@@ -71,6 +81,11 @@
   unsigned queued;
   unsigned flows;
   unsigned max_flows;
+  unsigned limit;      /* requests that the agent admits at the same time; 0: not reported */
+  unsigned reserved;   /* part of the limit that flows which yield do not get */
+  unsigned service_us; /* mean time that the upstream works on a request; 0: not known */
+  double pace;         /* of a slot, relative to the mean of the service; 0: not known */
+  int64_t full_us[2];  /* when the agent was last full, for flows that yield [1] or not [0]; 0: it is not */
   Oh__UpstreamState state;
   bool drained;            /* by an operator */
   unsigned false_reports;  /* accepted Opens in a row whose load report shows no work */
@@ -97,8 +112,27 @@
   OH_PLACEMENT_DEPENDENCY_UNAVAILABLE,
   OH_PLACEMENT_NO_UPSTREAM,
   OH_PLACEMENT_TRIED_ALL,
+  OH_PLACEMENT_NO_POSITION, /* agents that would be chosen are full */
 } oh_placement_reason_t;
 
+/* What is known of the positions at an agent. */
+typedef enum
+{
+  OH_POSITION_TAKEN,
+  OH_POSITION_POSSIBLE, /* it may have become free since the last report */
+  OH_POSITION_FREE,     /* or the agent reports no limit */
+} oh_position_t;
+
+/* An Open to place. */
+typedef struct
+{
+  uint64_t service;
+  const uint64_t *tried; /* incarnations of the agents that refused it */
+  size_t n_tried;
+  bool yields;            /* leaves the reserved part of the limits to other flows */
+  oh_position_t position; /* the least that is accepted */
+} oh_placement_request_t;
+
 typedef struct
 {
   oh_placement_upstream_t *upstream; /* NULL if refused; valid until the next view update */
@@ -109,10 +143,12 @@
   unsigned upstreams;                 /* of the service */
   unsigned candidates;                /* not draining, excluded, full or tried before */
   unsigned considered;                /* of the candidates, see locality.h */
+  unsigned full;                      /* upstreams that were left out for want of a position */
   unsigned suspects;                  /* by their own report or because Opens are unanswered */
-  unsigned distrusted; /* candidates limited by rate: false reports, or suspects not excluded */
-  unsigned excluded;   /* suspects that get no Opens; at most a third of the upstreams that do not drain */
-  double load;         /* of the chosen upstream: work per slot, unanswered Opens included */
+  unsigned distrusted;    /* candidates limited by rate: false reports, or suspects not excluded */
+  unsigned excluded;      /* suspects that get no Opens; at most a third of the upstreams that do not drain */
+  double load;            /* of the chosen upstream: work per capacity, unanswered Opens included */
+  oh_position_t position; /* at the chosen upstream */
 } oh_placement_decision_t;
 
 typedef struct
@@ -143,6 +179,22 @@
 bool oh_placement_choose (oh_placement_t *placement, uint64_t service, const uint64_t *tried, size_t n_tried,
                           int64_t now_us, oh_placement_decision_t *decision);
 
+/* As oh_placement_choose, by free positions. */
+bool oh_placement_choose_position (oh_placement_t *placement, const oh_placement_request_t *request,
+                                   int64_t now_us, oh_placement_decision_t *decision);
+
+/* Records that the agent refused an Open for overload. Its load report must have been applied before. */
+void oh_placement_overloaded (oh_placement_t *placement, const Oh__Load *load, bool yields, int64_t now_us);
+
+/* True if the agent of the report is known to have a position for a flow that does not yield. */
+bool oh_placement_has_position (oh_placement_t *placement, const Oh__Load *load);
+
+/* Mean time that an upstream of the service works on a request, as of the last choice; 0 if not known. */
+unsigned oh_placement_service_us (const oh_placement_t *placement, uint64_t service);
+
+/* Upstreams of the view for each of its balancers, at least 1. */
+unsigned oh_placement_upstream_share (const oh_placement_t *placement);
+
 /* Records that an Open was sent to the upstream; key identifies its flow. */
 void oh_placement_open_sent (oh_placement_t *placement, oh_placement_upstream_t *upstream, uint64_t key,
                              int64_t now_us);
@@ -158,7 +210,7 @@
 /* Returns NULL if there is no such upstream. Valid until the next view update. */
 oh_placement_upstream_t *oh_placement_find_upstream (oh_placement_t *placement, const char *name);
 
-/* Work, and flows, per slot by the last report, unanswered Opens included. */
+/* Work, and flows, by the last report, unanswered Opens included, per slot of mean pace. */
 double oh_placement_work_per_slot (const oh_placement_upstream_t *upstream);
 double oh_placement_flows_per_slot (const oh_placement_upstream_t *upstream);
 
--- a/lib/core/placement_view.c
+++ b/lib/core/placement_view.c
@@ -1,5 +1,7 @@
 #include "core/placement_view.h"
 
+#include "core/service_classes.h"
+
 static void
 clear_service (gpointer element)
 {
@@ -24,14 +26,22 @@
 static void
 copy_services (const oh_config_t *config, GArray *services)
 {
+  oh_service_classes_t classes;
+
+  oh_service_classes_init (&classes, config);
   for (guint i = 0; config->services != NULL && i < config->services->len; i++)
     {
       const oh_config_service_t *from = g_ptr_array_index (config->services, i);
-      oh_placement_service_t service = { .id = from->id, .depends = collect_dependencies (config, from) };
+      oh_placement_service_t service = {
+        .id = from->id,
+        .depends = collect_dependencies (config, from),
+        .managed = oh_service_classes_managed (&classes, from),
+      };
 
       g_strlcpy (service.name, from->name, sizeof service.name);
       g_array_append_val (services, service);
     }
+  oh_service_classes_finish (&classes);
 }
 
 static void
@@ -50,6 +60,9 @@
         .queued = from->queued,
         .flows = from->flows,
         .max_flows = from->max_flows,
+        .limit = from->limit,
+        .reserved = from->reserved,
+        .service_us = from->service_us,
         .state = from->state,
         .drained = from->drained,
       };
--- a/lib/core/placement_view.h
+++ b/lib/core/placement_view.h
@@ -18,6 +18,7 @@
   uint64_t id;
   char name[OH_PLACEMENT_NAME_BYTES];
   GArray *depends; /* of uint64_t, service ids, direct and transitive, without the service itself */
+  bool managed;    /* a route to it has a latency objective, or its routes differ in class */
 } oh_placement_service_t;
 
 typedef struct
@@ -33,6 +34,9 @@
   unsigned queued;
   unsigned flows;
   unsigned max_flows;
+  unsigned limit;      /* as in Load; 0: not reported */
+  unsigned reserved;   /* part of the limit */
+  unsigned service_us; /* 0: not known */
   Oh__UpstreamState state;
   bool drained; /* by an operator */
 } oh_placement_member_t;
--- a/lib/core/route_table.c
+++ b/lib/core/route_table.c
@@ -1,5 +1,7 @@
 #include "core/route_table.h"
 
+#include "core/service_classes.h"
+
 static guint
 hash_address (gconstpointer data)
 {
@@ -38,6 +40,9 @@
 void
 oh_route_table_load (oh_route_table_t *table, const oh_config_t *config)
 {
+  oh_service_classes_t classes;
+
+  oh_service_classes_init (&classes, config);
   g_hash_table_remove_all (table->routes);
   for (guint i = 0; config->routes != NULL && i < config->routes->len; i++)
     {
@@ -46,17 +51,26 @@
 
       route->address = from->address;
       route->kind = from->kind;
+      route->class = from->class;
+      route->target_ms = from->target_ms;
       route->targets = g_array_new (FALSE, FALSE, sizeof (oh_route_target_t));
       for (guint j = 0; j < from->targets->len; j++)
         {
           const oh_config_target_t *target = &g_array_index (from->targets, oh_config_target_t, j);
-          const oh_route_target_t copy = { .service = target->service->id, .weight = target->weight };
+          const oh_route_target_t copy = {
+            .service = target->service->id,
+            .weight = target->weight,
+            .outranked = target->weight > 0
+                         && oh_service_classes_find (&classes, target->service)->highest < from->class,
+          };
 
           g_array_append_val (route->targets, copy);
           route->total_weight += target->weight;
+          route->managed |= oh_service_classes_managed (&classes, target->service);
         }
       g_hash_table_replace (table->routes, &route->address, route);
     }
+  oh_service_classes_finish (&classes);
 }
 
 const oh_route_t *
@@ -65,8 +79,8 @@
   return g_hash_table_lookup (table->routes, &address);
 }
 
-uint64_t
-oh_route_choose (const oh_route_t *route, const oh_flow_key_t *key)
+const oh_route_target_t *
+oh_route_choose_target (const oh_route_t *route, const oh_flow_key_t *key)
 {
   uint64_t remainder = oh_flow_key_digest (key) % route->total_weight;
   guint i = 0;
@@ -76,5 +90,11 @@
       remainder -= g_array_index (route->targets, oh_route_target_t, i).weight;
       i++;
     }
-  return g_array_index (route->targets, oh_route_target_t, i).service;
+  return &g_array_index (route->targets, oh_route_target_t, i);
+}
+
+uint64_t
+oh_route_choose (const oh_route_t *route, const oh_flow_key_t *key)
+{
+  return oh_route_choose_target (route, key)->service;
 }
--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -6,6 +6,7 @@
 #include "core/segment_directory.h"
 #include "core/segment_flows.h"
 #include "core/segment_held.h"
+#include "core/segment_overload.h"
 #include "core/segment_placing.h"
 #include "core/segment_search.h"
 
@@ -86,8 +87,21 @@
     oh_histogram_observe (&balancer->offer_seconds, balancer->now_us - offer->sent_us);
   oh_placement_open_answered (&balancer->placement, load, oh_flow_key_digest (&flow->key), true,
                               balancer->now_us);
-  if (offer != NULL)
-    offer->state = OH_OFFER_ACCEPTED;
+  if (offer == NULL)
+    return;
+  if (offer->guessed && offer->state == OH_OFFER_SENT)
+    balancer->guesses++;
+  offer->state = OH_OFFER_ACCEPTED;
+  oh_segment_end_hold (flow);
+}
+
+/* An agent with limits has refused the flow for overload, and nobody else may have it. */
+static void
+wait_for_position (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const Oh__SegmentRelay *relay)
+{
+  flow->n_offers = 0; /* the agent may have a position later */
+  if (!oh_segment_wait (balancer, flow, relay->segment.data, relay->segment.len))
+    oh_segment_refuse (balancer, flow, OH_PLACEMENT_NO_POSITION, relay->segment.data, relay->segment.len);
 }
 
 static void
@@ -96,6 +110,7 @@
 {
   oh_offer_t *offer = find_offer (flow, agent);
   bool restarted;
+  bool full;
 
   if (offer == NULL || offer->state == OH_OFFER_REFUSED)
     return;
@@ -108,9 +123,17 @@
     |= relay->refused == OH__RESULT__RESULT_NOT_RUN_UPSTREAM || (offer->repeated && restarted);
   offer->state = OH_OFFER_REFUSED;
   flow->overloaded = relay->refused == OH__RESULT__RESULT_NOT_RUN_OVERLOADED;
+  full = flow->overloaded && relay->load->limit > 0 && oh_segment_is_managed (balancer, flow);
+  if (full)
+    oh_placement_overloaded (&balancer->placement, relay->load, offer->yields, balancer->now_us);
+  flow->unmatched |= full && offer->repeated;
   oh_balancer_flow_log (balancer, OH_LOG_INFO, "offer_refused", &flow->key, "upstream=%s result=%d",
                         relay->load->upstream, (int)relay->refused);
-  if (!oh_balancer_flow_has_open_offer (flow) && !flow->owned)
+  if (oh_balancer_flow_has_open_offer (flow) || flow->owned)
+    return;
+  if (full)
+    wait_for_position (balancer, flow, relay);
+  else
     oh_segment_place (balancer, flow, relay->segment.data, relay->segment.len);
 }
 
@@ -206,10 +229,8 @@
 }
 
 static void
-handle_relay (oh_segment_balancer_t *balancer, const uint8_t *bytes, size_t length)
+handle_relay (oh_segment_balancer_t *balancer, const Oh__SegmentRelay *relay)
 {
-  const Oh__SegmentRelay *relay
-    = oh_segment_relay_decode (&balancer->arena, &balancer->keyring, bytes, length, NULL);
   oh_address_t agent;
   oh_flow_key_t key;
   oh_balancer_flow_t *flow;
@@ -340,11 +361,13 @@
     .flows = g_hash_table_new_full (oh_flow_key_hash, oh_flow_key_equal, NULL, oh_balancer_flow_free),
     .resumed_us = G_MININT64 / 2,
     .search_budget = OH_SEGMENT_SEARCH_MESSAGES_PER_S,
+    .guesses = OH_SEGMENT_GUESSES_MIN,
     .query_queue = g_array_new (FALSE, FALSE, sizeof (oh_flow_key_t)),
   };
   oh_list_init (&balancer->lru);
   oh_list_init (&balancer->lookups);
   oh_list_init (&balancer->held);
+  oh_held_queue_init (&balancer->waiting);
   oh_placement_init (&balancer->placement, config->zone, random);
   oh_route_table_init (&balancer->routes);
   oh_arena_init (&balancer->arena);
@@ -354,6 +377,7 @@
 oh_segment_balancer_finish (oh_segment_balancer_t *balancer)
 {
   g_hash_table_unref (balancer->flows);
+  oh_held_queue_finish (&balancer->waiting);
   g_array_unref (balancer->peers);
   g_array_unref (balancer->remote_peers);
   g_array_unref (balancer->query_queue);
@@ -390,6 +414,9 @@
     { &own->lookups_found, "flow_lookups_found_total", "Flows whose owner another balancer knew" },
     { &own->resets_absent, "resets_absent_total", "Resets of flows that no upstream holds" },
     { &own->held, "flows_held_total", "Refusals of flows that are kept and offered again, for want of room" },
+    { &own->guesses, "offers_guessed_total", "Offers to agents that were not known to have a position" },
+    { &own->resets_expired, "resets_expired_total", "Flows that waited until their callers gave up" },
+    { &own->flows_waiting, "flows_waiting", "Flows that wait for a position at an agent" },
     { &own->resets_no_route, "resets_no_route_total", "Flows refused because no route leads there" },
     { &own->resets_refused, "resets_refused_total", "Flows refused because no upstream takes them" },
     { &own->dropped_malformed, "dropped_malformed_total", "Datagrams of callers that are no segments" },
@@ -441,6 +468,12 @@
     }
 }
 
+bool
+oh_segment_balancer_waits (const oh_segment_balancer_t *balancer)
+{
+  return balancer->waiting.n_flows > 0;
+}
+
 bool
 oh_segment_balancer_ready (const oh_segment_balancer_t *balancer)
 {
@@ -451,6 +484,8 @@
 oh_segment_balancer_handle (oh_segment_balancer_t *balancer, const oh_segment_balancer_event_t *event,
                             oh_segment_balancer_sink_t *sink)
 {
+  const Oh__SegmentRelay *relay;
+
   balancer->now_us = event->now_us;
   balancer->sink = sink;
   /* Ticks come more often than this, so a longer gap is a pause of the process. */
@@ -464,7 +499,12 @@
       handle_caller (balancer, event->datagram.bytes, event->datagram.length);
       break;
     case OH_SEGMENT_BALANCER_RELAY:
-      handle_relay (balancer, event->datagram.bytes, event->datagram.length);
+      relay = oh_segment_relay_decode (&balancer->arena, &balancer->keyring, event->datagram.bytes,
+                                       event->datagram.length, NULL);
+      handle_relay (balancer, relay);
+      if (relay != NULL && relay->load != NULL
+          && oh_placement_has_position (&balancer->placement, relay->load))
+        oh_segment_offer_waiting (balancer);
       break;
     case OH_SEGMENT_BALANCER_VIEW:
       handle_view (balancer, event->view);
@@ -474,8 +514,12 @@
       oh_segment_directory_expire_lookups (balancer);
       oh_segment_search_tick (balancer);
       oh_segment_offer_held (balancer);
+      oh_segment_overload_tick (balancer);
       oh_balancer_flow_expire (balancer);
       break;
+    case OH_SEGMENT_BALANCER_HELD:
+      oh_segment_offer_waiting (balancer);
+      break;
     }
   balancer->sink = NULL;
 }
--- a/lib/core/segment_balancer.h
+++ b/lib/core/segment_balancer.h
@@ -8,6 +8,7 @@
 #include "base/list.h"
 #include "base/log.h"
 #include "core/codec.h"
+#include "core/held_queue.h"
 #include "core/placement.h"
 #include "core/route_table.h"
 #include "core/segment.h"
@@ -31,6 +32,8 @@
 {
   OH_SEGMENT_OFFERS_MAX = OH_PLACEMENT_TRIED_MAX, /* agents that one flow is offered to */
   OH_SEGMENT_TICK_MS = 100,
+  OH_SEGMENT_HELD_INTERVAL_MS
+  = 10, /* the shortest time in which one agent may have a position again is 5 ms */
   OH_SEGMENT_SEARCH_MESSAGES_PER_S = 1500, /* budget of one balancer; about 150 KB/s */
   OH_SEGMENT_SEARCH_BACKOFF_MS = 1000,     /* until a flow that no agent owns is searched again */
   OH_SEGMENT_DIRECTORY_NODES = 2,          /* balancers that the owner of a flow is published to */
@@ -59,6 +62,8 @@
   OH_SEGMENT_BALANCER_RELAY,  /* a datagram from an agent or another balancer */
   OH_SEGMENT_BALANCER_VIEW,   /* a new view of the deployment */
   OH_SEGMENT_BALANCER_TICK,   /* every OH_SEGMENT_TICK_MS */
+  /* Every OH_SEGMENT_HELD_INTERVAL_MS while oh_segment_balancer_waits. */
+  OH_SEGMENT_BALANCER_HELD,
 } oh_segment_balancer_event_kind_t;
 
 /* An input of the state machine. */
@@ -114,6 +119,8 @@
   uint64_t service;
   int64_t sent_us;
   bool repeated; /* a retransmission of the SYN was sent there, too */
+  bool yields;   /* as the agent was told */
+  bool guessed;  /* the agent was not known to have a position */
   oh_offer_state_t state;
 } oh_offer_t;
 
@@ -133,6 +140,7 @@
   oh_offer_t offers[OH_SEGMENT_OFFERS_MAX];
   unsigned syn_retransmissions;
   bool overloaded;          /* the last refusal was due to overload */
+  bool unmatched;           /* an agent has refused one of two transmissions of the SYN only */
   bool published;           /* the owner was sent to the directory nodes */
   bool stored;              /* the owner was passed to the sink's store, or restored from there */
   unsigned pending_lookups; /* directory nodes that have not answered yet */
@@ -151,10 +159,11 @@
   int64_t opened_us;          /* when the record was added */
   int64_t used_us;            /* when the record last moved to the end of the lru list */
   oh_list_t lru_link;
-  oh_list_t lookup_link; /* in oh_segment_balancer_t.lookups while a lookup is unanswered */
-  GBytes *held_syn;      /* NULL: the flow is not held, see segment_held.h */
-  int64_t held_us;       /* since when */
-  oh_list_t held_link;   /* in oh_segment_balancer_t.held */
+  oh_list_t lookup_link;  /* in oh_segment_balancer_t.lookups while a lookup is unanswered */
+  GBytes *held_syn;       /* NULL: the flow is not held, see segment_held.h */
+  int64_t held_us;        /* since when */
+  oh_list_t held_link;    /* in oh_segment_balancer_t.held */
+  oh_held_flow_t waiting; /* in oh_segment_balancer_t.waiting; the start of the flow is valid if syn_seen */
 } oh_balancer_flow_t;
 
 /* A balancer in the view. */
@@ -190,6 +199,9 @@
   oh_counter_t lookups_found;    /* lookups that found the owner */
   oh_counter_t resets_absent;    /* flows that the upstream of their owner does not have any more */
   oh_counter_t held;             /* refusals of flows that are kept and offered again */
+  oh_counter_t guesses;          /* offers to agents that were not known to have a position */
+  oh_counter_t resets_expired;   /* flows that waited until their callers were about to give up */
+  oh_counter_t flows_waiting;    /* gauge */
   oh_counter_t resets_no_route;
   oh_counter_t resets_refused;
   oh_counter_t dropped_malformed;
@@ -220,12 +232,16 @@
   oh_segment_query_t queries[OH_SEGMENT_QUERIES_MAX]; /* indexed by number modulo OH_SEGMENT_QUERIES_MAX */
   bool all_listed;                                    /* the view lists every upstream that has a lease */
   uint64_t zone;                                      /* hash of the availability zone */
-  GArray *peers;        /* of oh_segment_peer_t: balancers of the availability zone, this one included */
-  GArray *remote_peers; /* the same: balancers of the other availability zones */
-  GHashTable *flows;    /* of oh_balancer_flow_t, owned */
-  oh_list_t lru;        /* least recently used first */
-  oh_list_t lookups;    /* flows with an unanswered lookup, oldest first */
-  oh_list_t held;       /* flows to be offered again, the longest-waiting first */
+  GArray *peers;           /* of oh_segment_peer_t: balancers of the availability zone, this one included */
+  GArray *remote_peers;    /* the same: balancers of the other availability zones */
+  GHashTable *flows;       /* of oh_balancer_flow_t, owned */
+  oh_list_t lru;           /* least recently used first */
+  oh_list_t lookups;       /* flows with an unanswered lookup, oldest first */
+  oh_list_t held;          /* flows to be offered again, the longest-waiting first */
+  oh_held_queue_t waiting; /* flows of managed services that wait for a position, see segment_overload.h */
+  int guesses;             /* offers to agents that may have no position, until the next tick */
+  int64_t overload_us;     /* when flows had to wait for a position first; 0: none has lately */
+  int64_t waited_us;       /* when one had to last */
   oh_segment_balancer_counters_t counters;
   oh_histogram_t offer_seconds;
   int64_t last_event_us; /* when the last event was handled */
@@ -262,5 +278,8 @@
 /* Passes the owners of all flows that were stored before, or restored, to the sink's store again. */
 void oh_segment_balancer_store_all (oh_segment_balancer_t *balancer, oh_segment_balancer_sink_t *sink);
 
+/* True while flows wait for a position at an agent. */
+bool oh_segment_balancer_waits (const oh_segment_balancer_t *balancer);
+
 /* True once new flows can be placed: a confirmed view has arrived. */
 bool oh_segment_balancer_ready (const oh_segment_balancer_t *balancer);
--- a/lib/core/segment_flows.c
+++ b/lib/core/segment_flows.c
@@ -59,6 +59,7 @@
   oh_list_init (&flow->lru_link);
   oh_list_init (&flow->lookup_link);
   oh_list_init (&flow->held_link);
+  oh_list_init (&flow->waiting.link);
   g_hash_table_replace (balancer->flows, &flow->key, flow);
   oh_balancer_flow_touch (balancer, flow);
   return flow;
@@ -129,6 +130,19 @@
   send_segment (balancer, agent, &relay, bytes, length);
 }
 
+void
+oh_segment_send_open (oh_segment_balancer_t *balancer, const oh_offer_t *offer, unsigned target_ms,
+                      const uint8_t *bytes, size_t length)
+{
+  Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
+
+  relay.kind = OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN;
+  relay.service = offer->service;
+  relay.yields = offer->yields;
+  relay.target_ms = target_ms;
+  send_segment (balancer, offer->agent, &relay, bytes, length);
+}
+
 void
 oh_segment_send_relay (oh_segment_balancer_t *balancer, oh_address_t agent, Oh__SegmentRelayKind kind,
                        uint64_t service, const uint8_t *bytes, size_t length)
--- a/lib/core/segment_flows.h
+++ b/lib/core/segment_flows.h
@@ -36,6 +36,10 @@
 void oh_segment_send_relay (oh_segment_balancer_t *balancer, oh_address_t agent, Oh__SegmentRelayKind kind,
                             uint64_t service, const uint8_t *bytes, size_t length);
 
+/* Offers a flow to an agent; bytes are its SYN. target_ms is the objective of its route. */
+void oh_segment_send_open (oh_segment_balancer_t *balancer, const oh_offer_t *offer, unsigned target_ms,
+                           const uint8_t *bytes, size_t length);
+
 /* Sends a segment to an agent that was offered the flow, and has not said that it is open there. */
 void oh_segment_send_offered (oh_segment_balancer_t *balancer, oh_address_t agent, const uint8_t *bytes,
                               size_t length);
--- a/lib/core/segment_held.c
+++ b/lib/core/segment_held.c
@@ -20,6 +20,7 @@
 {
   g_clear_pointer (&flow->held_syn, g_bytes_unref);
   oh_list_remove (&flow->held_link);
+  oh_held_queue_remove (&flow->waiting);
 }
 
 /* True if the caller still waits, and no upstream has, or may have, the flow. */
--- a/lib/core/segment_held.h
+++ b/lib/core/segment_held.h
@@ -6,7 +6,8 @@
  * Flows that no agent had room for. This answers a wave of new flows, as after a restart of many machines or
  * when many callers begin at once: agents refuse for some tens of milliseconds what they accept afterwards,
  * while a caller sends its SYN again only after 200 and 600 ms. The balancer keeps the SYN and offers the
- * flow again at its ticks, the longest-waiting flows first.
+ * flow again at its ticks, the longest-waiting flows first. Flows of managed services whose agents report
+ * limits wait in segment_overload.h.
  */
 
 enum
--- a/lib/core/segment_placing.c
+++ b/lib/core/segment_placing.c
@@ -2,6 +2,35 @@
 
 #include "core/segment_flows.h"
 #include "core/segment_held.h"
+#include "core/segment_overload.h"
+
+/* Result of the choice of an agent. */
+typedef struct
+{
+  uint64_t service;
+  bool yields;
+  oh_placement_decision_t decision;
+} choice_t;
+
+static bool
+choose_at (oh_segment_balancer_t *balancer, const oh_route_t *route, const oh_balancer_flow_t *flow,
+           const oh_route_target_t *target, choice_t *choice)
+{
+  uint64_t tried[OH_SEGMENT_OFFERS_MAX];
+  const oh_placement_request_t request = {
+    .service = target->service,
+    .tried = tried,
+    .n_tried = flow->n_offers,
+    .yields = target->outranked || oh_segment_is_late (balancer, route, flow),
+    .position = oh_segment_least_position (balancer),
+  };
+
+  for (unsigned i = 0; i < flow->n_offers; i++)
+    tried[i] = flow->offers[i].incarnation;
+  choice->service = target->service;
+  choice->yields = request.yields;
+  return oh_placement_choose_position (&balancer->placement, &request, balancer->now_us, &choice->decision);
+}
 
 /*
  * Tries the service that the flow's hash selects, then the other targets of the route: serving the caller is
@@ -9,27 +38,21 @@
  */
 static bool
 choose_upstream (oh_segment_balancer_t *balancer, const oh_route_t *route, const oh_balancer_flow_t *flow,
-                 uint64_t *service, oh_placement_decision_t *decision)
+                 choice_t *choice)
 {
-  uint64_t tried[OH_SEGMENT_OFFERS_MAX];
-  const uint64_t primary = oh_route_choose (route, &flow->key);
-  oh_placement_decision_t other;
+  const oh_route_target_t *primary = oh_route_choose_target (route, &flow->key);
+  choice_t other;
 
-  for (unsigned i = 0; i < flow->n_offers; i++)
-    tried[i] = flow->offers[i].incarnation;
-  *service = primary;
-  if (oh_placement_choose (&balancer->placement, primary, tried, flow->n_offers, balancer->now_us, decision))
+  if (choose_at (balancer, route, flow, primary, choice))
     return true;
   for (guint i = 0; i < route->targets->len; i++)
     {
       const oh_route_target_t *target = &g_array_index (route->targets, oh_route_target_t, i);
 
-      if (target->weight == 0 || target->service == primary
-          || !oh_placement_choose (&balancer->placement, target->service, tried, flow->n_offers,
-                                   balancer->now_us, &other))
+      if (target->weight == 0 || target->service == primary->service
+          || !choose_at (balancer, route, flow, target, &other))
         continue;
-      *service = target->service;
-      *decision = other;
+      *choice = other;
       return true;
     }
   return false;
@@ -42,7 +65,8 @@
 {
   const bool starting = balancer->now_us - balancer->confirmed_us < (int64_t)OH_SEGMENT_STARTUP_MS * 1000;
 
-  if (flow->syn_retransmissions >= OH_SEGMENT_SYN_RETRANSMISSIONS || reason == OH_PLACEMENT_UNKNOWN_SERVICE)
+  if (flow->syn_retransmissions >= OH_SEGMENT_SYN_RETRANSMISSIONS || reason == OH_PLACEMENT_UNKNOWN_SERVICE
+      || reason == OH_PLACEMENT_NO_POSITION)
     return false;
   return flow->overloaded || (starting && reason == OH_PLACEMENT_NO_UPSTREAM);
 }
@@ -57,33 +81,32 @@
          | (age_ms >= OH_SEGMENT_SYN_RETRANSMISSION_2_MS ? 4U : 0);
 }
 
-/* True if the flow has opened nowhere: each transmission of its SYN came to this balancer, and no upstream
- * that was offered the flow may still answer. */
-static bool
-is_unopened (const oh_segment_balancer_t *balancer, const oh_balancer_flow_t *flow)
+bool
+oh_segment_is_unopened (const oh_segment_balancer_t *balancer, const oh_balancer_flow_t *flow)
 {
   return (due_transmissions (balancer, flow) & ~flow->syn_transmissions) == 0 && !flow->may_be_open
-         && !flow->owned && !oh_balancer_flow_has_open_offer (flow)
+         && !flow->unmatched && !flow->owned && !oh_balancer_flow_has_open_offer (flow)
          && balancer->now_us - flow->opened_us < (int64_t)OH_SEGMENT_OPEN_TIMEOUT_MS * 1000
          && oh_segment_balancer_caught_up (balancer);
 }
 
-/* Refuses a flow that no agent accepted. Its caller gets a reset at once if the flow cannot have opened,
- * unless there may be capacity before it gives up. */
-static void
-refuse_flow (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, oh_placement_reason_t reason,
-             const uint8_t *bytes, size_t length)
+void
+oh_segment_refuse (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, oh_placement_reason_t reason,
+                   const uint8_t *bytes, size_t length)
 {
-  const bool unopened = is_unopened (balancer, flow);
-  const bool defer = may_find_capacity (balancer, flow, reason);
+  const bool unopened = oh_segment_is_unopened (balancer, flow);
+  const bool waits = reason == OH_PLACEMENT_NO_POSITION && oh_segment_wait (balancer, flow, bytes, length);
+  const bool defer = !waits && may_find_capacity (balancer, flow, reason);
 
   oh_balancer_flow_log (balancer, OH_LOG_INFO, "flow_refused", &flow->key,
                         "reason=%s offers=%u copies=%u overloaded=%d age_ms=%" G_GINT64_FORMAT " result=%s",
                         oh_placement_reason_name (reason), flow->n_offers, flow->syn_retransmissions,
                         flow->overloaded, (balancer->now_us - flow->opened_us) / 1000,
-                        defer      ? "held"
-                        : unopened ? "reset"
-                                   : "dropped");
+                        defer || waits ? "held"
+                        : unopened     ? "reset"
+                                       : "dropped");
+  if (waits)
+    return;
   if (defer)
     {
       oh_counter_increment (&balancer->counters.held);
@@ -97,46 +120,78 @@
   oh_segment_send_reset (balancer, &flow->key, 0);
 }
 
-void
-oh_segment_place (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes,
-                  size_t length)
+bool
+oh_segment_is_managed (const oh_segment_balancer_t *balancer, const oh_balancer_flow_t *flow)
 {
   const oh_route_t *route = oh_route_table_find (&balancer->routes, flow->key.route);
-  oh_placement_decision_t decision;
-  uint64_t service;
-  oh_offer_t *offer;
 
-  oh_segment_end_hold (flow);
-  if (route == NULL)
-    {
-      refuse_flow (balancer, flow, OH_PLACEMENT_UNKNOWN_SERVICE, bytes, length);
-      return;
-    }
-  if (!choose_upstream (balancer, route, flow, &service, &decision))
-    {
-      if (!oh_balancer_flow_has_open_offer (flow))
-        refuse_flow (balancer, flow, decision.reason, bytes, length);
-      return;
-    }
-  offer = &flow->offers[flow->n_offers++];
+  return route != NULL && route->managed;
+}
+
+static void
+send_offer (oh_segment_balancer_t *balancer, const oh_route_t *route, oh_balancer_flow_t *flow,
+            const choice_t *choice, const uint8_t *bytes, size_t length)
+{
+  const oh_placement_decision_t *decision = &choice->decision;
+  oh_offer_t *offer = &flow->offers[flow->n_offers++];
+
   *offer = (oh_offer_t){
-    .agent = decision.upstream->agent,
-    .incarnation = decision.upstream->incarnation,
-    .service = service,
+    .agent = decision->upstream->agent,
+    .incarnation = decision->upstream->incarnation,
+    .service = choice->service,
     .sent_us = balancer->now_us,
+    .yields = choice->yields,
+    .guessed = decision->position == OH_POSITION_POSSIBLE,
   };
   oh_counter_increment (&balancer->counters.placed);
   if (flow->n_offers > 1)
     oh_counter_increment (&balancer->counters.placed_again);
-  oh_placement_open_sent (&balancer->placement, decision.upstream, oh_flow_key_digest (&flow->key),
+  if (offer->guessed)
+    {
+      balancer->guesses--;
+      oh_counter_increment (&balancer->counters.guesses);
+    }
+  oh_placement_open_sent (&balancer->placement, decision->upstream, oh_flow_key_digest (&flow->key),
                           balancer->now_us);
   oh_balancer_flow_log (
     balancer, OH_LOG_INFO, "flow_placed", &flow->key,
     "service=%s upstream=%s reason=%s candidates=%u load=%.2f offer=%u version=%" G_GUINT64_FORMAT,
-    decision.service_name, decision.upstream->name, oh_placement_reason_name (decision.reason),
-    decision.candidates, decision.load, flow->n_offers, balancer->routes_version);
-  oh_segment_send_relay (balancer, offer->agent, OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN, service, bytes,
-                         length);
+    decision->service_name, decision->upstream->name, oh_placement_reason_name (decision->reason),
+    decision->candidates, decision->load, flow->n_offers, balancer->routes_version);
+  oh_segment_send_open (balancer, offer, route->target_ms, bytes, length);
+}
+
+bool
+oh_segment_offer (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes,
+                  size_t length, oh_placement_reason_t *reason)
+{
+  const oh_route_t *route = oh_route_table_find (&balancer->routes, flow->key.route);
+  choice_t choice;
+
+  *reason = OH_PLACEMENT_UNKNOWN_SERVICE;
+  if (route == NULL)
+    return false;
+  if (!choose_upstream (balancer, route, flow, &choice))
+    {
+      *reason = choice.decision.reason;
+      return false;
+    }
+  send_offer (balancer, route, flow, &choice, bytes, length);
+  return true;
+}
+
+void
+oh_segment_place (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes,
+                  size_t length)
+{
+  oh_placement_reason_t reason;
+
+  oh_segment_end_hold (flow);
+  if (oh_segment_offer (balancer, flow, bytes, length, &reason))
+    return;
+  if (!oh_balancer_flow_has_open_offer (flow)
+      || oh_route_table_find (&balancer->routes, flow->key.route) == NULL)
+    oh_segment_refuse (balancer, flow, reason, bytes, length);
 }
 
 /* True if new flows of the route may go to the service. */
@@ -156,11 +211,13 @@
 }
 
 static void
-repeat_offer (oh_segment_balancer_t *balancer, oh_offer_t *offer, const uint8_t *bytes, size_t length)
+repeat_offer (oh_segment_balancer_t *balancer, const oh_flow_key_t *key, oh_offer_t *offer,
+              const uint8_t *bytes, size_t length)
 {
+  const oh_route_t *route = oh_route_table_find (&balancer->routes, key->route);
+
   offer->repeated = true;
-  oh_segment_send_relay (balancer, offer->agent, OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN, offer->service, bytes,
-                         length);
+  oh_segment_send_open (balancer, offer, route != NULL ? route->target_ms : 0, bytes, length);
 }
 
 /* A retransmission of a SYN that this balancer has placed: goes to the agent that accepted it, to another
@@ -171,6 +228,8 @@
 {
   const unsigned n_offers = flow->n_offers;
 
+  if (flow->waiting.route != NULL)
+    return; /* it is offered in its turn */
   if (flow->owned || balancer->now_us - flow->opened_us > (int64_t)OH_SEGMENT_OPEN_TIMEOUT_MS * 1000)
     {
       oh_counter_increment (&balancer->counters.dropped_late);
@@ -179,7 +238,7 @@
   for (unsigned i = 0; i < flow->n_offers; i++)
     if (flow->offers[i].state == OH_OFFER_ACCEPTED)
       {
-        repeat_offer (balancer, &flow->offers[i], bytes, length);
+        repeat_offer (balancer, &flow->key, &flow->offers[i], bytes, length);
         return;
       }
   if (flow->n_offers < OH_SEGMENT_OFFERS_MAX)
@@ -187,7 +246,7 @@
   for (unsigned i = 0; i < n_offers && flow->n_offers == n_offers; i++)
     if (flow->offers[i].state == OH_OFFER_SENT
         && route_leads_to (balancer, flow->key.route, flow->offers[i].service))
-      repeat_offer (balancer, &flow->offers[i], bytes, length);
+      repeat_offer (balancer, &flow->key, &flow->offers[i], bytes, length);
 }
 
 static void
@@ -236,5 +295,10 @@
   flow->syn_seen = true;
   flow->syn_sequence = segment->sequence;
   note_transmission (flow, segment);
-  oh_segment_place (balancer, flow, bytes, length);
+  oh_segment_set_start (flow, segment);
+  if (balancer->waiting.n_flows > 0 && oh_segment_is_managed (balancer, flow)
+      && oh_segment_wait (balancer, flow, bytes, length))
+    oh_segment_offer_waiting (balancer); /* behind those that are preferred */
+  else
+    oh_segment_place (balancer, flow, bytes, length);
 }
--- a/lib/core/view.c
+++ b/lib/core/view.c
@@ -83,6 +83,9 @@
   member->queued = wire->load->queued;
   member->flows = wire->load->flows;
   member->max_flows = wire->load->max_flows;
+  member->limit = wire->load->limit;
+  member->reserved = wire->load->reserved;
+  member->service_us = wire->load->service_us;
   member->state = wire->load->state;
   return member;
 }
@@ -94,7 +97,8 @@
          && oh_address_equal (a->agent, b->agent) && a->service == b->service
          && a->incarnation == b->incarnation && a->sequence == b->sequence && a->slots == b->slots
          && a->busy == b->busy && a->queued == b->queued && a->flows == b->flows
-         && a->max_flows == b->max_flows && a->state == b->state;
+         && a->max_flows == b->max_flows && a->limit == b->limit && a->reserved == b->reserved
+         && a->service_us == b->service_us && a->state == b->state;
 }
 
 /* The name is the first field of both structs, so that one search serves members and balancers. */
--- a/lib/core/view.h
+++ b/lib/core/view.h
@@ -34,6 +34,9 @@
   unsigned queued;
   unsigned flows;
   unsigned max_flows;
+  unsigned limit;      /* requests that the agent admits at the same time; 0: not reported */
+  unsigned reserved;   /* part of the limit that flows which yield do not get */
+  unsigned service_us; /* mean time that the upstream works on a request; 0: not known */
   Oh__UpstreamState state;
   bool drained;        /* by an operator */
   uint32_t listed_by;  /* one bit per replica */
