--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -230,13 +230,26 @@
     }
 }
 
+/* Offers whose answers may still come. An agent answers well within the time; an older offer, or its answer,
+ * is lost. */
+static unsigned
+pending_offers (const oh_placement_upstream_t *upstream, int64_t now_us)
+{
+  const int64_t before_us = now_us - (int64_t)OH_PLACEMENT_SILENCE_TIMEOUT_MS * 1000;
+  unsigned lost = 0;
+
+  while (lost < upstream->n_unanswered && upstream->unanswered[lost].sent_us <= before_us)
+    lost++;
+  return upstream->n_unanswered - lost;
+}
+
 static int
-free_positions (const oh_placement_upstream_t *upstream, bool yields)
+free_positions (const oh_placement_upstream_t *upstream, bool yields, int64_t now_us)
 {
   const unsigned reserved = yields ? MIN (upstream->reserved, upstream->limit) : 0;
 
   return (int)(upstream->limit - reserved)
-         - (int)(upstream->busy + upstream->queued + upstream->n_unanswered);
+         - (int)(upstream->busy + upstream->queued + pending_offers (upstream, now_us));
 }
 
 /* Time in which a position at a full agent becomes free on average. */
@@ -260,10 +273,10 @@
     return OH_POSITION_FREE;
   if (full_us != 0 && now_us - full_us < position_wait_us (upstream))
     return OH_POSITION_TAKEN;
-  if (free_positions (upstream, yields) > 0)
+  if (free_positions (upstream, yields, now_us) > 0)
     return OH_POSITION_FREE;
   /* One offer at a time finds out whether a position is free. */
-  return upstream->n_unanswered == 0 ? OH_POSITION_POSSIBLE : OH_POSITION_TAKEN;
+  return pending_offers (upstream, now_us) == 0 ? OH_POSITION_POSSIBLE : OH_POSITION_TAKEN;
 }
 
 double
@@ -549,7 +562,7 @@
   upstream->reserved = load->reserved;
   upstream->service_us = load->service_us;
   for (int yields = false; yields <= true; yields++)
-    if (free_positions (upstream, yields) > 0)
+    if (free_positions (upstream, yields, now_us) > 0)
       upstream->full_us[yields] = 0;
   upstream->state = load->state;
   set_slots (upstream, load->slots);
@@ -637,7 +650,7 @@
 note_last_position (oh_placement_upstream_t *upstream, int64_t now_us)
 {
   for (int yields = false; yields <= true; yields++)
-    if (upstream->limit > 0 && free_positions (upstream, yields) <= 0)
+    if (upstream->limit > 0 && free_positions (upstream, yields, now_us) <= 0)
       upstream->full_us[yields] = now_us;
 }
 
@@ -654,11 +667,11 @@
 }
 
 bool
-oh_placement_has_position (oh_placement_t *placement, const Oh__Load *load)
+oh_placement_has_position (oh_placement_t *placement, const Oh__Load *load, int64_t now_us)
 {
   const oh_placement_upstream_t *upstream = g_hash_table_lookup (placement->upstreams, load->upstream);
 
-  return upstream != NULL && upstream->limit > 0 && free_positions (upstream, false) > 0;
+  return upstream != NULL && upstream->limit > 0 && free_positions (upstream, false, now_us) > 0;
 }
 
 unsigned
--- a/lib/core/placement.h
+++ b/lib/core/placement.h
@@ -187,7 +187,7 @@
 void oh_placement_overloaded (oh_placement_t *placement, const Oh__Load *load, bool yields, int64_t now_us);
 
 /* True if the agent of the report is known to have a position for a flow that does not yield. */
-bool oh_placement_has_position (oh_placement_t *placement, const Oh__Load *load);
+bool oh_placement_has_position (oh_placement_t *placement, const Oh__Load *load, int64_t now_us);
 
 /* Mean time that an upstream of the service works on a request, as of the last choice; 0 if not known. */
 unsigned oh_placement_service_us (const oh_placement_t *placement, uint64_t service);
--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -104,6 +104,17 @@
     oh_segment_refuse (balancer, flow, OH_PLACEMENT_NO_POSITION, relay->segment.data, relay->segment.len);
 }
 
+/* True if the agent refused an earlier transmission of the SYN than the last one that was sent to it. It may
+ * accept that one a moment later, and the flow must not be reset until then. A SYN that the upstream did not
+ * answer is returned as it came first. */
+static bool
+is_outdated_refusal (const oh_segment_balancer_t *balancer, const oh_offer_t *offer,
+                     const Oh__SegmentRelay *relay)
+{
+  return relay->refused != OH__RESULT__RESULT_NOT_RUN_UPSTREAM
+         && oh_segment_transmission (balancer, relay->segment.data, relay->segment.len) < offer->transmission;
+}
+
 static void
 on_refused (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const Oh__SegmentRelay *relay,
             oh_address_t agent)
@@ -112,7 +123,7 @@
   bool restarted;
   bool full;
 
-  if (offer == NULL || offer->state == OH_OFFER_REFUSED)
+  if (offer == NULL || offer->state == OH_OFFER_REFUSED || is_outdated_refusal (balancer, offer, relay))
     return;
   oh_counter_increment (&balancer->counters.refused_by_agent);
   oh_placement_open_answered (&balancer->placement, relay->load, oh_flow_key_digest (&flow->key), false,
@@ -126,7 +137,6 @@
   full = flow->overloaded && relay->load->limit > 0 && oh_segment_is_managed (balancer, flow);
   if (full)
     oh_placement_overloaded (&balancer->placement, relay->load, offer->yields, balancer->now_us);
-  flow->unmatched |= full && offer->repeated;
   oh_balancer_flow_log (balancer, OH_LOG_INFO, "offer_refused", &flow->key, "upstream=%s result=%d",
                         relay->load->upstream, (int)relay->refused);
   if (oh_balancer_flow_has_open_offer (flow) || flow->owned)
@@ -503,7 +513,7 @@
                                        event->datagram.length, NULL);
       handle_relay (balancer, relay);
       if (relay != NULL && relay->load != NULL
-          && oh_placement_has_position (&balancer->placement, relay->load))
+          && oh_placement_has_position (&balancer->placement, relay->load, balancer->now_us))
         oh_segment_offer_waiting (balancer);
       break;
     case OH_SEGMENT_BALANCER_VIEW:
--- a/lib/core/segment_balancer.h
+++ b/lib/core/segment_balancer.h
@@ -118,9 +118,10 @@
   uint64_t incarnation; /* of the upstream */
   uint64_t service;
   int64_t sent_us;
-  bool repeated; /* a retransmission of the SYN was sent there, too */
-  bool yields;   /* as the agent was told */
-  bool guessed;  /* the agent was not known to have a position */
+  bool repeated;         /* a retransmission of the SYN was sent there, too */
+  bool yields;           /* as the agent was told */
+  bool guessed;          /* the agent was not known to have a position */
+  unsigned transmission; /* of the SYN that was sent there last */
   oh_offer_state_t state;
 } oh_offer_t;
 
@@ -140,7 +141,6 @@
   oh_offer_t offers[OH_SEGMENT_OFFERS_MAX];
   unsigned syn_retransmissions;
   bool overloaded;          /* the last refusal was due to overload */
-  bool unmatched;           /* an agent has refused one of two transmissions of the SYN only */
   bool published;           /* the owner was sent to the directory nodes */
   bool stored;              /* the owner was passed to the sink's store, or restored from there */
   unsigned pending_lookups; /* directory nodes that have not answered yet */
--- a/lib/core/segment_flows.c
+++ b/lib/core/segment_flows.c
@@ -150,6 +150,14 @@
   oh_segment_send_query_relay (balancer, agent, kind, service, 0, bytes, length);
 }
 
+unsigned
+oh_segment_transmission (const oh_segment_balancer_t *balancer, const uint8_t *syn, size_t length)
+{
+  oh_segment_t segment;
+
+  return balancer->format->ops->decode (balancer->format, syn, length, &segment) ? segment.acknowledged : 0;
+}
+
 void
 oh_segment_send_reset (oh_segment_balancer_t *balancer, const oh_flow_key_t *key, uint32_t sequence)
 {
--- a/lib/core/segment_flows.h
+++ b/lib/core/segment_flows.h
@@ -49,6 +49,9 @@
                                   Oh__SegmentRelayKind kind, uint64_t service, uint32_t query,
                                   const uint8_t *bytes, size_t length);
 
+/* Returns the number of transmissions of a SYN before this one. */
+unsigned oh_segment_transmission (const oh_segment_balancer_t *balancer, const uint8_t *syn, size_t length);
+
 /* Sends a reset of the flow to its caller. */
 void oh_segment_send_reset (oh_segment_balancer_t *balancer, const oh_flow_key_t *key, uint32_t sequence);
 
--- a/lib/core/segment_overload.c
+++ b/lib/core/segment_overload.c
@@ -54,6 +54,27 @@
            : (int64_t)route->target_ms * 1000 - oh_placement_service_us (&balancer->placement, service);
 }
 
+/* Keeps the last transmission, as refusals of earlier ones may still be on their way. */
+static void
+hold_syn (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes, size_t length)
+{
+  gsize held_length;
+
+  if (flow->held_syn == NULL)
+    oh_counter_increment (&balancer->counters.held);
+  else
+    {
+      const uint8_t *held = g_bytes_get_data (flow->held_syn, &held_length);
+
+      if (held == bytes
+          || oh_segment_transmission (balancer, held, held_length)
+               >= oh_segment_transmission (balancer, bytes, length))
+        return;
+      g_bytes_unref (flow->held_syn);
+    }
+  flow->held_syn = g_bytes_new (bytes, length);
+}
+
 bool
 oh_segment_wait (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const uint8_t *bytes,
                  size_t length)
@@ -62,11 +83,7 @@
 
   if (route == NULL || length > OH_SEGMENT_HELD_SYN_MAX_BYTES || !may_offer (balancer, flow))
     return false;
-  if (flow->held_syn == NULL)
-    {
-      oh_counter_increment (&balancer->counters.held);
-      flow->held_syn = g_bytes_new (bytes, length);
-    }
+  hold_syn (balancer, flow, bytes, length);
   if (balancer->overload_us == 0)
     {
       balancer->overload_us = balancer->now_us;
--- a/lib/core/segment_placing.c
+++ b/lib/core/segment_placing.c
@@ -85,7 +85,7 @@
 oh_segment_is_unopened (const oh_segment_balancer_t *balancer, const oh_balancer_flow_t *flow)
 {
   return (due_transmissions (balancer, flow) & ~flow->syn_transmissions) == 0 && !flow->may_be_open
-         && !flow->unmatched && !flow->owned && !oh_balancer_flow_has_open_offer (flow)
+         && !flow->owned && !oh_balancer_flow_has_open_offer (flow)
          && balancer->now_us - flow->opened_us < (int64_t)OH_SEGMENT_OPEN_TIMEOUT_MS * 1000
          && oh_segment_balancer_caught_up (balancer);
 }
@@ -142,6 +142,7 @@
     .sent_us = balancer->now_us,
     .yields = choice->yields,
     .guessed = decision->position == OH_POSITION_POSSIBLE,
+    .transmission = oh_segment_transmission (balancer, bytes, length),
   };
   oh_counter_increment (&balancer->counters.placed);
   if (flow->n_offers > 1)
@@ -217,6 +218,7 @@
   const oh_route_t *route = oh_route_table_find (&balancer->routes, key->route);
 
   offer->repeated = true;
+  offer->transmission = oh_segment_transmission (balancer, bytes, length);
   oh_segment_send_open (balancer, offer, route != NULL ? route->target_ms : 0, bytes, length);
 }
 
--- a/tests/segment_fixture.h
+++ b/tests/segment_fixture.h
@@ -39,6 +39,8 @@
   Oh__Result refused;
   uint64_t service;
   uint32_t search;
+  bool yields;
+  uint32_t target_ms;
   oh_segment_t segment; /* zero if the message carries none */
   size_t length;        /* of the carried segment */
   size_t n_flows;       /* that a query names */
@@ -106,6 +108,8 @@
   message.refused = relay->refused;
   message.service = relay->service;
   message.search = relay->search;
+  message.yields = relay->yields;
+  message.target_ms = relay->target_ms;
   message.length = relay->segment.len;
   message.n_flows = relay->n_flows;
   message.n_held_bytes = relay->held.len;
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -523,6 +523,213 @@
   fixture_finish (&fixture);
 }
 
+/* A view whose services are managed. */
+static void
+managed_fixture_init (fixture_t *fixture, const fixture_upstream_t *upstreams)
+{
+  oh_placement_view_t *view = fixture_view (upstreams, true);
+
+  for (guint i = 0; i < view->services->len; i++)
+    g_array_index (view->services, oh_placement_service_t, i).managed = true;
+  oh_seeded_random_init (&fixture->random, 1);
+  oh_placement_init (&fixture->placement, "a", &fixture->random.base);
+  oh_placement_set_view (&fixture->placement, view, 0);
+}
+
+/* Guards against Opens at agents without a position while others have one, against the use of the reserved
+ * part of a limit, and against the comparison of upstreams that differ in speed by their slots alone. */
+static void
+test_positions (void)
+{
+  static const struct
+  {
+    const char *title;
+    struct
+    {
+      unsigned busy;
+      unsigned limit;
+      unsigned reserved;
+      unsigned service_us;
+    } loads[3];
+    bool yields;
+    oh_position_t least;
+    const char *expected; /* NULL: refused for want of a position */
+    oh_position_t position;
+    bool unmanaged;
+  } cases[] = {
+    { "a position at the busier upstream",
+      { { 3, 3, 0, 0 }, { 4, 5, 0, 0 }, { 5, 5, 0, 0 } },
+      false,
+      OH_POSITION_POSSIBLE,
+      "p2",
+      OH_POSITION_FREE,
+      false },
+    { "a service that is not managed",
+      { { 3, 3, 0, 0 }, { 4, 5, 0, 0 }, { 5, 5, 0, 0 } },
+      false,
+      OH_POSITION_POSSIBLE,
+      "p1",
+      OH_POSITION_FREE,
+      true },
+    { "a reserved position, for a flow that does not yield",
+      { { 3, 4, 1, 0 }, { 4, 6, 1, 0 }, { 5, 5, 0, 0 } },
+      false,
+      OH_POSITION_POSSIBLE,
+      "p1",
+      OH_POSITION_FREE,
+      false },
+    { "a reserved position, for a flow that yields",
+      { { 3, 4, 1, 0 }, { 4, 6, 1, 0 }, { 5, 5, 0, 0 } },
+      true,
+      OH_POSITION_POSSIBLE,
+      "p2",
+      OH_POSITION_FREE,
+      false },
+    { "no position is known, and one may be free",
+      { { 4, 3, 0, 0 }, { 3, 3, 0, 0 }, { 5, 5, 0, 0 } },
+      false,
+      OH_POSITION_POSSIBLE,
+      "p2",
+      OH_POSITION_POSSIBLE,
+      false },
+    { "no position is known, and only a known one is accepted",
+      { { 4, 3, 0, 0 }, { 3, 3, 0, 0 }, { 5, 5, 0, 0 } },
+      false,
+      OH_POSITION_FREE,
+      NULL,
+      OH_POSITION_TAKEN,
+      false },
+    { "an agent of the former release among full ones",
+      { { 3, 3, 0, 0 }, { 9, 0, 0, 0 }, { 3, 3, 0, 0 } },
+      false,
+      OH_POSITION_FREE,
+      "p2",
+      OH_POSITION_FREE,
+      false },
+    { "the faster upstream has more work, and less for its capacity",
+      { { 2, 9, 0, 90000 }, { 2, 9, 0, 90000 }, { 3, 9, 0, 30000 } },
+      false,
+      OH_POSITION_FREE,
+      "p3",
+      OH_POSITION_FREE,
+      false },
+    { "its pace does not count where the service is not managed",
+      { { 2, 9, 0, 90000 }, { 1, 9, 0, 90000 }, { 3, 9, 0, 30000 } },
+      false,
+      OH_POSITION_FREE,
+      "p2",
+      OH_POSITION_FREE,
+      true },
+    { "differences below a quarter are noise",
+      { { 3, 9, 0, 60000 }, { 4, 9, 0, 50000 }, { 4, 9, 0, 55000 } },
+      false,
+      OH_POSITION_FREE,
+      "p1",
+      OH_POSITION_FREE,
+      false },
+    { "a service time that is not known counts as the mean",
+      { { 3, 9, 0, 0 }, { 2, 9, 0, 0 }, { 3, 9, 0, 50000 } },
+      false,
+      OH_POSITION_FREE,
+      "p2",
+      OH_POSITION_FREE,
+      false },
+    { "a slow upstream counts as a quarter at least",
+      { { 1, 9, 0, 90000 }, { 3, 9, 0, 90000 }, { 14, 20, 0, 1000 } },
+      false,
+      OH_POSITION_FREE,
+      "p1",
+      OH_POSITION_FREE,
+      false },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const oh_placement_request_t request
+        = { .service = oh_service_id ("plan-fetch"), .yields = cases[i].yields, .position = cases[i].least };
+      oh_placement_decision_t decision;
+      fixture_t fixture;
+
+      g_test_message ("%s", cases[i].title);
+      if (cases[i].unmanaged)
+        fixture_init (&fixture, three_equal, true);
+      else
+        managed_fixture_init (&fixture, three_equal);
+      for (unsigned u = 0; u < 3; u++)
+        {
+          Oh__Load load = make_load (three_equal[u].name, "plan-fetch", fixture_incarnation (u), 2,
+                                     cases[i].loads[u].busy);
+
+          load.limit = cases[i].loads[u].limit;
+          load.reserved = cases[i].loads[u].reserved;
+          load.service_us = cases[i].loads[u].service_us;
+          g_assert_true (oh_placement_apply_load (&fixture.placement, &load, 0));
+        }
+      oh_placement_choose_position (&fixture.placement, &request, 0, &decision);
+      g_assert_cmpstr (decision.upstream != NULL ? decision.upstream->name : NULL, ==, cases[i].expected);
+      if (cases[i].expected == NULL)
+        g_assert_cmpint (decision.reason, ==, OH_PLACEMENT_NO_POSITION);
+      else
+        g_assert_cmpint (decision.position, ==, cases[i].position);
+      fixture_finish (&fixture);
+    }
+}
+
+/* Guards against offers to an agent that has just refused for overload, against a wait that does not end, and
+ * against a refusal of a flow that yields that keeps the others from the reserved part. Guards also against
+ * an offer whose answer was lost, which took a position for 2 s. */
+static void
+test_full_agent (void)
+{
+  static const fixture_upstream_t one[] = {
+    { "p1", "plan-fetch", "a", 4, 0, 0, 0, READY, false },
+    { NULL },
+  };
+  static const struct
+  {
+    unsigned service_us;
+    bool yields;        /* the refused flow */
+    bool second_yields; /* the next one */
+    int64_t wait_ms;    /* of the next one; 0: none */
+  } cases[] = {
+    { 0, false, false, 100 },     { 1000, false, false, 5 }, { 80000, false, false, 20 },
+    { 900000, false, true, 100 }, { 80000, true, true, 20 }, { 80000, true, false, 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      oh_placement_request_t request
+        = { .service = oh_service_id ("plan-fetch"), .position = OH_POSITION_POSSIBLE };
+      Oh__Load load = make_load ("p1", "plan-fetch", fixture_incarnation (0), 2, 6);
+      oh_placement_decision_t decision;
+      fixture_t fixture;
+
+      g_test_message ("case %zu", i);
+      load.limit = 6;
+      load.service_us = cases[i].service_us;
+      managed_fixture_init (&fixture, one);
+      oh_placement_apply_load (&fixture.placement, &load, 1 * MS);
+      oh_placement_overloaded (&fixture.placement, &load, cases[i].yields, 1 * MS);
+      request.yields = cases[i].second_yields;
+      g_assert_true (
+        oh_placement_choose_position (&fixture.placement, &request, (1 + cases[i].wait_ms) * MS, &decision));
+      if (cases[i].wait_ms > 0)
+        g_assert_false (
+          oh_placement_choose_position (&fixture.placement, &request, cases[i].wait_ms * MS, &decision));
+      load.sequence++;
+      load.busy--;
+      oh_placement_apply_load (&fixture.placement, &load, 2 * MS);
+      g_assert_true (oh_placement_choose_position (&fixture.placement, &request, 2 * MS, &decision));
+      g_assert_cmpint (decision.position, ==, OH_POSITION_FREE);
+      oh_placement_open_sent (&fixture.placement, decision.upstream, 1, 2 * MS);
+      g_assert_false (oh_placement_choose_position (&fixture.placement, &request, 3 * MS, &decision));
+      load.sequence++;
+      oh_placement_apply_load (&fixture.placement, &load, 400 * MS);
+      g_assert_true (oh_placement_choose_position (&fixture.placement, &request, 400 * MS, &decision));
+      fixture_finish (&fixture);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -537,5 +744,7 @@
   g_test_add_func ("/placement/exclusion-cap", test_exclusion_cap);
   g_test_add_func ("/placement/silent-dependency", test_silent_dependency);
   g_test_add_func ("/placement/membership", test_membership);
+  g_test_add_func ("/placement/positions", test_positions);
+  g_test_add_func ("/placement/full-agent", test_full_agent);
   return g_test_run ();
 }
