--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -518,6 +518,7 @@
       break;
     case OH_SEGMENT_BALANCER_VIEW:
       handle_view (balancer, event->view);
+      oh_segment_offer_waiting (balancer);
       break;
     case OH_SEGMENT_BALANCER_TICK:
       oh_placement_expire_opens (&balancer->placement, event->now_us);
--- a/lib/core/segment_overload.c
+++ b/lib/core/segment_overload.c
@@ -132,7 +132,7 @@
     oh_segment_end_hold (flow);
   else if (oh_segment_offer (balancer, flow, bytes, length, &reason))
     oh_held_queue_remove (&flow->waiting);
-  else if (reason == OH_PLACEMENT_NO_POSITION)
+  else if (oh_segment_may_wait (balancer, flow, reason))
     /* The other flows of the route have no position either: they are not preferred to this one. */
     oh_held_queue_block (&balancer->waiting, &flow->waiting);
   else
--- a/lib/core/segment_placing.c
+++ b/lib/core/segment_placing.c
@@ -58,17 +58,38 @@
   return false;
 }
 
+bool
+oh_segment_is_managed (const oh_segment_balancer_t *balancer, const oh_balancer_flow_t *flow)
+{
+  const oh_route_t *route = oh_route_table_find (&balancer->routes, flow->key.route);
+
+  return route != NULL && route->managed;
+}
+
+static bool
+is_starting (const oh_segment_balancer_t *balancer)
+{
+  return balancer->now_us - balancer->confirmed_us < (int64_t)OH_SEGMENT_STARTUP_MS * 1000;
+}
+
+bool
+oh_segment_may_wait (const oh_segment_balancer_t *balancer, const oh_balancer_flow_t *flow,
+                     oh_placement_reason_t reason)
+{
+  return reason == OH_PLACEMENT_NO_POSITION
+         || (reason == OH_PLACEMENT_NO_UPSTREAM && is_starting (balancer)
+             && oh_segment_is_managed (balancer, flow));
+}
+
 /* True if there may be capacity for the flow while its caller still waits. */
 static bool
 may_find_capacity (const oh_segment_balancer_t *balancer, const oh_balancer_flow_t *flow,
                    oh_placement_reason_t reason)
 {
-  const bool starting = balancer->now_us - balancer->confirmed_us < (int64_t)OH_SEGMENT_STARTUP_MS * 1000;
-
   if (flow->syn_retransmissions >= OH_SEGMENT_SYN_RETRANSMISSIONS || reason == OH_PLACEMENT_UNKNOWN_SERVICE
       || reason == OH_PLACEMENT_NO_POSITION)
     return false;
-  return flow->overloaded || (starting && reason == OH_PLACEMENT_NO_UPSTREAM);
+  return flow->overloaded || (is_starting (balancer) && reason == OH_PLACEMENT_NO_UPSTREAM);
 }
 
 /* Transmissions of the SYN that its caller may have sent by now, as a set of bits. */
@@ -95,7 +116,8 @@
                    const uint8_t *bytes, size_t length)
 {
   const bool unopened = oh_segment_is_unopened (balancer, flow);
-  const bool waits = reason == OH_PLACEMENT_NO_POSITION && oh_segment_wait (balancer, flow, bytes, length);
+  const bool waits
+    = oh_segment_may_wait (balancer, flow, reason) && oh_segment_wait (balancer, flow, bytes, length);
   const bool defer = !waits && may_find_capacity (balancer, flow, reason);
 
   oh_balancer_flow_log (balancer, OH_LOG_INFO, "flow_refused", &flow->key,
@@ -120,14 +142,6 @@
   oh_segment_send_reset (balancer, &flow->key, 0);
 }
 
-bool
-oh_segment_is_managed (const oh_segment_balancer_t *balancer, const oh_balancer_flow_t *flow)
-{
-  const oh_route_t *route = oh_route_table_find (&balancer->routes, flow->key.route);
-
-  return route != NULL && route->managed;
-}
-
 static void
 send_offer (oh_segment_balancer_t *balancer, const oh_route_t *route, oh_balancer_flow_t *flow,
             const choice_t *choice, const uint8_t *bytes, size_t length)
--- a/lib/core/segment_placing.h
+++ b/lib/core/segment_placing.h
@@ -21,6 +21,11 @@
  * that was offered the flow may still answer. */
 bool oh_segment_is_unopened (const oh_segment_balancer_t *balancer, const oh_balancer_flow_t *flow);
 
+/* True if a flow that was not offered for the reason waits in segment_overload.h: agents are full, or not yet
+ * listed after the start of the balancer. */
+bool oh_segment_may_wait (const oh_segment_balancer_t *balancer, const oh_balancer_flow_t *flow,
+                          oh_placement_reason_t reason);
+
 /* True if a service of the flow's route is managed, see placement_view.h. */
 bool oh_segment_is_managed (const oh_segment_balancer_t *balancer, const oh_balancer_flow_t *flow);
 
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -121,7 +121,7 @@
   unsigned offered[WINDOWS];
   unsigned timely[WINDOWS][2];
   unsigned completed[WINDOWS]; /* by the time of the response */
-  unsigned refused;            /* offers */
+  unsigned refused[WINDOWS];   /* offers, by the time of the refusal */
 };
 
 static double
@@ -273,7 +273,8 @@
       reply.kind = OH__SEGMENT_RELAY_KIND__SEGMENT_REFUSED;
       reply.refused = OH__RESULT__RESULT_NOT_RUN_OVERLOADED;
       reply.segment = relay->segment;
-      sim->refused++;
+      if (window_at (sim->now_ms) >= 0)
+        sim->refused[window_at (sim->now_ms)]++;
     }
   else if (is_try (request, &segment) && request->state == REQUEST_OPENING)
     {
@@ -434,6 +435,10 @@
   Oh__Load loads[UPSTREAMS];
   Oh__Address addresses[UPSTREAMS];
   char names[UPSTREAMS][16];
+  Oh__BalancerEntry entries[BALANCERS];
+  Oh__BalancerEntry *entry_pointers[BALANCERS];
+  Oh__Address relays[BALANCERS];
+  char balancer_names[BALANCERS][16];
   const bool managed = sim->run.mode == MODE_MANAGED;
   g_autofree char *text = g_strdup_printf (
     "[oriolehaven]\nname=test\n[service kiln-log]\n"
@@ -451,6 +456,18 @@
       members[i].zone = (char *)"a";
       pointers[i] = &members[i];
     }
+  for (unsigned i = 0; i < BALANCERS; i++)
+    {
+      oh__balancer_entry__init (&entries[i]);
+      oh_address_to_wire ((oh_address_t){ .ipv4 = 0x0b000000 + i, .port = 7735 }, &relays[i]);
+      g_snprintf (balancer_names[i], sizeof balancer_names[i], "b%u", i);
+      entries[i].name = balancer_names[i];
+      entries[i].zone = (char *)"a";
+      entries[i].relay = &relays[i];
+      entry_pointers[i] = &entries[i];
+    }
+  message.balancers = entry_pointers;
+  message.n_balancers = BALANCERS;
   oh_view_init (&view);
   message.replica_epoch = 1;
   message.listed = message.snapshot = message.confirmed = message.has_text = true;
@@ -658,10 +675,10 @@
 
   for (int i = 0; i < WINDOWS; i++)
     g_test_message ("%s, load %.1f, %s, window %d: offered %u, timely %.3f (commands %u, reads %u), "
-                    "responses %u, refused offers so far %u",
+                    "responses %u, refused offers %u",
                     names[sim->run.mode], sim->run.load, sim->run.restarted ? "restarted" : "unreachable", i,
                     sim->offered[i], timely_fraction (sim, i), sim->timely[i][0], sim->timely[i][1],
-                    sim->completed[i], sim->refused);
+                    sim->completed[i], sim->refused[i]);
 }
 
 static void
