balancer: keep flows from resets and offers after late acceptances

Cause: an agent that refused an offer may accept a copy of it; the balancer then offered the flow again. A flow whose first service had no agent was refused although one of its other services could have a position soon. The lists of routes that are gone were kept. Change: such flows may be open, or wait. The paces of services that are not managed are not computed.

--- a/lib/core/held_queue.c
+++ b/lib/core/held_queue.c
@@ -94,6 +94,18 @@
     oh_list_remove (&route->link);
 }
 
+static gboolean
+has_no_flows (gpointer key, gpointer value, gpointer data)
+{
+  return ((const oh_held_route_t *)value)->n_flows == 0;
+}
+
+void
+oh_held_queue_forget_routes (oh_held_queue_t *queue)
+{
+  g_hash_table_foreach_remove (queue->routes, has_no_flows, NULL);
+}
+
 void
 oh_held_queue_start_round (oh_held_queue_t *queue)
 {
--- a/lib/core/held_queue.h
+++ b/lib/core/held_queue.h
@@ -54,6 +54,9 @@
 /* Has no effect on a flow that does not wait. */
 void oh_held_queue_remove (oh_held_flow_t *flow);
 
+/* Frees what is kept for routes without flows; called when the routes have changed. */
+void oh_held_queue_forget_routes (oh_held_queue_t *queue);
+
 /* Unblocks all routes. */
 void oh_held_queue_start_round (oh_held_queue_t *queue);
 
--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -100,6 +100,7 @@
     }
   upstream->listed = true;
   upstream->drained = member->drained;
+  upstream->pace = 0;
   g_strlcpy (upstream->zone, member->zone, sizeof upstream->zone);
   if (!is_new && !accept_sequence (upstream, member->incarnation, member->sequence))
     return;
@@ -210,12 +211,14 @@
   double rate = 0;
   unsigned slots = 0;
 
+  if (!entry->config->managed)
+    return;
   for (guint i = 0; i < entry->upstreams->len; i++)
     {
       oh_placement_upstream_t *upstream = g_ptr_array_index (entry->upstreams, i);
 
       upstream->pace = 0;
-      if (!entry->config->managed || upstream->service_us == 0 || is_draining (upstream))
+      if (upstream->service_us == 0 || is_draining (upstream))
         continue;
       rate += (double)effective_slots (upstream) / upstream->service_us;
       slots += effective_slots (upstream);
--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -88,7 +88,10 @@
   oh_placement_open_answered (&balancer->placement, load, oh_flow_key_digest (&flow->key), true,
                               balancer->now_us);
   if (offer == NULL)
-    return;
+    {
+      flow->may_be_open = true; /* a copy of an offer that was refused */
+      return;
+    }
   if (offer->guessed && offer->state == OH_OFFER_SENT)
     balancer->guesses++;
   offer->state = OH_OFFER_ACCEPTED;
@@ -330,6 +333,7 @@
       balancer->routes_version = view->version;
       oh_counter_set (&balancer->counters.view_version, view->version);
       oh_route_table_load (&balancer->routes, &view->config);
+      oh_held_queue_forget_routes (&balancer->waiting);
     }
   balancer->all_listed = view->complete;
   balancer->peers = g_array_new (FALSE, FALSE, sizeof (oh_segment_peer_t));
--- a/lib/core/segment_placing.c
+++ b/lib/core/segment_placing.c
@@ -49,11 +49,15 @@
     {
       const oh_route_target_t *target = &g_array_index (route->targets, oh_route_target_t, i);
 
-      if (target->weight == 0 || target->service == primary->service
-          || !choose_at (balancer, route, flow, target, &other))
+      if (target->weight == 0 || target->service == primary->service)
         continue;
-      *choice = other;
-      return true;
+      if (choose_at (balancer, route, flow, target, &other))
+        {
+          *choice = other;
+          return true;
+        }
+      if (other.decision.reason == OH_PLACEMENT_NO_POSITION)
+        choice->decision.reason = OH_PLACEMENT_NO_POSITION; /* the flow can wait for one there */
     }
   return false;
 }
--- a/tests/test_segment_balancer.c
+++ b/tests/test_segment_balancer.c
@@ -30,6 +30,8 @@
 static const char scan_text[] = SERVICES FEED_ROUTE "targets=scan-serve:1\n" TRANSFER_ROUTE KILN_ROUTE;
 static const char both_text[] = SERVICES FEED_ROUTE "targets=kiln-log:1,scan-serve:1000000\n" TRANSFER_ROUTE;
 static const char timely_text[] = SERVICES FEED_ROUTE "target_ms=400\ntargets=kiln-log:1\n" TRANSFER_ROUTE;
+static const char spare_text[]
+  = SERVICES FEED_ROUTE "target_ms=400\ntargets=kiln-log:1,scan-serve:1000000\n" TRANSFER_ROUTE;
 static const char classes_text[]
   = SERVICES FEED_ROUTE "class=2\ntarget_ms=400\ntargets=kiln-log:1\n" TRANSFER_ROUTE
                         "[route 198.18.0.3:8443]\nname=x\nkind=once\nclass=1\ntargets=kiln-log:1\n";
@@ -789,6 +791,26 @@
       WAIT_HELD (200),
       RESETS (0),
       SENT (OPEN, 0) } },
+  { "a flow is offered again although an agent that refused it has accepted a copy of its SYN",
+    { LIMIT (1, 0, 0),
+      { STEP_VIEW, 1, 1, 1, timely_text },
+      WAIT (4000),
+      SYN,
+      SENT (OPEN, 1),
+      FROM_LAST_AGENT (REFUSED, OVERLOADED),
+      FROM_LAST_AGENT (ACCEPTED, 0),
+      WAIT_HELD (200),
+      SENT (OPEN, 0) } },
+  { "a flow whose first service has no agent is reset although one of its second may have a position",
+    { LIMIT (1, 0, 0),
+      { STEP_VIEW, 1, 1, 1, spare_text },
+      WAIT (4000),
+      SYN,
+      SENT (OPEN, 1),
+      FROM_LAST_AGENT (REFUSED, OVERLOADED),
+      RESETS (0),
+      WAIT_HELD (100),
+      SENT (OPEN, 1) } },
   { "a flow that came before its service had agents waits for a tick",
     { LIMIT (4, 0, 0),
       { STEP_VIEW, 1, 1, 0, timely_text },
