agent: limit the requests of an upstream by its pace, reserve a part of the limit

Cause: an agent admitted 3 requests per slot, 2 while warming, whatever the speed of its upstream, and every class of flows in the same way. Change: core/pace measures the service time of the upstream and derives a limit from it and the objective that OPENs name; core/admission decides on flows by limit, reservation and compatibility with OPENs without an objective. Load reports carry limit, reserved part and service time. Without objectives all is as before.

--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -14,6 +14,7 @@
   agent->unanswered_syns = 0;
   if (flow == NULL || flow->state != OH_AGENT_FLOW_OPENING || flow->answered)
     return; /* a retransmission of a SYN that was answered or refused */
+  oh_pace_syn_refused (&agent->admission.pace, flow->opened_us, agent->now_us);
   oh_agent_flow_remove (agent, flow);
   oh_segment_agent_refuse_syn (agent, balancer, &key, OH__RESULT__RESULT_NOT_RUN_OVERLOADED, bytes, length);
 }
@@ -53,6 +54,7 @@
 handle_syn_ack (oh_segment_agent_t *agent, const oh_segment_t *segment, oh_agent_flow_t *flow)
 {
   agent->unanswered_syns = 0;
+  oh_pace_syn_answered (&agent->admission.pace);
   if (flow->state != OH_AGENT_FLOW_OPENING)
     return;
   oh_agent_flow_end_opening (agent, flow);
@@ -127,10 +129,13 @@
   if (segment.length > 0 && flow->awaiting_response)
     {
       oh_histogram_observe (&agent->request_seconds, agent->now_us - flow->request_us);
-      oh_agent_flow_set_awaiting_response (agent, flow, false);
+      oh_agent_flow_end_request (agent, flow, OH_PACE_ANSWERED);
     }
   if (segment.fin || segment.rst)
-    oh_agent_flow_close (agent, flow);
+    {
+      oh_agent_flow_end_request (agent, flow, OH_PACE_FAILED);
+      oh_agent_flow_close (agent, flow);
+    }
   oh_counter_increment (&agent->counters.sent);
   agent->sink->ops->send_caller (agent->sink, key.caller, bytes, length);
 }
@@ -209,7 +214,9 @@
       agent->records_complete = is_first_announcement (agent, announcement);
       log_records (agent, announcement);
       oh_segment_agent_handle_replaced (agent);
+      oh_segment_agent_restart_pace (agent);
     }
+  oh_pace_set_slots (&agent->admission.pace, agent->identity.slots);
   agent->sink->ops->watch_listener (agent->sink, listener_attention (agent->identity.state));
   oh_segment_agent_report_load (agent, true);
   agent->sink->ops->changed (agent->sink);
@@ -233,9 +240,11 @@
 {
   oh_identity_change_t change;
   oh_announcement_result_t result;
+  bool silent;
 
   agent->now_us = now_us;
   agent->sink = sink;
+  silent = oh_upstream_identity_is_silent (&agent->identity, now_us);
   result = oh_upstream_identity_update (&agent->identity, announcement, now_us, &change);
   oh_counter_increment (&agent->counters.announcements);
   if (result == OH_ANNOUNCEMENT_STALE)
@@ -243,6 +252,8 @@
   else if (oh_announcement_refused (result))
     oh_counter_increment (&agent->counters.announcements_refused);
   note_announcement (agent, announcement, result, change);
+  if (silent && result == OH_ANNOUNCEMENT_TAKEN)
+    oh_segment_agent_restart_pace (agent);
   if (change != OH_IDENTITY_REFRESHED)
     log_announcement (agent, announcement, result);
   if (change == OH_IDENTITY_CHANGED || change == OH_IDENTITY_REPLACED)
@@ -288,6 +299,7 @@
         break;
       oh_counter_increment (&agent->counters.unanswered);
       agent->unanswered_syns++;
+      oh_pace_syn_unanswered (&agent->admission.pace, flow->opened_us, agent->now_us);
       /* The record stays: a late SYN-ACK may still be the one that the caller acknowledges. */
       oh_agent_flow_end_opening (agent, flow);
       oh_segment_agent_refuse_syn (agent, flow->balancer, &flow->key, OH__RESULT__RESULT_NOT_RUN_UPSTREAM,
@@ -312,19 +324,15 @@
 }
 
 static void
-expire_requests (oh_segment_agent_t *agent)
+expire_requests_of (oh_segment_agent_t *agent, oh_list_t *list)
 {
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, agent->flows);
-  while (agent->n_awaiting_response > 0 && g_hash_table_iter_next (&iter, NULL, &value))
+  while (!oh_list_is_empty (list))
     {
-      oh_agent_flow_t *flow = value;
+      oh_agent_flow_t *flow = oh_list_entry (list->next, oh_agent_flow_t, unanswered_link);
 
-      if (flow->awaiting_response
-          && agent->now_us - flow->request_us > (int64_t)OH_SEGMENT_REQUEST_TIMEOUT_MS * 1000)
-        oh_agent_flow_set_awaiting_response (agent, flow, false);
+      if (agent->now_us - flow->request_us <= (int64_t)OH_SEGMENT_REQUEST_TIMEOUT_MS * 1000)
+        return;
+      oh_agent_flow_end_request (agent, flow, OH_PACE_ABANDONED);
     }
 }
 
@@ -333,11 +341,13 @@
 {
   expire_opening_flows (agent);
   expire_awaiting_request (agent);
+  oh_segment_agent_update_pace (agent);
   oh_segment_agent_ask_leaving (agent);
   if (agent->now_us - agent->reported_us < (int64_t)OH_SEGMENT_REPORT_INTERVAL_MS * 1000)
     return;
   oh_agent_flow_expire (agent);
-  expire_requests (agent);
+  expire_requests_of (agent, &agent->overdue);
+  expire_requests_of (agent, &agent->unanswered);
   oh_counter_set (&agent->counters.flows, agent->n_open);
   oh_counter_set (&agent->counters.requests_waiting, agent->n_awaiting_response);
   oh_segment_agent_report_load (agent, false);
@@ -356,6 +366,9 @@
   oh_list_init (&agent->lru);
   oh_list_init (&agent->opening);
   oh_list_init (&agent->awaiting_request);
+  oh_list_init (&agent->unanswered);
+  oh_list_init (&agent->overdue);
+  oh_admission_init (&agent->admission);
   oh_service_set_init (&agent->services);
   oh_upstream_identity_init (&agent->identity, config->upstream, &agent->services, config->heartbeat_ms);
   oh_arena_init (&agent->arena);
@@ -400,6 +413,12 @@
       "Announcements that cannot be of the agent's upstream" },
     { &own->flows, "flows", "Open flows" },
     { &own->requests_waiting, "requests_waiting", "Requests that the upstream has not begun to answer" },
+    { &own->yielded, "firsts_yielded_total", "First segments refused as the rest of the limit is reserved" },
+    { &own->lost_requests, "requests_lost_total", "Requests that counted as lost" },
+    { &own->limit_decreases, "request_limit_decreases_total", "Decreases of the limit on requests" },
+    { &own->limit, "request_limit", "Requests that may be at the upstream; 0: fixed limits apply" },
+    { &own->reserved, "request_limit_reserved", "Part of the limit for flows that do not yield" },
+    { &own->service_us, "service_time_us", "Mean time that a slot of the upstream works on a request" },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (table); i++)
--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -7,6 +7,7 @@
 #include "base/counters.h"
 #include "base/list.h"
 #include "base/log.h"
+#include "core/admission.h"
 #include "core/codec.h"
 #include "core/segment.h"
 #include "core/upstream_identity.h"
@@ -33,10 +34,8 @@
   /* At a new start the upstream is asked about the flows that were used within this time, in which a response
    * may be outstanding; the others are asked about when their callers send something. */
   OH_SEGMENT_ASK_ACTIVE_MS = 5000,
-  OH_SEGMENT_ASK_COPIES = 2,             /* an upstream acknowledges every second segment */
-  OH_SEGMENT_ADMIT_PER_SLOT = 3,         /* admission limit: requests per slot, running or expected */
-  OH_SEGMENT_ADMIT_PER_SLOT_WARMING = 2, /* the same while the upstream warms up */
-  OH_SEGMENT_FIRST_REQUEST_MS = 300,     /* a new flow that brings no request within this time is idle */
+  OH_SEGMENT_ASK_COPIES = 2,         /* an upstream acknowledges every second segment */
+  OH_SEGMENT_FIRST_REQUEST_MS = 300, /* a new flow that brings no request within this time is idle */
   /* An announcement may be handled this long after it was sent. */
   OH_SEGMENT_ANNOUNCEMENT_DELAY_MS = 1000,
   OH_SEGMENT_CLOCK_TOLERANCE_MS = 50, /* between two readings of the time of day on one VM */
@@ -49,7 +48,8 @@
   OH_SEGMENT_PROBES_MAX = 2,
   OH_SEGMENT_PROBES_INTERVAL_MS = 2500,
   OH_SEGMENT_SUSPECT_SYNS = 2, /* consecutive unanswered SYNs after which the upstream is suspect */
-  OH_SEGMENT_AGENT_QUERY_FLOWS_MAX = 128, /* per query of a balancer */
+  OH_SEGMENT_AGENT_QUERY_FLOWS_MAX = 128,  /* per query of a balancer */
+  OH_SEGMENT_LIMIT_LOG_INTERVAL_MS = 1000, /* between log lines about the limit */
   OH_SEGMENT_AGENT_LOG_BYTES = 480,
 };
 
@@ -138,6 +138,7 @@
   bool closed;            /* by either end, or reset */
   bool lost;              /* the upstream does not have it any more, and the caller was reset */
   GBytes *last_data;      /* last segment with data that was delivered, while the flow is open, or NULL */
+  bool overdue;           /* the request counts as lost, while awaiting_response */
   int64_t request_us;     /* when the request was delivered, while awaiting_response */
   int64_t opened_us;      /* when the record was added */
   int64_t used_us;        /* when the record last moved to the end of the lru list */
@@ -146,6 +147,7 @@
   oh_list_t lru_link;
   oh_list_t opening_link;          /* in oh_segment_agent_t.opening while the SYN is unanswered */
   oh_list_t awaiting_request_link; /* in oh_segment_agent_t.awaiting_request */
+  oh_list_t unanswered_link;       /* in oh_segment_agent_t.unanswered or overdue, while awaiting_response */
 } oh_agent_flow_t;
 
 typedef struct
@@ -168,6 +170,12 @@
   oh_counter_t announcements_refused;
   oh_counter_t flows;                /* gauge */
   oh_counter_t requests_waiting;     /* gauge: requests without a response */
+  oh_counter_t yielded;              /* SYNs refused as the rest of the limit is reserved */
+  oh_counter_t lost_requests;        /* requests that counted as lost */
+  oh_counter_t limit_decreases;      /* of the limit */
+  oh_counter_t limit;                /* gauge: requests that may be at the upstream; 0: fixed limits apply */
+  oh_counter_t reserved;             /* gauge: part of the limit for flows that do not yield */
+  oh_counter_t service_us;           /* gauge: mean time that a slot works on a request */
   oh_counter_t first_answer_latency; /* registers first_answer_seconds */
   oh_counter_t request_latency;      /* registers request_seconds */
 } oh_segment_agent_counters_t;
@@ -202,7 +210,12 @@
   oh_list_t awaiting_request; /* new flows without a request, oldest first */
   unsigned n_awaiting_request;
   unsigned n_open;
+  oh_list_t unanswered; /* flows that await a response, whose request is not overdue, oldest request first */
+  oh_list_t overdue;    /* the others that await a response, oldest request first */
   unsigned n_awaiting_response;
+  oh_admission_t admission;
+  unsigned logged_limit; /* 0: none */
+  int64_t limit_logged_us;
   unsigned unanswered_syns; /* consecutive */
   uint64_t report_sequence;
   int64_t reported_us;
--- a/lib/core/segment_agent_ends.c
+++ b/lib/core/segment_agent_ends.c
@@ -66,7 +66,7 @@
       if (open && agent->now_us - flow->used_us < (int64_t)OH_SEGMENT_ASK_ACTIVE_MS * 1000)
         ask_for_flow (agent, flow, 1);
       /* They are no load of the new incarnation unless their callers send something. */
-      oh_agent_flow_set_awaiting_response (agent, flow, false);
+      oh_agent_flow_end_request (agent, flow, OH_PACE_ABANDONED);
       oh_agent_flow_end_awaiting_request (agent, flow);
     }
 }
@@ -135,6 +135,8 @@
 void
 oh_segment_agent_upstream_runs (oh_segment_agent_t *agent)
 {
+  if (agent->upstream_ended)
+    oh_segment_agent_restart_pace (agent);
   agent->upstream_ended = false;
   agent->unanswered_ticks = 0;
 }
--- a/lib/core/segment_agent_flows.c
+++ b/lib/core/segment_agent_flows.c
@@ -36,13 +36,37 @@
 }
 
 void
-oh_agent_flow_set_awaiting_response (oh_segment_agent_t *agent, oh_agent_flow_t *flow, bool awaiting)
+oh_agent_flow_begin_request (oh_segment_agent_t *agent, oh_agent_flow_t *flow)
 {
-  if (awaiting == flow->awaiting_response)
+  if (flow->awaiting_response)
     return;
-  agent->n_awaiting_response += awaiting ? 1 : -1;
-  flow->awaiting_response = awaiting;
+  agent->n_awaiting_response++;
+  flow->awaiting_response = true;
+  flow->overdue = false;
   flow->request_us = agent->now_us;
+  oh_list_append (&agent->unanswered, &flow->unanswered_link);
+  oh_pace_begin (&agent->admission.pace, agent->now_us);
+}
+
+void
+oh_agent_flow_end_request (oh_segment_agent_t *agent, oh_agent_flow_t *flow, oh_pace_outcome_t outcome)
+{
+  if (!flow->awaiting_response)
+    return;
+  agent->n_awaiting_response--;
+  flow->awaiting_response = false;
+  oh_list_remove (&flow->unanswered_link);
+  oh_pace_end (&agent->admission.pace, outcome, flow->request_us, flow->overdue, agent->now_us);
+}
+
+void
+oh_agent_flow_lose_request (oh_segment_agent_t *agent, oh_agent_flow_t *flow)
+{
+  flow->overdue = true;
+  oh_list_remove (&flow->unanswered_link);
+  oh_list_append (&agent->overdue, &flow->unanswered_link);
+  oh_counter_increment (&agent->counters.lost_requests);
+  oh_pace_lose (&agent->admission.pace, flow->request_us, agent->now_us);
 }
 
 void
@@ -54,7 +78,7 @@
   if (state != OH_AGENT_FLOW_OPENING)
     oh_agent_flow_end_opening (agent, flow);
   if (state != OH_AGENT_FLOW_OPEN)
-    oh_agent_flow_set_awaiting_response (agent, flow, false);
+    oh_agent_flow_end_request (agent, flow, OH_PACE_ABANDONED);
   if (state != OH_AGENT_FLOW_OPEN && state != OH_AGENT_FLOW_OPENING)
     oh_agent_flow_end_awaiting_request (agent, flow);
 }
@@ -64,7 +88,7 @@
 {
   agent->n_open -= flow->state == OH_AGENT_FLOW_OPEN && !flow->closed;
   flow->closed = true;
-  oh_agent_flow_set_awaiting_response (agent, flow, false);
+  oh_agent_flow_end_request (agent, flow, OH_PACE_ABANDONED);
   oh_agent_flow_end_awaiting_request (agent, flow);
   g_clear_pointer (&flow->last_data, g_bytes_unref);
 }
@@ -130,6 +154,7 @@
   oh_list_init (&flow->lru_link);
   oh_list_init (&flow->opening_link);
   oh_list_init (&flow->awaiting_request_link);
+  oh_list_init (&flow->unanswered_link);
   flow->state = OH_AGENT_FLOW_ABSENT;
   flow->digest = oh_flow_key_digest (key);
   g_hash_table_insert (agent->flows, &flow->key, flow);
--- a/lib/core/segment_agent_private.h
+++ b/lib/core/segment_agent_private.h
@@ -29,7 +29,15 @@
 
 /* The first request has come, or is not expected any more. */
 void oh_agent_flow_end_awaiting_request (oh_segment_agent_t *agent, oh_agent_flow_t *flow);
-void oh_agent_flow_set_awaiting_response (oh_segment_agent_t *agent, oh_agent_flow_t *flow, bool awaiting);
+
+/* A request was delivered, unless one is unanswered already. */
+void oh_agent_flow_begin_request (oh_segment_agent_t *agent, oh_agent_flow_t *flow);
+
+/* The flow awaits a response no longer, if it did. */
+void oh_agent_flow_end_request (oh_segment_agent_t *agent, oh_agent_flow_t *flow, oh_pace_outcome_t outcome);
+
+/* The request counts as lost. It may still be answered. */
+void oh_agent_flow_lose_request (oh_segment_agent_t *agent, oh_agent_flow_t *flow);
 
 /* Removes records that were not used for the flow timeout. */
 void oh_agent_flow_expire (oh_segment_agent_t *agent);
@@ -98,6 +106,28 @@
  * called at each tick. */
 void oh_segment_agent_ask_leaving (oh_segment_agent_t *agent);
 
+/* Admission and pace of the upstream (segment_agent_admission.c). */
+
+/* True if the upstream is said to be warming up. */
+bool oh_segment_agent_is_warming (const oh_segment_agent_t *agent);
+
+/* Requests and flows that admission counts. */
+oh_admission_work_t oh_segment_agent_work (const oh_segment_agent_t *agent);
+
+/* Decides whether the upstream can have the request of another flow, and notes the decision. To be called
+ * once for a flow, after all other checks. */
+bool oh_segment_agent_admits (oh_segment_agent_t *agent, uint32_t target_ms, bool yields);
+
+/* Notes that a request was delivered. */
+void oh_segment_agent_note_request (oh_segment_agent_t *agent);
+
+/* The upstream starts anew: it was replaced, or was silent or ended and runs again. */
+void oh_segment_agent_restart_pace (oh_segment_agent_t *agent);
+
+/* Counts requests as lost that are unanswered for long, and logs changes of the limit. To be called at each
+ * tick. */
+void oh_segment_agent_update_pace (oh_segment_agent_t *agent);
+
 /* Messages from balancers (segment_agent_relay.c). */
 
 /* Handles a datagram from a balancer. */
--- a/lib/core/segment_agent_relay.c
+++ b/lib/core/segment_agent_relay.c
@@ -2,30 +2,21 @@
 
 #include <string.h>
 
-/* Beyond this limit a request would queue at the upstream for longer than its deadline allows. */
 static bool
-is_overloaded (const oh_segment_agent_t *agent)
-{
-  const bool warming = agent->now_us < agent->identity.warmup_ends_us;
-  const unsigned per_slot = warming ? OH_SEGMENT_ADMIT_PER_SLOT_WARMING : OH_SEGMENT_ADMIT_PER_SLOT;
-
-  return agent->n_awaiting_response + agent->n_awaiting_request >= agent->identity.slots * per_slot;
-}
-
-static bool
-check_admission (const oh_segment_agent_t *agent, uint64_t service, Oh__Result *result)
+check_admission (oh_segment_agent_t *agent, const Oh__SegmentRelay *open, Oh__Result *result)
 {
   const oh_upstream_identity_t *identity = &agent->identity;
 
   if (identity->generation == 0)
     *result = OH__RESULT__RESULT_NO_UPSTREAM;
-  else if (identity->service_id != service)
+  else if (identity->service_id != open->service)
     *result = OH__RESULT__RESULT_WRONG_SERVICE;
   else if (identity->state != OH_ANNOUNCED_READY)
     *result = OH__RESULT__RESULT_NOT_RUN_DRAINING;
   else if (!oh_upstream_identity_accepts_flows (identity, agent->now_us) || agent->upstream_ended)
     *result = OH__RESULT__RESULT_NO_UPSTREAM;
-  else if (agent->n_open + agent->n_opening >= agent->config.max_flows || is_overloaded (agent))
+  else if (agent->n_open + agent->n_opening >= agent->config.max_flows
+           || !oh_segment_agent_admits (agent, open->target_ms, open->yields))
     *result = OH__RESULT__RESULT_NOT_RUN_OVERLOADED;
   else
     return true;
@@ -34,9 +25,11 @@
 
 static void
 handle_open (oh_segment_agent_t *agent, const oh_flow_key_t *key, const oh_segment_t *segment,
-             uint64_t service, oh_address_t balancer, const uint8_t *bytes, size_t length)
+             const Oh__SegmentRelay *open, oh_address_t balancer)
 {
   oh_agent_flow_t *flow = g_hash_table_lookup (agent->flows, key);
+  const uint8_t *bytes = open->segment.data;
+  const size_t length = open->segment.len;
   Oh__Result result = OH__RESULT__RESULT_NOT_RUN_OVERLOADED;
 
   if (flow != NULL && flow->generation == agent->identity.generation
@@ -49,14 +42,14 @@
         oh_segment_agent_deliver (agent, bytes, length);
       return;
     }
-  if (!check_admission (agent, service, &result) || length > OH_SEGMENT_SYN_MAX_BYTES)
+  if (!check_admission (agent, open, &result) || length > OH_SEGMENT_SYN_MAX_BYTES)
     {
       oh_segment_agent_refuse_syn (agent, balancer, key, result, bytes, length);
       return;
     }
   flow = oh_agent_flow_add (agent, key, OH_AGENT_FLOW_OPENING);
   flow->balancer = balancer;
-  flow->service = service;
+  flow->service = open->service;
   flow->syn_sequence = segment->sequence;
   flow->syn_length = length;
   memcpy (flow->syn, bytes, length);
@@ -75,10 +68,11 @@
   flow->caller_acknowledged = segment->acknowledged;
   if (segment->length > 0 && !flow->closed)
     {
-      oh_agent_flow_set_awaiting_response (agent, flow, true);
+      oh_agent_flow_begin_request (agent, flow);
       g_clear_pointer (&flow->last_data, g_bytes_unref);
       flow->last_data = g_bytes_new (bytes, length);
       oh_agent_flow_end_awaiting_request (agent, flow);
+      oh_segment_agent_note_request (agent);
     }
   if (segment->fin || segment->rst)
     oh_agent_flow_close (agent, flow);
@@ -267,7 +261,7 @@
   if (searched)
     oh_counter_increment (&agent->counters.searches);
   if (relay->kind == OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN && segment.syn && !segment.ack)
-    handle_open (agent, &key, &segment, relay->service, balancer, relay->segment.data, relay->segment.len);
+    handle_open (agent, &key, &segment, relay, balancer);
   else if (!segment.syn && (searched || relay->kind == OH__SEGMENT_RELAY_KIND__SEGMENT_DELIVER))
     handle_non_syn (agent, &key, &segment, balancer, searched ? relay->search : 0, relay->offered,
                     relay->segment.data, relay->segment.len);
--- a/lib/core/segment_agent_replies.c
+++ b/lib/core/segment_agent_replies.c
@@ -1,16 +1,16 @@
 #include "core/segment_agent_private.h"
 
-/* Fraction of its slots that a warming upstream offers. */
+/* Fraction of its slots that a warming upstream offers while its service time is not reported. */
 #define WARMING_SHARE 0.6
 
 static unsigned
-offered_slots (const oh_segment_agent_t *agent)
+offered_slots (const oh_segment_agent_t *agent, const oh_admission_report_t *report)
 {
   const oh_upstream_identity_t *identity = &agent->identity;
 
   if (!oh_upstream_identity_accepts_flows (identity, agent->now_us) || agent->upstream_ended)
     return 0;
-  if (agent->now_us < identity->warmup_ends_us)
+  if (oh_segment_agent_is_warming (agent) && report->service_us == 0)
     return MAX (1u, (unsigned)(identity->slots * WARMING_SHARE));
   return MAX (1u, identity->slots);
 }
@@ -25,7 +25,7 @@
   if (!oh_upstream_identity_accepts_flows (identity, agent->now_us) || agent->upstream_ended
       || agent->unanswered_syns >= OH_SEGMENT_SUSPECT_SYNS)
     return OH__UPSTREAM_STATE__UPSTREAM_SUSPECT;
-  if (agent->now_us < identity->warmup_ends_us)
+  if (oh_segment_agent_is_warming (agent))
     return OH__UPSTREAM_STATE__UPSTREAM_WARMING;
   return OH__UPSTREAM_STATE__UPSTREAM_READY;
 }
@@ -33,7 +33,12 @@
 void
 oh_segment_agent_get_load (oh_segment_agent_t *agent, int64_t now_us, Oh__Load *load, Oh__Address *relay)
 {
+  oh_admission_work_t work;
+  oh_admission_report_t report;
+
   agent->now_us = MAX (agent->now_us, now_us);
+  work = oh_segment_agent_work (agent);
+  report = oh_admission_report (&agent->admission, &work);
   oh__load__init (load);
   oh_address_to_wire (agent->config.relay, relay);
   load->upstream = (char *)agent->config.name;
@@ -41,10 +46,13 @@
   /* A restart of the upstream is a new incarnation, too. */
   load->incarnation = agent->config.incarnation + agent->identity.generation;
   load->sequence = ++agent->report_sequence;
-  load->slots = offered_slots (agent);
-  load->busy = MIN (agent->n_awaiting_response, agent->identity.slots);
+  load->slots = offered_slots (agent, &report);
+  load->busy = MIN (report.taken, agent->identity.slots);
   /* A flow that has just opened is expected to bring a request. */
-  load->queued = agent->n_awaiting_response - load->busy + agent->n_awaiting_request;
+  load->queued = report.taken - load->busy + agent->n_awaiting_request;
+  load->limit = report.limit;
+  load->reserved = report.reserved;
+  load->service_us = report.service_us;
   load->flows = agent->n_open + agent->n_opening;
   load->max_flows = agent->config.max_flows;
   load->state = upstream_state (agent);
--- a/tests/test_segment_agent.c
+++ b/tests/test_segment_agent.c
@@ -10,7 +10,7 @@
 
 enum
 {
-  STEPS_MAX = 26,
+  STEPS_MAX = 32,
   SLOTS = 2,
   QUERIED_FLOWS = 3, /* flows that a query names */
   QUERY_NUMBER = 77,
@@ -24,7 +24,9 @@
 typedef enum
 {
   STEP_END,
+  STEP_OBJECTIVE,          /* a: target_ms of the following opens, b: whether they yield */
   STEP_ANNOUNCE,           /* text: service; a: state, b: start time, c: sequence */
+  STEP_ANNOUNCE_WARMING,   /* as ANNOUNCE, for 2 s of warm-up */
   STEP_ANNOUNCE_ELSEWHERE, /* as ANNOUNCE, but of an upstream at another address */
   STEP_OPEN,               /* text: service; a: caller; the SYN of a flow */
   STEP_DELIVER,            /* a: caller, b: acknowledged, c: length of data */
@@ -43,6 +45,9 @@
   EXPECT_MESSAGES,         /* a: kind, b: messages to balancers since the last such check, c: last result */
   EXPECT_HELD,             /* a: held bits, b: wanted bits of the one answer to a query */
   EXPECT_REQUESTS_WAITING, /* a: requests without a response */
+  EXPECT_LIMIT,            /* a: limit, b: reserved part, c: work (busy and queued) of the load report */
+  EXPECT_SLOTS,            /* a: slots of the load report, b: whether it has a service time */
+  EXPECT_LOGGED,           /* a: changes of the limit that were logged since the last such check */
   EXPECT_WATCHED,          /* a: oh_listener_attention_t of the upstream's listener */
   EXPECT_RESULT,           /* a: oh_announcement_result_t of the last announcement */
 } step_kind_t;
@@ -66,6 +71,9 @@
   unsigned delivered;
   unsigned to_callers;
   unsigned resets;
+  unsigned limits_logged;
+  uint32_t target_ms; /* of opens */
+  bool yields;
   oh_listener_attention_t attention;
   bool delivered_returned; /* the upstream got a segment with the mark of a returned one */
   fixture_message_t sent[FIXTURE_SENT_MAX];
@@ -130,6 +138,7 @@
 static void
 on_log (oh_segment_agent_sink_t *sink, oh_log_level_t level, const char *event, const char *pairs)
 {
+  ((fixture_t *)sink)->limits_logged += strcmp (event, "request_limit_changed") == 0;
 }
 
 static void
@@ -190,6 +199,7 @@
     .slots = SLOTS,
     .started_ms = step->b < START_NUMBERS ? AGENT_STARTED_MS + step->b : step->b,
     .sequence = (uint64_t)step->c,
+    .warmup_ms = step->kind == STEP_ANNOUNCE_WARMING ? 2000 : 0,
   };
 
   fixture->result
@@ -212,6 +222,8 @@
   relay.service = service != NULL ? oh_service_id (service) : 0;
   relay.search = kind == OH__SEGMENT_RELAY_KIND__SEGMENT_SEARCH ? QUERY_NUMBER : 0;
   relay.offered = offered;
+  relay.target_ms = kind == OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN ? fixture->target_ms : 0;
+  relay.yields = kind == OH__SEGMENT_RELAY_KIND__SEGMENT_OPEN && fixture->yields;
   if (kind == OH__SEGMENT_RELAY_KIND__SEGMENT_ASK)
     {
       for (int i = 0; i < QUERIED_FLOWS; i++)
@@ -282,6 +294,30 @@
   *count = 0;
 }
 
+static void
+expect_limit (fixture_t *fixture, const step_t *step, const char *name, unsigned index)
+{
+  Oh__Load load;
+  Oh__Address relay;
+
+  oh_segment_agent_get_load (&fixture->core, fixture->now_us, &load, &relay);
+  if (load.limit != (unsigned)step->a || load.reserved != (unsigned)step->b
+      || load.busy + load.queued != (unsigned)step->c)
+    g_error ("case '%s', step %u: limit %u, reserved %u, work %u", name, index, load.limit, load.reserved,
+             load.busy + load.queued);
+}
+
+static void
+expect_slots (fixture_t *fixture, const step_t *step, const char *name, unsigned index)
+{
+  Oh__Load load;
+  Oh__Address relay;
+
+  oh_segment_agent_get_load (&fixture->core, fixture->now_us, &load, &relay);
+  if (load.slots != (unsigned)step->a || (load.service_us > 0) != (bool)step->b)
+    g_error ("case '%s', step %u: %u slots, service time %u us", name, index, load.slots, load.service_us);
+}
+
 static void
 run_step (fixture_t *fixture, const step_t *step, const char *name, unsigned index)
 {
@@ -291,7 +327,12 @@
     {
     case STEP_END:
       return;
+    case STEP_OBJECTIVE:
+      fixture->target_ms = (uint32_t)step->a;
+      fixture->yields = step->b != 0;
+      return;
     case STEP_ANNOUNCE:
+    case STEP_ANNOUNCE_WARMING:
     case STEP_ANNOUNCE_ELSEWHERE:
       handle_announcement (fixture, step);
       return;
@@ -360,6 +401,15 @@
       waiting = fixture->core.n_awaiting_response;
       expect (&waiting, step->a, "requests without a response", name, index);
       return;
+    case EXPECT_LIMIT:
+      expect_limit (fixture, step, name, index);
+      return;
+    case EXPECT_SLOTS:
+      expect_slots (fixture, step, name, index);
+      return;
+    case EXPECT_LOGGED:
+      expect (&fixture->limits_logged, step->a, "changes of the limit logged", name, index);
+      return;
     case EXPECT_WATCHED:
       waiting = fixture->attention;
       expect (&waiting, step->a, "as attention to the listener", name, index);
@@ -465,6 +515,28 @@
   {                                                                                                          \
     EXPECT_REQUESTS_WAITING, n, 0, 0, NULL                                                                   \
   }
+#define OBJECTIVE(target_ms, yields)                                                                         \
+  {                                                                                                          \
+    STEP_OBJECTIVE, target_ms, yields, 0, NULL                                                               \
+  }
+#define WARMS(start, sequence)                                                                               \
+  {                                                                                                          \
+    STEP_ANNOUNCE_WARMING, OH_ANNOUNCED_READY, start, sequence, "kiln-log"                                   \
+  }
+#define LIMIT(limit, reserved, work)                                                                         \
+  {                                                                                                          \
+    EXPECT_LIMIT, limit, reserved, work, NULL                                                                \
+  }
+#define REPORTED_SLOTS(slots, timed)                                                                         \
+  {                                                                                                          \
+    EXPECT_SLOTS, slots, timed, 0, NULL                                                                      \
+  }
+#define LOGGED(n)                                                                                            \
+  {                                                                                                          \
+    EXPECT_LOGGED, n, 0, 0, NULL                                                                             \
+  }
+/* The flow of a caller has opened, and its request waits for a response. */
+#define RUNS(caller) OPENS (caller), ACCEPTS (caller), REQUESTS (caller)
 
 static const struct
 {
@@ -729,6 +801,53 @@
       DELIVERED (0),
       { STEP_OPEN, 2, 0, 0, "scan-serve" },
       DELIVERED (1) } },
+  { "the limit applies, or is reported, although no flow has an objective",
+    { READY (1, 1), OPENS (0), OPENS (1), OPENS (2), OPENS (3), OPENS (4), OPENS (5), DELIVERED (6),
+      LIMIT (0, 0, 6), REPORTED_SLOTS (2, false), LOGGED (0), OPENS (6),
+      MESSAGES (REFUSED, 1, OVERLOADED) } },
+  { "a warming upstream gets more than 2 requests per slot, or offers all of its slots",
+    { WARMS (1, 1), REPORTED_SLOTS (1, false), OPENS (0), OPENS (1), OPENS (2), OPENS (3), DELIVERED (4),
+      LIMIT (0, 0, 4), OPENS (4), MESSAGES (REFUSED, 1, OVERLOADED) } },
+  { "flows with an objective are admitted beyond the limit of a start",
+    { READY (1, 1), OBJECTIVE (400, false), OPENS (0), OPENS (1), OPENS (2), DELIVERED (3), LIMIT (3, 1, 3),
+      OPENS (3), DELIVERED (0), MESSAGES (REFUSED, 1, OVERLOADED), WAIT (50), LOGGED (1) } },
+  { "the limit does not grow with answers in time, or does so without flows that use it",
+    { READY (1, 1), OBJECTIVE (400, false), RUNS (0), RUNS (1), RUNS (2), LIMIT (3, 1, 3), WAIT (50),
+      RESPONDS (0), RESPONDS (1), RESPONDS (2), LIMIT (6, 2, 0), REQUESTS (0), WAIT (20), RESPONDS (0),
+      LIMIT (6, 2, 0), REPORTED_SLOTS (2, true) } },
+  { "a request on a flow that has been open for long does not count",
+    { READY (1, 1), OBJECTIVE (400, false), RUNS (0), RESPONDS (0), WAIT (2500), REQUESTS (0), OPENS (1),
+      OPENS (2), DELIVERED (5), LIMIT (3, 1, 3), OPENS (3), DELIVERED (0) } },
+  { "flows that yield take the reserved position, or others do not get it",
+    { READY (1, 1), OBJECTIVE (400, true), OPENS (0), OPENS (1), OPENS (2), DELIVERED (2),
+      MESSAGES (REFUSED, 1, OVERLOADED), OBJECTIVE (400, false), OPENS (3), DELIVERED (1) } },
+  { "a request that is never answered blocks the limit, or does not lower it",
+    { READY (1, 1), OBJECTIVE (400, false), RUNS (0), RUNS (1), LIMIT (3, 1, 2), WAIT (900), LIMIT (2, 0, 1),
+      REQUESTS_WAITING (2), RUNS (2), RESPONDS (2), LIMIT (3, 1, 0) } },
+  { "a pause of the agent lowers the limit, or counts requests as lost",
+    { READY (1, 1),
+      OBJECTIVE (400, false),
+      RUNS (0),
+      RUNS (1),
+      WAIT (50),
+      { STEP_PAUSE, 2000, 0, 0, NULL },
+      WAIT (50),
+      LIMIT (3, 1, 2),
+      RESPONDS (0),
+      RESPONDS (1),
+      LIMIT (3, 1, 0) } },
+  { "a SYN that the upstream returned, or did not answer, does not lower the limit",
+    { READY (1, 1), OBJECTIVE (400, false), OPENS (0), RETURNS (0, FIXTURE_SYN), LIMIT (2, 0, 0) } },
+  { "the limit of a new incarnation is that of the former one",
+    { READY (1, 1), OBJECTIVE (400, false), RUNS (0), RUNS (1), RUNS (2), WAIT (50), RESPONDS (0),
+      RESPONDS (1), RESPONDS (2), LIMIT (6, 2, 0), WAIT (1000), READY (2, 1), LIMIT (3, 1, 0) } },
+  { "an open without an objective is refused for the limit of the others",
+    { READY (1, 1), OBJECTIVE (400, false), OPENS (0), OPENS (1), OPENS (2), OPENS (3), DELIVERED (3),
+      OBJECTIVE (0, false), OPENS (4), OPENS (5), OPENS (6), DELIVERED (3), OPENS (7), DELIVERED (0) } },
+  { "a warming upstream whose service time is known offers only a part of its slots",
+    { WARMS (1, 1), OBJECTIVE (400, false), RUNS (0), RUNS (1), WAIT (50), RESPONDS (0), RESPONDS (1),
+      REQUESTS (0), REQUESTS (1), WAIT (50), REPORTED_SLOTS (1, false), RESPONDS (0), RESPONDS (1),
+      REPORTED_SLOTS (2, true) } },
   { "requests that never get a response count for ever",
     { READY (1, 1), OPENS (0), ACCEPTS (0), REQUESTS (0), REQUESTS_WAITING (1), WAIT (11000),
       REQUESTS_WAITING (0) } },
