pace: check the second after the capacity has to be reached

Cause: a time until requests count as lost of 1.6 s passed the test, as the windows of 3 s hid the late start. Change: test_pace checks the first second of each window as well, ends hangs at different times, and has a hang in all requests with an objective of 800 ms and an outage.

--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -24,6 +24,8 @@
   HUNG_SLOT_MS = 1500,    /* a hung request occupies its slot for this long, in the cases where it does */
   LONG_INTERVAL_MS = 120, /* between requests on flows that are open for long */
   REACHED_MS = 1000,      /* after this time of a phase the capacity has to be reached */
+  FIRST_MS = 1000,        /* the first part of the time in which it has to be */
+  HANG_VARIATION_MS = 40, /* how much longer a hang lasts with each seed */
   SEEDS = 20,             /* of each case; results are sums over them */
   SLOTS = 2,
   STEP_US = 10000,
@@ -110,7 +112,8 @@
   unsigned most_warming; /* at the upstream, while it is warming */
   unsigned eaten;        /* flows that were admitted and not answered within the objective */
   unsigned good;
-  unsigned good_in_goal; /* in the windows where the capacity has to be reached */
+  unsigned good_in_goal;  /* in the windows where the capacity has to be reached */
+  unsigned good_at_first; /* in the first FIRST_MS of them */
 } sim_t;
 
 static int64_t
@@ -396,16 +399,23 @@
   for (unsigned i = 0; i < PHASES_MAX && test->phases[i].duration_ms > 0; i++)
     {
       const int64_t begin_ms = sim->now_ms;
+      int64_t end_ms;
 
       sim->phase = &test->phases[i];
       draw_next (sim);
-      while (sim->now_ms < begin_ms + sim->phase->duration_ms)
+      /* The last losses of a hang lie differently before its end. */
+      end_ms = begin_ms + sim->phase->duration_ms
+               + (sim->phase->behaviour == HANGING ? seed * HANG_VARIATION_MS : 0);
+      while (sim->now_ms < end_ms)
         {
           const unsigned good = sim->good;
 
           run_step (sim);
-          if (sim->phase->goal && sim->now_ms > begin_ms + REACHED_MS)
-            sim->good_in_goal += sim->good - good;
+          if (!sim->phase->goal || sim->now_ms <= begin_ms + REACHED_MS)
+            continue;
+          sim->good_in_goal += sim->good - good;
+          if (sim->now_ms <= begin_ms + REACHED_MS + FIRST_MS)
+            sim->good_at_first += sim->good - good;
         }
     }
   g_rand_free (sim->random);
@@ -450,6 +460,10 @@
     .target_ms = 400,
     .phases = { PHASE (3000, .goal = true), PHASE (6500, .behaviour = HANGING, .share = 1),
                 PHASE (4000, .goal = true) } },
+  { .name = "hang in all requests, objective of 800 ms",
+    .target_ms = 800,
+    .phases = { PHASE (3000, .goal = true), PHASE (6500, .behaviour = HANGING, .share = 1),
+                PHASE (4000, .goal = true) } },
   { .name = "refusals",
     .target_ms = 400,
     .phases = { PHASE (3000, .goal = true), PHASE (4000, .behaviour = REFUSING, .share = 0.3, .goal = true),
@@ -490,16 +504,17 @@
     = { PHASE (3000, .goal = true), PHASE (2500, .behaviour = AGENT_PAUSED), PHASE (3000, .goal = true) } },
 };
 
-/* Answers that the slots can give in the windows where the capacity has to be reached. */
+/* Answers that the slots can give in the windows where the capacity has to be reached, or in their first
+ * window_ms. */
 static double
-capacity (const case_t *test)
+capacity (const case_t *test, int window_ms)
 {
   const unsigned slots = test->slots > 0 ? test->slots : SLOTS;
   double sum = 0;
 
   for (unsigned i = 0; i < PHASES_MAX; i++)
     if (test->phases[i].goal)
-      sum += slots * (double)(test->phases[i].duration_ms - REACHED_MS)
+      sum += slots * (double)MIN (window_ms, test->phases[i].duration_ms - REACHED_MS)
              / (WORK_MS * (test->phases[i].factor > 0 ? test->phases[i].factor : 1));
   return sum;
 }
@@ -509,6 +524,7 @@
 {
   unsigned good;
   unsigned good_in_goal;
+  unsigned good_at_first;
   unsigned eaten;
   unsigned most_warming; /* maximum */
 } result_t;
@@ -524,6 +540,7 @@
       run_case (&sim, test, policy, seed);
       result.good += sim.good;
       result.good_in_goal += sim.good_in_goal;
+      result.good_at_first += sim.good_at_first;
       result.eaten += sim.eaten;
       result.most_warming = MAX (result.most_warming, sim.most_warming);
     }
@@ -541,7 +558,8 @@
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       const unsigned slots = cases[i].slots > 0 ? cases[i].slots : SLOTS;
-      const double reachable = capacity (&cases[i]) * SEEDS;
+      const double reachable = capacity (&cases[i], G_MAXINT) * SEEDS;
+      const double at_first = capacity (&cases[i], FIRST_MS) * SEEDS;
       result_t results[POLICIES];
       const result_t *pace = &results[POLICY_PACE];
 
@@ -549,12 +567,16 @@
       for (unsigned j = 0; j < POLICIES; j++)
         {
           results[j] = run_seeds (&cases[i], (policy_t)j);
-          g_test_message ("  %s: good=%u good_in_goal=%u (%.3f) not_good=%u most_while_warming=%u", names[j],
-                          results[j].good, results[j].good_in_goal, results[j].good_in_goal / reachable,
+          g_test_message ("  %s: good=%u good_in_goal=%u (%.3f, at first %.3f) not_good=%u"
+                          " most_while_warming=%u",
+                          names[j], results[j].good, results[j].good_in_goal,
+                          results[j].good_in_goal / reachable, results[j].good_at_first / at_first,
                           results[j].eaten, results[j].most_warming);
         }
       g_assert_cmpfloat (pace->good_in_goal, >=,
                          REACHED * MAX (results[POLICY_PERFECT].good_in_goal, reachable));
+      g_assert_cmpfloat (pace->good_at_first, >=,
+                         REACHED * MAX (results[POLICY_PERFECT].good_at_first, at_first));
       g_assert_cmpfloat (pace->good, >=, NOT_WORSE * results[POLICY_FIXED].good);
       g_assert_cmpuint (pace->most_warming, <=, 2 * slots);
       if (cases[i].fails)
@@ -760,6 +782,30 @@
   g_assert_cmpuint (oh_pace_service_us (&pace), ==, 0);
 }
 
+/* Guards against a service time from an outage that outlives it. */
+static void
+test_outage (void)
+{
+  const unsigned losses = 6;
+  oh_pace_t pace;
+  int64_t now = START_US;
+
+  for (unsigned n = losses - 1; n <= losses; n++)
+    {
+      start (&pace, now);
+      run_rounds (&pace, 10, 6, 60000, &now);
+      for (unsigned i = 0; i < n; i++)
+        {
+          oh_pace_begin (&pace, now);
+          oh_pace_lose (&pace, now, now);
+        }
+      oh_pace_begin (&pace, now);
+      oh_pace_end (&pace, OH_PACE_ANSWERED, now, false, now);
+      g_assert_cmpuint (oh_pace_limit (&pace, false), ==, n < losses ? SLOTS : SLOTS + 1);
+      g_assert_cmpint (oh_pace_service_us (&pace) == 0, ==, n == losses);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -769,5 +815,6 @@
   g_test_add_func ("/pace/growth", test_growth);
   g_test_add_func ("/pace/signals", test_signals);
   g_test_add_func ("/pace/losses", test_losses);
+  g_test_add_func ("/pace/outage", test_outage);
   return g_test_run ();
 }
