segment_agent: learn how long new flows take to bring a request

Cause: a new flow took a position for 300 ms unless its request came. Ruled out: slow upstreams, as the flows that opened were answered within 30 ms. Change: request_wait.c, mean and deviation of the times between SYN and first request, in use while there is an objective. Flows are expired before each decision, not only at ticks. Unit tests of the agent pass.

--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -314,22 +314,6 @@
     }
 }
 
-static void
-expire_awaiting_request (oh_segment_agent_t *agent)
-{
-  const int64_t limit_us = agent->now_us - (int64_t)OH_SEGMENT_FIRST_REQUEST_MS * 1000;
-
-  while (!oh_list_is_empty (&agent->awaiting_request))
-    {
-      oh_agent_flow_t *flow
-        = oh_list_entry (agent->awaiting_request.next, oh_agent_flow_t, awaiting_request_link);
-
-      if (flow->opened_us > limit_us)
-        break;
-      oh_agent_flow_end_awaiting_request (agent, flow);
-    }
-}
-
 static void
 expire_requests_of (oh_segment_agent_t *agent, oh_list_t *list)
 {
@@ -347,7 +331,7 @@
 handle_tick (oh_segment_agent_t *agent)
 {
   expire_opening_flows (agent);
-  expire_awaiting_request (agent);
+  oh_segment_agent_expire_expected (agent);
   oh_segment_agent_update_pace (agent);
   oh_segment_agent_ask_leaving (agent);
   if (agent->now_us - agent->reported_us < (int64_t)OH_SEGMENT_REPORT_INTERVAL_MS * 1000)
@@ -376,6 +360,7 @@
   oh_list_init (&agent->unanswered);
   oh_list_init (&agent->overdue);
   oh_admission_init (&agent->admission);
+  oh_request_wait_init (&agent->request_wait);
   oh_service_set_init (&agent->services);
   oh_upstream_identity_init (&agent->identity, config->upstream, &agent->services, config->heartbeat_ms);
   oh_arena_init (&agent->arena);
--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "core/admission.h"
 #include "core/codec.h"
+#include "core/request_wait.h"
 #include "core/segment.h"
 #include "core/upstream_identity.h"
 #include "core/warmup_limit.h"
@@ -35,8 +36,9 @@
   /* At a new start the upstream is asked about the flows that were used within this time, in which a response
    * may be outstanding; the others are asked about when their callers send something. */
   OH_SEGMENT_ASK_ACTIVE_MS = 5000,
-  OH_SEGMENT_ASK_COPIES = 2,         /* an upstream acknowledges every second segment */
-  OH_SEGMENT_FIRST_REQUEST_MS = 300, /* a new flow that brings no request within this time is idle */
+  OH_SEGMENT_ASK_COPIES = 2, /* an upstream acknowledges every second segment */
+  /* A new flow that brings no request within this time is idle. With an objective, see request_wait.h. */
+  OH_SEGMENT_FIRST_REQUEST_MS = 300,
   /* An announcement may be handled this long after it was sent. */
   OH_SEGMENT_ANNOUNCEMENT_DELAY_MS = 1000,
   OH_SEGMENT_CLOCK_TOLERANCE_MS = 50, /* between two readings of the time of day on one VM */
@@ -221,7 +223,8 @@
   oh_list_t overdue;    /* the others that await a response, oldest request first */
   unsigned n_awaiting_response;
   oh_admission_t admission;
-  unsigned logged_limit; /* 0: none */
+  oh_request_wait_t request_wait; /* of new flows, in use while there is an objective */
+  unsigned logged_limit;          /* 0: none */
   int64_t limit_logged_us;
   unsigned unanswered_syns; /* consecutive */
   oh_warmup_limit_t warmup_limit;
--- a/lib/core/segment_agent_admission.c
+++ b/lib/core/segment_agent_admission.c
@@ -20,13 +20,33 @@
   };
 }
 
+void
+oh_segment_agent_expire_expected (oh_segment_agent_t *agent)
+{
+  const int64_t wait_us = agent->admission.target_ms > 0 ? oh_request_wait_us (&agent->request_wait)
+                                                         : (int64_t)OH_SEGMENT_FIRST_REQUEST_MS * 1000;
+  const int64_t limit_us = agent->now_us - wait_us;
+
+  while (!oh_list_is_empty (&agent->awaiting_request))
+    {
+      oh_agent_flow_t *flow
+        = oh_list_entry (agent->awaiting_request.next, oh_agent_flow_t, awaiting_request_link);
+
+      if (flow->opened_us > limit_us)
+        break;
+      oh_agent_flow_end_awaiting_request (agent, flow);
+    }
+}
+
 bool
 oh_segment_agent_admits (oh_segment_agent_t *agent, uint32_t target_ms, bool yields)
 {
-  oh_admission_work_t work = oh_segment_agent_work (agent);
+  oh_admission_work_t work;
   oh_admission_result_t result;
 
   oh_admission_note_target (&agent->admission, target_ms, agent->now_us);
+  oh_segment_agent_expire_expected (agent);
+  work = oh_segment_agent_work (agent);
   result = oh_admission_decide (&agent->admission, &work, target_ms, yields);
   if (result == OH_ADMISSION_ADMITTED)
     work.n_expected++;
--- a/lib/core/segment_agent_private.h
+++ b/lib/core/segment_agent_private.h
@@ -138,6 +138,9 @@
  * once for a flow, after all other checks. */
 bool oh_segment_agent_admits (oh_segment_agent_t *agent, uint32_t target_ms, bool yields);
 
+/* New flows whose request has not come in time count as idle from now on (request_wait.h). */
+void oh_segment_agent_expire_expected (oh_segment_agent_t *agent);
+
 /* Notes that a request was delivered. */
 void oh_segment_agent_note_request (oh_segment_agent_t *agent);
 
--- a/lib/core/segment_agent_relay.c
+++ b/lib/core/segment_agent_relay.c
@@ -70,6 +70,8 @@
   flow->caller_acknowledged = segment->acknowledged;
   if (segment->length > 0 && !flow->closed)
     {
+      if (flow->last_data == NULL && flow->syn_length > 0)
+        oh_request_wait_observe (&agent->request_wait, agent->now_us - flow->opened_us);
       oh_agent_flow_begin_request (agent, flow);
       g_clear_pointer (&flow->last_data, g_bytes_unref);
       flow->last_data = g_bytes_new (bytes, length);
