--- a/daemons/control_settings.c
+++ b/daemons/control_settings.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "core/control_state.h"
+
 static const oh_setting_t setting_table[] = {
   { "control", "name", OH_SETTING_STRING, offsetof (oh_control_settings_t, name), true, NULL, 0, 0 },
   { "control", "zone", OH_SETTING_STRING, offsetof (oh_control_settings_t, zone), false, "", 0, 0 },
@@ -18,6 +20,7 @@
     false, "0", 0, 1000000 },
   { "control", "operators", OH_SETTING_ADDRESS, offsetof (oh_control_settings_t, operators), false, NULL, 0,
     0 },
+  { "control", "zones", OH_SETTING_STRING, offsetof (oh_control_settings_t, zones), false, "", 0, 0 },
   { "control", "join", OH_SETTING_BOOLEAN, offsetof (oh_control_settings_t, join), false, "false", 0, 0 },
   { "keys", "file", OH_SETTING_STRING, offsetof (oh_control_settings_t, key_file), true, NULL, 0, 0 },
   { "log", "level", OH_SETTING_STRING, offsetof (oh_control_settings_t, log_level), false, "info", 0, 0 },
@@ -117,6 +120,19 @@
   return true;
 }
 
+static bool
+check_zones (const oh_control_settings_t *settings, const char *path, oh_error_t *error)
+{
+  g_auto (GStrv) zones = g_strsplit (settings->zones, ",", -1);
+  bool ok = g_strv_length (zones) <= OH_DRAINED_ZONES_MAX;
+
+  for (char **zone = zones; *zone != NULL; zone++)
+    ok = ok && (g_strstrip (*zone)[0] == '\0' || oh_change_target_valid (*zone));
+  return ok
+         || set_settings_error (path, "zones", settings->zones,
+                                "at most 64 names of letters, digits, -, _ or ., separated by commas", error);
+}
+
 static bool
 check_settings (oh_control_settings_t *settings, const char *path, oh_error_t *error)
 {
@@ -124,6 +140,8 @@
     return set_settings_error (path, "listen", settings->listen, "tcp://IPV4:PORT", error);
   if (settings->advertise[0] != '\0' && !endpoint_valid (settings->advertise))
     return set_settings_error (path, "advertise", settings->advertise, "tcp://IPV4:PORT", error);
+  if (!check_zones (settings, path, error))
+    return false;
   if (settings->seeds[0] != '\0')
     return set_seeds (settings, path, settings->seeds, error);
   if (settings->data[0] == '\0')
@@ -131,6 +149,21 @@
   return parse_replicas (settings, path, error);
 }
 
+bool
+oh_control_settings_has_zone (const oh_control_settings_t *settings, const char *zone)
+{
+  g_auto (GStrv) zones = g_strsplit (settings->zones, ",", -1);
+  bool any_listed = false;
+
+  for (char **listed = zones; *listed != NULL; listed++)
+    {
+      if (strcmp (g_strstrip (*listed), zone) == 0)
+        return true;
+      any_listed |= (*listed)[0] != '\0';
+    }
+  return !any_listed;
+}
+
 bool
 oh_control_settings_load (oh_control_settings_t *settings, const char *path, oh_keyring_t *keyring,
                           oh_log_level_t *log_level, oh_error_t *error)
--- a/daemons/control_settings.h
+++ b/daemons/control_settings.h
@@ -20,6 +20,7 @@
   bool join;          /* never form a cluster from an empty data folder */
   int64_t tolerate;   /* number of failed replicas to survive; used with seeds */
   int64_t compact_entries;
+  char *zones;            /* of the deployment, separated by commas; "": not known */
   oh_address_t operators; /* HTTP interface for operators; port 0: none */
   char *key_file;
   char *log_level;
@@ -36,5 +37,8 @@
  * seeds are invalid; the settings are then unchanged. */
 bool oh_control_settings_reload_seeds (oh_control_settings_t *settings, const char *path, oh_error_t *error);
 
+/* True if the settings list the availability zone, or list none. */
+bool oh_control_settings_has_zone (const oh_control_settings_t *settings, const char *zone);
+
 /* Endpoint at which other processes reach this replica. */
 const char *oh_control_settings_endpoint (const oh_control_settings_t *settings);
--- a/daemons/oriole_agent.c
+++ b/daemons/oriole_agent.c
@@ -15,6 +15,7 @@
 #include "adapters/system_random.h"
 #include "adapters/udp.h"
 #include "adapters/view_client.h"
+#include "adapters/zone_drain_log.h"
 #include "base/settings.h"
 #include "core/agent_core.h"
 
@@ -78,6 +79,7 @@
   GSource *timer;
   oh_http_upstream_t *upstream;
   oh_view_client_t *view_client;
+  oh_zone_drain_log_t zone_drain_log;
   oh_link_t *peer_server;
   GHashTable *peer_clients; /* endpoint -> oh_link_t */
   oh_admin_t *admin;
@@ -225,6 +227,7 @@
 static void
 on_view (const oh_view_t *view, void *data)
 {
+  oh_zone_drain_log_update (&((agent_t *)data)->zone_drain_log, view);
   handle_event (data, (oh_agent_event_t){ .kind = OH_AGENT_EVENT_VIEW, .view = view });
 }
 
@@ -297,6 +300,7 @@
   const settings_t *settings = &agent->settings;
   const oh_agent_config_t config = {
     .name = settings->name,
+    .zone = settings->zone,
     .service_name = settings->service,
     .service = oh_service_id (settings->service),
     .incarnation = oh_random_u64 (oh_system_random ()),
@@ -384,6 +388,7 @@
     oh_log_error ("start_failed", "reason=\"%s\"", error.message);
   stop (agent);
   oh_agent_core_finish (&agent->core);
+  oh_zone_drain_log_finish (&agent->zone_drain_log);
   oh_counters_finish (&agent->counters);
   g_main_loop_unref (agent->loop);
   return started ? 0 : EXIT_RUNTIME;
--- a/daemons/oriole_balancer.c
+++ b/daemons/oriole_balancer.c
@@ -13,6 +13,7 @@
 #include "adapters/system_clock.h"
 #include "adapters/system_random.h"
 #include "adapters/view_client.h"
+#include "adapters/zone_drain_log.h"
 #include "base/log.h"
 
 /*
@@ -59,6 +60,7 @@
   oh_balancer_core_t core;
   oh_packet_loop_t packet_loop;
   oh_view_client_t *view_client;
+  oh_zone_drain_log_t zone_drain_log;
   Oh__Address relay_address; /* content of the last poll */
   GMainLoop *loop;
   bool leaving; /* a stop signal was received */
@@ -70,6 +72,7 @@
 {
   balancer_t *balancer = data;
 
+  oh_zone_drain_log_update (&balancer->zone_drain_log, view);
   if (!balancer->leaving)
     oh_packet_loop_post_view (&balancer->packet_loop, oh_placement_view_new (view));
 }
@@ -156,6 +159,7 @@
   ok = serve (balancer, error);
   oh_packet_loop_finish (&balancer->packet_loop);
   oh_balancer_core_finish (&balancer->core);
+  oh_zone_drain_log_finish (&balancer->zone_drain_log);
   oh_counters_finish (&balancer->counters);
   g_main_loop_unref (balancer->loop);
   return ok;
--- a/daemons/oriole_control.c
+++ b/daemons/oriole_control.c
@@ -19,6 +19,7 @@
 #include "core/codec.h"
 #include "core/control_core.h"
 #include "daemons/control_settings.h"
+#include "platform/change_outcome.h"
 #include "platform/operator_http.h"
 
 /*
@@ -26,6 +27,13 @@
  * core/control_core.h in the GLib main loop, which owns all state but the storage worker's.
  */
 
+/* A request of an operator over HTTP that has no outcome yet. */
+typedef struct
+{
+  int64_t arrived_us;
+  char *zone; /* of an order; NULL: a publication */
+} request_t;
+
 typedef struct
 {
   oh_control_sink_t sink; /* first member, cast back to control_t */
@@ -54,6 +62,7 @@
   oh_counter_t is_confirmed;
   oh_counter_t term;
   oh_counter_t version;
+  oh_counter_t drained_zones;
   oh_counter_t applied_index;
   oh_counter_t commit_index;
   oh_counter_t nodes;
@@ -61,8 +70,8 @@
   oh_counter_t persist_latency; /* registers persist_seconds */
   oh_histogram_t publish_seconds;
   oh_histogram_t persist_seconds;
-  GHashTable *publication_arrivals; /* request number -> arrival time in us, both owned */
-  int64_t persist_started_us;       /* when the outstanding persist request was made */
+  GHashTable *requests;       /* of operators over HTTP: number -> request_t, both owned */
+  int64_t persist_started_us; /* when the outstanding persist request was made */
 } control_t;
 
 enum
@@ -92,72 +101,99 @@
 }
 
 /*
- * The core handles publications from the operators' HTTP interface like changes that operators send over
- * ZeroMQ. Their route consists of a prefix, with which no route of a ZeroMQ peer begins, and the request
- * number.
+ * The core handles requests from the operators' HTTP interface like changes that operators send over ZeroMQ.
+ * Their route consists of a prefix, with which no route of a ZeroMQ peer begins, and the request number.
  */
 
-static const char publication_route_prefix[] = "publication";
+static const char request_route_prefix[] = "publication";
 
 static GBytes *
-make_publication_route (uint64_t request)
+make_request_route (uint64_t request)
 {
-  uint8_t route[sizeof publication_route_prefix + sizeof request];
+  uint8_t route[sizeof request_route_prefix + sizeof request];
 
-  memcpy (route, publication_route_prefix, sizeof publication_route_prefix);
-  memcpy (route + sizeof publication_route_prefix, &request, sizeof request);
+  memcpy (route, request_route_prefix, sizeof request_route_prefix);
+  memcpy (route + sizeof request_route_prefix, &request, sizeof request);
   return g_bytes_new (route, sizeof route);
 }
 
 static bool
-is_publication_route (GBytes *route, uint64_t *request)
+is_request_route (GBytes *route, uint64_t *request)
 {
   gsize length;
   const uint8_t *bytes = g_bytes_get_data (route, &length);
 
-  if (length != sizeof publication_route_prefix + sizeof *request
-      || memcmp (bytes, publication_route_prefix, sizeof publication_route_prefix) != 0)
+  if (length != sizeof request_route_prefix + sizeof *request
+      || memcmp (bytes, request_route_prefix, sizeof request_route_prefix) != 0)
     return false;
-  memcpy (request, bytes + sizeof publication_route_prefix, sizeof *request);
+  memcpy (request, bytes + sizeof request_route_prefix, sizeof *request);
   return true;
 }
 
 static void
-answer_publication (control_t *control, uint64_t request, const Oh__ChangeReply *reply)
+free_request (gpointer data)
 {
-  oh_publish_status_t status = OH_PUBLISH_UNAVAILABLE;
-  oh_address_t leader = { 0 };
-  const int64_t *arrived_us;
+  request_t *request = data;
+
+  g_free (request->zone);
+  g_free (request);
+}
+
+static void
+add_request (control_t *control, uint64_t number, const char *zone)
+{
+  request_t *request = g_new (request_t, 1);
+
+  *request = (request_t){ .arrived_us = oh_clock_now_us (oh_system_clock ()), .zone = g_strdup (zone) };
+  g_hash_table_insert (control->requests, g_memdup2 (&number, sizeof number), request);
+}
+
+static void
+answer_publication (control_t *control, uint64_t number, const request_t *request,
+                    const Oh__ChangeReply *reply)
+{
+  oh_address_t leader;
+  const oh_publish_status_t status = oh_publication_outcome (reply, &leader);
 
-  switch (reply->status)
-    {
-    case OH__CHANGE_STATUS__CHANGE_ACCEPTED:
-      status = OH_PUBLISH_ACCEPTED;
-      break;
-    case OH__CHANGE_STATUS__CHANGE_INVALID:
-      status = OH_PUBLISH_INVALID;
-      break;
-    case OH__CHANGE_STATUS__CHANGE_NOT_LEADER:
-      if (g_str_has_prefix (reply->leader, "tcp://")
-          && oh_address_parse (reply->leader + strlen ("tcp://"), &leader))
-        status = OH_PUBLISH_REDIRECT;
-      break;
-    case OH__CHANGE_STATUS__CHANGE_CONFLICT:
-    case OH__CHANGE_STATUS__CHANGE_UNAVAILABLE:
-    case _OH__CHANGE_STATUS_IS_INT_SIZE:
-      break;
-    }
   oh_log_info ("publication_answered",
                "request=%" G_GUINT64_FORMAT " status=%d version=%" G_GUINT64_FORMAT
                " role=%s applied=%" G_GUINT64_FORMAT " commit=%" G_GUINT64_FORMAT " detail=\"%s\"",
-               request, (int)status, reply->version, oh_raft_role_name (oh_raft_role (&control->core.raft)),
+               number, (int)status, reply->version, oh_raft_role_name (oh_raft_role (&control->core.raft)),
                oh_raft_applied_index (&control->core.raft), oh_raft_commit_index (&control->core.raft),
                reply->detail);
-  oh_operator_http_answer (control->operator_http, request, status, leader.ipv4, reply->detail);
-  arrived_us = g_hash_table_lookup (control->publication_arrivals, &request);
-  if (arrived_us != NULL)
-    oh_histogram_observe (&control->publish_seconds, oh_clock_now_us (oh_system_clock ()) - *arrived_us);
-  g_hash_table_remove (control->publication_arrivals, &request);
+  oh_operator_http_answer (control->operator_http, number, status, leader.ipv4, reply->detail);
+  oh_histogram_observe (&control->publish_seconds,
+                        oh_clock_now_us (oh_system_clock ()) - request->arrived_us);
+}
+
+static void
+answer_zone_order (control_t *control, uint64_t number, const request_t *request,
+                   const Oh__ChangeReply *reply)
+{
+  oh_address_t leader;
+  const oh_publish_status_t status = oh_zone_order_outcome (reply, &leader);
+
+  oh_log_info ("zone_order_answered",
+               "request=%" G_GUINT64_FORMAT " zone=%s status=%d version=%" G_GUINT64_FORMAT
+               " role=%s age_ms=%" G_GINT64_FORMAT " detail=\"%s\"",
+               number, request->zone, (int)status, reply->version,
+               oh_raft_role_name (oh_raft_role (&control->core.raft)),
+               (oh_clock_now_us (oh_system_clock ()) - request->arrived_us) / 1000, reply->detail);
+  oh_operator_http_answer (control->operator_http, number, status, leader.ipv4, reply->detail);
+}
+
+static void
+answer_request (control_t *control, uint64_t number, const Oh__ChangeReply *reply)
+{
+  const request_t *request = g_hash_table_lookup (control->requests, &number);
+
+  if (request == NULL)
+    return;
+  if (request->zone != NULL)
+    answer_zone_order (control, number, request, reply);
+  else
+    answer_publication (control, number, request, reply);
+  g_hash_table_remove (control->requests, &number);
 }
 
 static void
@@ -166,10 +202,10 @@
   control_t *control = control_of (sink);
   uint64_t request;
 
-  if (is_publication_route (route, &request))
+  if (is_request_route (route, &request))
     {
       if (message->body_case == OH__CONTROL__BODY_CHANGE_REPLY)
-        answer_publication (control, request, message->change_reply);
+        answer_request (control, request, message->change_reply);
       return;
     }
   send_sealed (control, control->server, route, purpose, message);
@@ -371,22 +407,33 @@
 
 /* The operators' HTTP interface. */
 
+/* Passes the change of a request to the core. */
 static void
-on_publish (void *data, uint64_t request, const oh_publication_t *publication)
+handle_request (control_t *control, uint64_t request, Oh__Change *change)
 {
-  control_t *control = data;
-  g_autoptr (GBytes) route = make_publication_route (request);
+  g_autoptr (GBytes) route = make_request_route (request);
   Oh__Control message = OH__CONTROL__INIT;
-  Oh__Change change = OH__CHANGE__INIT;
   oh_control_event_t event = {
     .kind = OH_CONTROL_OPERATOR_MESSAGE,
     .message = { .route = route, .message = &message },
   };
+
+  change->author = (char *)"operator";
+  message.sender = (char *)"operator";
+  message.body_case = OH__CONTROL__BODY_CHANGE;
+  message.change = change;
+  oh_counter_increment (&control->changes);
+  handle_event (control, &event);
+}
+
+static void
+on_publish (void *data, uint64_t request, const oh_publication_t *publication)
+{
+  control_t *control = data;
+  Oh__Change change = OH__CHANGE__INIT;
   uint8_t id[OH_CHANGE_ID_BYTES];
-  const int64_t now_us = oh_clock_now_us (oh_system_clock ());
 
-  g_hash_table_insert (control->publication_arrivals, g_memdup2 (&request, sizeof request),
-                       g_memdup2 (&now_us, sizeof now_us));
+  add_request (control, request, NULL);
   /* The id is derived from the publication, so that a retry gets the result of the first attempt. */
   oh_change_id_of_publication (publication->number, publication->document, id);
   change.id.data = id;
@@ -395,14 +442,36 @@
   change.text = publication->text;
   change.number = publication->number;
   change.document.data = (uint8_t *)g_bytes_get_data (publication->document, &change.document.len);
-  change.author = (char *)"operator";
-  message.sender = (char *)"operator";
-  message.body_case = OH__CONTROL__BODY_CHANGE;
-  message.change = &change;
-  oh_counter_increment (&control->changes);
   oh_log_info ("publication_received", "request=%" G_GUINT64_FORMAT " number=%" G_GUINT64_FORMAT " bytes=%zu",
                request, publication->number, change.document.len);
-  handle_event (control, &event);
+  handle_request (control, request, &change);
+}
+
+static void
+on_zone_order (void *data, uint64_t request, const oh_zone_order_t *order)
+{
+  control_t *control = data;
+  Oh__Change change = OH__CHANGE__INIT;
+  uint8_t id[OH_CHANGE_ID_BYTES];
+
+  oh_log_info ("zone_order_received", "request=%" G_GUINT64_FORMAT " zone=%s drain=%d", request, order->zone,
+               order->drain);
+  if (!oh_control_settings_has_zone (&control->settings, order->zone))
+    {
+      oh_log_warning ("zone_order_unknown", "request=%" G_GUINT64_FORMAT " zone=%s zones=%s", request,
+                      order->zone, control->settings.zones);
+      oh_operator_http_answer (control->operator_http, request, OH_PUBLISH_UNKNOWN, 0,
+                               "the deployment does not have this zone");
+      return;
+    }
+  add_request (control, request, order->zone);
+  /* Orders have no identity, so that each copy is a change of its own. */
+  oh_random_fill (oh_system_random (), id, sizeof id);
+  change.id.data = id;
+  change.id.len = sizeof id;
+  change.kind = order->drain ? OH__CHANGE_KIND__CHANGE_DRAIN_ZONE : OH__CHANGE_KIND__CHANGE_UNDRAIN_ZONE;
+  change.target = (char *)order->zone;
+  handle_request (control, request, &change);
 }
 
 /* Logs the outcome of a read with everything that decided it. reason is NULL for a read that is answered. */
@@ -445,7 +514,11 @@
 static bool
 start_operator_http (control_t *control, oh_error_t *error)
 {
-  static const oh_operator_api_callbacks_t callbacks = { .publish = on_publish, .read = on_read };
+  static const oh_operator_api_callbacks_t callbacks = {
+    .publish = on_publish,
+    .order_zone = on_zone_order,
+    .read = on_read,
+  };
 
   if (control->settings.operators.port == 0)
     return true;
@@ -480,6 +553,7 @@
   oh_counter_set (&control->is_confirmed, oh_control_core_confirmed (core, event.now_us));
   oh_counter_set (&control->term, oh_raft_term (&core->raft));
   oh_counter_set (&control->version, core->state.version);
+  oh_counter_set (&control->drained_zones, core->state.drained_zones->len);
   oh_counter_set (&control->applied_index, oh_raft_applied_index (&core->raft));
   oh_counter_set (&control->commit_index, oh_raft_commit_index (&core->raft));
   oh_counter_set (&control->nodes, g_hash_table_size (core->membership.nodes[0])
@@ -549,6 +623,7 @@
     { &control->is_confirmed, "confirmed" },
     { &control->term, "term" },
     { &control->version, "version" },
+    { &control->drained_zones, "drained_zones" },
     { &control->applied_index, "applied_index" },
     { &control->commit_index, "commit_index" },
     { &control->nodes, "nodes" },
@@ -713,7 +788,7 @@
     return EXIT_SUCCESS;
   oh_log_start (control.log_level, STDOUT_FILENO);
   register_counters (&control);
-  control.publication_arrivals = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  control.requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, free_request);
   control.replica_links = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, close_link);
   control.loop = g_main_loop_new (NULL, FALSE);
   oh_control_core_init (&control.core, control.settings.name, oh_random_u64 (oh_system_random ()) | 1,
@@ -725,7 +800,7 @@
     }
   oh_log_info ("stopped", "replica=%s status=%d", control.settings.name, control.status);
   oh_control_core_finish (&control.core);
-  g_hash_table_unref (control.publication_arrivals);
+  g_hash_table_unref (control.requests);
   g_hash_table_unref (control.replica_links);
   g_main_loop_unref (control.loop);
   oh_keyring_finish (&control.keyring);
--- a/daemons/oriole_flow_agent.c
+++ b/daemons/oriole_flow_agent.c
@@ -16,6 +16,7 @@
 #include "adapters/system_random.h"
 #include "adapters/udp.h"
 #include "adapters/view_client.h"
+#include "adapters/zone_drain_log.h"
 #include "base/settings.h"
 #include "core/load_reports.h"
 #include "core/segment_agent.h"
@@ -92,6 +93,7 @@
   oh_counters_t counters;
   oh_segment_agent_t core;
   oh_view_client_t *view_client;
+  oh_zone_drain_log_t zone_drain_log;
   oh_admin_t *admin;
   oh_readiness_http_t *readiness;
   oh_listener_watch_t *listener_watch; /* NULL if the listener of the upstream is not watched */
@@ -266,8 +268,11 @@
       agent->n_remote += !balancer.same_zone;
     }
   /* A replica that a partition has left behind may not know the newest services. */
-  if (view->confirmed)
-    oh_segment_agent_set_services (&agent->core, &view->services, &agent->sink);
+  if (!view->confirmed)
+    return;
+  oh_segment_agent_set_services (&agent->core, &view->services, &agent->sink);
+  oh_segment_agent_set_zone_drained (&agent->core, oh_view_is_zone_drained (view, agent->settings.zone));
+  oh_zone_drain_log_update (&agent->zone_drain_log, view);
 }
 
 static void
@@ -451,6 +456,7 @@
     }
   stop (agent);
   oh_segment_agent_finish (&agent->core);
+  oh_zone_drain_log_finish (&agent->zone_drain_log);
   oh_counters_finish (&agent->counters);
   g_array_unref (agent->balancers);
   g_main_loop_unref (agent->loop);
--- a/daemons/oriole_flow_balancer.c
+++ b/daemons/oriole_flow_balancer.c
@@ -15,6 +15,7 @@
 #include "adapters/system_random.h"
 #include "adapters/udp.h"
 #include "adapters/view_client.h"
+#include "adapters/zone_drain_log.h"
 #include "base/settings.h"
 #include "core/segment_balancer.h"
 #include "platform/readiness_http.h"
@@ -74,6 +75,7 @@
   oh_segment_balancer_t core;
   oh_flow_journal_t journal;
   oh_view_client_t *view_client;
+  oh_zone_drain_log_t zone_drain_log;
   oh_admin_t *admin;
   oh_readiness_http_t *readiness;
   oh_settings_watch_t watch;
@@ -178,6 +180,7 @@
 static void
 on_view (const oh_view_t *view, void *data)
 {
+  oh_zone_drain_log_update (&((balancer_t *)data)->zone_drain_log, view);
   handle_event (data, (oh_segment_balancer_event_t){ .kind = OH_SEGMENT_BALANCER_VIEW, .view = view });
 }
 
@@ -332,6 +335,7 @@
   stop (balancer);
   oh_flow_journal_finish (&balancer->journal);
   oh_segment_balancer_finish (&balancer->core);
+  oh_zone_drain_log_finish (&balancer->zone_drain_log);
   oh_counters_finish (&balancer->counters);
   g_main_loop_unref (balancer->loop);
   return ok;
--- a/daemons/oriolectl.c
+++ b/daemons/oriolectl.c
@@ -78,6 +78,8 @@
     "  status                       show replicas, balancers and upstreams\n"
     "  drain UPSTREAM               stop new work on an upstream\n"
     "  undrain UPSTREAM             resume new work on an upstream\n"
+    "  drain-zone ZONE              stop new flows to the upstreams of an availability zone\n"
+    "  undrain-zone ZONE            resume them\n"
     "  rotate-keys                  move to the next key generation\n"
     "  add-replica NAME ENDPOINT    add a control replica\n"
     "  remove-replica NAME          remove a control replica\n"
@@ -323,7 +325,7 @@
   return send_change (session, &change);
 }
 
-/* Sends a change whose first argument names an upstream or a replica. */
+/* Sends a change whose first argument names an upstream, a replica or an availability zone. */
 static int
 run_target_change (session_t *session, Oh__ChangeKind kind)
 {
@@ -387,6 +389,18 @@
   return run_target_change (session, OH__CHANGE_KIND__CHANGE_UNDRAIN);
 }
 
+static int
+run_drain_zone (session_t *session)
+{
+  return run_target_change (session, OH__CHANGE_KIND__CHANGE_DRAIN_ZONE);
+}
+
+static int
+run_undrain_zone (session_t *session)
+{
+  return run_target_change (session, OH__CHANGE_KIND__CHANGE_UNDRAIN_ZONE);
+}
+
 static int
 run_add_replica (session_t *session)
 {
@@ -506,10 +520,13 @@
 }
 
 static bool
-is_drained (const Oh__StatusReply *status, const char *name)
+is_drained (const Oh__StatusReply *status, const Oh__Member *member)
 {
   for (size_t i = 0; i < status->n_drained; i++)
-    if (strcmp (status->drained[i], name) == 0)
+    if (strcmp (status->drained[i], member->load->upstream) == 0)
+      return true;
+  for (size_t i = 0; i < status->n_drained_zones; i++)
+    if (strcmp (status->drained_zones[i], member->zone) == 0)
       return true;
   return false;
 }
@@ -531,11 +548,13 @@
         continue;
       g_print ("upstream=%s service=%s zone=%s state=%s drained=%d slots=%u busy=%u queued=%u flows=%u\n",
                member->load->upstream, member->service_name, member->zone, state_name (member->load->state),
-               is_drained (status, member->load->upstream), member->load->slots, member->load->busy,
-               member->load->queued, member->load->flows);
+               is_drained (status, member), member->load->slots, member->load->busy, member->load->queued,
+               member->load->flows);
     }
   for (size_t i = 0; i < status->n_drained; i++)
     g_print ("drained=%s\n", status->drained[i]);
+  for (size_t i = 0; i < status->n_drained_zones; i++)
+    g_print ("drained_zone=%s\n", status->drained_zones[i]);
 }
 
 static int
@@ -640,6 +659,8 @@
   { "status", 0, true, run_status },
   { "drain", 1, true, run_drain },
   { "undrain", 1, true, run_undrain },
+  { "drain-zone", 1, true, run_drain_zone },
+  { "undrain-zone", 1, true, run_undrain_zone },
   { "rotate-keys", 0, true, run_rotate_keys },
   { "add-replica", 2, true, run_add_replica },
   { "remove-replica", 1, true, run_remove_replica },
--- a/lib/core/agent_core.c
+++ b/lib/core/agent_core.c
@@ -264,7 +264,7 @@
   load->queued = core->queue.length + core->pending_offers;
   load->flows = core->flows.n_flows - core->flows.n_moved;
   load->max_flows = core->config.max_flows;
-  load->state = core->draining ? OH__UPSTREAM_STATE__UPSTREAM_DRAINING
-                               : oh_upstream_health_state (&core->health, now_us);
+  load->state = core->draining || core->zone_drained ? OH__UPSTREAM_STATE__UPSTREAM_DRAINING
+                                                     : oh_upstream_health_state (&core->health, now_us);
   load->agent = agent;
 }
--- a/lib/core/agent_core.h
+++ b/lib/core/agent_core.h
@@ -26,8 +26,9 @@
 
 typedef struct
 {
-  const char *name; /* of the upstream; both strings must outlive the core */
+  const char *name; /* of the upstream; the strings must outlive the core */
   const char *service_name;
+  const char *zone;
   uint64_t service;     /* id derived from service_name */
   uint64_t incarnation; /* random, new for each start of the process */
   oh_address_t relay;   /* where balancers send this agent's datagrams; part of its tokens */
@@ -175,6 +176,7 @@
 
   bool stopping;
   bool draining;
+  bool zone_drained;   /* no new flows are taken; open ones stay */
   bool exited;         /* OH_AGENT_ACTION_EXIT was emitted */
   bool no_peer_logged; /* limits handover_without_peer to one line until a peer is found */
   int64_t stop_us;
--- a/lib/core/agent_drain.c
+++ b/lib/core/agent_drain.c
@@ -233,7 +233,7 @@
    * contain. */
   if (state->target_incarnation != core->config.incarnation)
     return OH__RESULT__RESULT_UNKNOWN;
-  if (core->draining)
+  if (core->draining || core->zone_drained)
     return OH__RESULT__RESULT_NOT_RUN_DRAINING;
   if (!core->health.answered)
     return OH__RESULT__RESULT_NO_UPSTREAM;
@@ -258,7 +258,10 @@
   const bool upstream_drains
     = core->health.answered && core->health.reported_state == OH__UPSTREAM_STATE__UPSTREAM_DRAINING;
   const bool draining = core->stopping || upstream_drains || is_drained_by_operator (core);
+  const bool zone_drained = core->view != NULL && oh_view_is_zone_drained (core->view, core->config.zone);
 
+  core->load_changed |= zone_drained != core->zone_drained;
+  core->zone_drained = zone_drained;
   if (draining == core->draining)
     return;
   core->draining = draining;
--- a/lib/core/agent_flow.c
+++ b/lib/core/agent_flow.c
@@ -44,14 +44,14 @@
   returned.packet = relay->packet;
   returned.refused = reason;
   oh_agent_log (core, OH_LOG_INFO, "open_refused", "reason=%d flows=%u draining=%d", (int)reason,
-                core->flows.n_flows, core->draining);
+                core->flows.n_flows, core->draining || core->zone_drained);
   oh_agent_send_relay (core, balancer, &returned);
 }
 
 static Oh__Result
 open_refusal (const oh_agent_core_t *core, const oh_flow_t *flow)
 {
-  if (core->draining)
+  if (core->draining || core->zone_drained)
     return OH__RESULT__RESULT_NOT_RUN_DRAINING;
   if (!core->health.answered)
     return OH__RESULT__RESULT_NO_UPSTREAM;
--- a/lib/core/agent_internal.h
+++ b/lib/core/agent_internal.h
@@ -112,7 +112,8 @@
 /* True if the upstream has answered and belongs to another service than the configured one. */
 bool oh_agent_has_wrong_service (const oh_agent_core_t *core);
 
-/* Starts or ends draining when a planned stop, the upstream or an operator asks for it. */
+/* Starts or ends draining when a planned stop, the upstream or an operator asks for it. A drain of the
+ * availability zone only keeps new flows away. */
 void oh_agent_update_drain (oh_agent_core_t *core);
 
 /* Advances the handover of flows, and exits when a planned stop is complete. */
--- a/lib/core/control_core.c
+++ b/lib/core/control_core.c
@@ -218,6 +218,8 @@
   reply.key_generation = core->state.key_generation;
   reply.n_drained = core->state.drained->len;
   reply.drained = (char **)core->state.drained->pdata;
+  reply.n_drained_zones = core->state.drained_zones->len;
+  reply.drained_zones = (char **)core->state.drained_zones->pdata;
   reply.n_balancers = view.n_balancers;
   reply.balancers = view.balancers;
   reply.n_members = view.n_members;
@@ -324,6 +326,20 @@
   return false;
 }
 
+/* Refuses a change that a replica of an earlier release would apply as an invalid one. */
+static bool
+refuse_unknown_to_replica (oh_control_core_t *core, GBytes *route, const Oh__Change *change)
+{
+  const char *replica = oh_change_is_of_zone (change) ? oh_raft_find_without_zone_drain (&core->raft) : NULL;
+  g_autofree char *detail = NULL;
+
+  if (replica == NULL)
+    return false;
+  detail = g_strdup_printf ("replica %s has not reported that it understands drains of zones", replica);
+  answer (core, route, change, OH__CHANGE_STATUS__CHANGE_UNAVAILABLE, detail);
+  return true;
+}
+
 static void
 handle_change (oh_control_core_t *core, GBytes *route, const Oh__Change *change)
 {
@@ -346,7 +362,7 @@
       answer (core, route, change, OH__CHANGE_STATUS__CHANGE_NOT_LEADER, "this replica does not lead");
       return;
     }
-  if (attach_to_pending (core, route, change))
+  if (refuse_unknown_to_replica (core, route, change) || attach_to_pending (core, route, change))
     return;
   if (core->pending->len >= OH_CONTROL_PENDING_MAX)
     {
--- a/lib/core/control_state.c
+++ b/lib/core/control_state.c
@@ -41,10 +41,9 @@
   return g_str_has_prefix (endpoint, scheme) && oh_address_parse (endpoint + strlen (scheme), &address);
 }
 
-/* Upstream and replica names appear in log lines and in lists, so white space, separators and quotes are
- * excluded. */
-static bool
-target_valid (const char *target)
+/* The names appear in log lines and in lists, so white space, separators and quotes are excluded. */
+bool
+oh_change_target_valid (const char *target)
 {
   const size_t length = strlen (target);
 
@@ -70,9 +69,9 @@
     case OH__CHANGE_KIND__CHANGE_REMOVE_REPLICA:
     case OH__CHANGE_KIND__CHANGE_DRAIN_ZONE:
     case OH__CHANGE_KIND__CHANGE_UNDRAIN_ZONE:
-      return target_valid (change->target);
+      return oh_change_target_valid (change->target);
     case OH__CHANGE_KIND__CHANGE_ADD_REPLICA:
-      return target_valid (change->target) && endpoint_valid (change->endpoint);
+      return oh_change_target_valid (change->target) && endpoint_valid (change->endpoint);
     case _OH__CHANGE_KIND_IS_INT_SIZE:
       break;
     }
@@ -95,24 +94,24 @@
   g_strlcpy (result->detail, detail, sizeof result->detail);
 }
 
-/* Binary search in the sorted array; position is where the name is, or where it has to be inserted. */
+/* Binary search in the sorted names; position is where the name is, or where it has to be inserted. */
 static bool
-find_drained (const oh_control_state_t *state, const char *name, guint *position)
+find_name (const GPtrArray *names, const char *name, guint *position)
 {
   guint low = 0;
-  guint high = state->drained->len;
+  guint high = names->len;
 
   while (low < high)
     {
       const guint middle = low + (high - low) / 2;
 
-      if (strcmp (g_ptr_array_index (state->drained, middle), name) < 0)
+      if (strcmp (g_ptr_array_index (names, middle), name) < 0)
         low = middle + 1;
       else
         high = middle;
     }
   *position = low;
-  return low < state->drained->len && strcmp (g_ptr_array_index (state->drained, low), name) == 0;
+  return low < names->len && strcmp (g_ptr_array_index (names, low), name) == 0;
 }
 
 static void
@@ -155,13 +154,47 @@
   return true;
 }
 
+/* Adds the name to the drained ones. Returns as mutate_state does. */
+static bool
+drain (const oh_control_state_t *state, GPtrArray *drained, guint max, const char *name,
+       oh_change_result_t *result)
+{
+  guint position;
+
+  if (find_name (drained, name, &position))
+    {
+      g_strlcpy (result->detail, "already drained", sizeof result->detail);
+      return false;
+    }
+  if (drained->len >= max)
+    {
+      reject (state, result, OH__CHANGE_STATUS__CHANGE_INVALID,
+              drained == state->drained ? "too many drained upstreams" : "too many drained zones");
+      return false;
+    }
+  g_ptr_array_insert (drained, (gint)position, g_strdup (name));
+  return true;
+}
+
+static bool
+undrain (GPtrArray *drained, const char *name, oh_change_result_t *result)
+{
+  guint position;
+
+  if (!find_name (drained, name, &position))
+    {
+      g_strlcpy (result->detail, "not drained", sizeof result->detail);
+      return false;
+    }
+  g_ptr_array_remove_index (drained, position);
+  return true;
+}
+
 /* Returns true if the change altered the state; otherwise the reason is in the result, except for a change of
  * the replica set, which the Raft log holds. */
 static bool
 mutate_state (oh_control_state_t *state, const Oh__Change *change, oh_change_result_t *result)
 {
-  guint position;
-
   switch (change->kind)
     {
     case OH__CHANGE_KIND__CHANGE_APPLY:
@@ -170,36 +203,19 @@
     case OH__CHANGE_KIND__CHANGE_PUBLISH:
       return publish (state, change, result);
     case OH__CHANGE_KIND__CHANGE_DRAIN:
-      if (find_drained (state, change->target, &position))
-        {
-          g_strlcpy (result->detail, "already drained", sizeof result->detail);
-          return false;
-        }
-      if (state->drained->len >= OH_DRAINED_MAX)
-        {
-          reject (state, result, OH__CHANGE_STATUS__CHANGE_INVALID, "too many drained upstreams");
-          return false;
-        }
-      g_ptr_array_insert (state->drained, (gint)position, g_strdup (change->target));
-      return true;
+      return drain (state, state->drained, OH_DRAINED_MAX, change->target, result);
     case OH__CHANGE_KIND__CHANGE_UNDRAIN:
-      if (!find_drained (state, change->target, &position))
-        {
-          g_strlcpy (result->detail, "not drained", sizeof result->detail);
-          return false;
-        }
-      g_ptr_array_remove_index (state->drained, position);
-      return true;
+      return undrain (state->drained, change->target, result);
+    case OH__CHANGE_KIND__CHANGE_DRAIN_ZONE:
+      return drain (state, state->drained_zones, OH_DRAINED_ZONES_MAX, change->target, result);
+    case OH__CHANGE_KIND__CHANGE_UNDRAIN_ZONE:
+      return undrain (state->drained_zones, change->target, result);
     case OH__CHANGE_KIND__CHANGE_ROTATE_KEYS:
       state->key_generation++;
       return true;
     case OH__CHANGE_KIND__CHANGE_ADD_REPLICA:
     case OH__CHANGE_KIND__CHANGE_REMOVE_REPLICA:
       return false;
-    case OH__CHANGE_KIND__CHANGE_DRAIN_ZONE:
-    case OH__CHANGE_KIND__CHANGE_UNDRAIN_ZONE:
-      reject (state, result, OH__CHANGE_STATUS__CHANGE_INVALID, "zones cannot be drained yet");
-      return false;
     case _OH__CHANGE_KIND_IS_INT_SIZE:
       break;
     }
@@ -278,7 +294,7 @@
 fill_from_wire (oh_control_state_t *state, const Oh__ControlState *wire)
 {
   if ((wire->last_id.len != 0 && wire->last_id.len != OH_CHANGE_ID_BYTES) || wire->key_generation == 0
-      || wire->n_results > OH_CHANGE_RESULTS_MAX)
+      || wire->n_results > OH_CHANGE_RESULTS_MAX || wire->n_drained_zones > OH_DRAINED_ZONES_MAX)
     return false;
   state->version = wire->version;
   state->text_version = wire->text_version;
@@ -293,6 +309,8 @@
   g_strlcpy (state->last_author, wire->last_author, sizeof state->last_author);
   for (size_t i = 0; i < wire->n_drained; i++)
     g_ptr_array_add (state->drained, g_strdup (wire->drained[i]));
+  for (size_t i = 0; i < wire->n_drained_zones; i++)
+    g_ptr_array_add (state->drained_zones, g_strdup (wire->drained_zones[i]));
   for (size_t i = 0; i < wire->n_results; i++)
     {
       oh_change_result_t result;
@@ -312,6 +330,7 @@
     .text = g_strdup (""),
     .key_generation = 1,
     .drained = g_ptr_array_new_with_free_func (g_free),
+    .drained_zones = g_ptr_array_new_with_free_func (g_free),
     .results = G_QUEUE_INIT,
     .results_by_id = g_hash_table_new (hash_id, equal_ids),
   };
@@ -323,10 +342,18 @@
   g_clear_pointer (&state->text, g_free);
   g_clear_pointer (&state->document, g_bytes_unref);
   g_clear_pointer (&state->drained, g_ptr_array_unref);
+  g_clear_pointer (&state->drained_zones, g_ptr_array_unref);
   g_clear_pointer (&state->results_by_id, g_hash_table_unref);
   g_queue_clear_full (&state->results, g_free);
 }
 
+bool
+oh_change_is_of_zone (const Oh__Change *change)
+{
+  return change->kind == OH__CHANGE_KIND__CHANGE_DRAIN_ZONE
+         || change->kind == OH__CHANGE_KIND__CHANGE_UNDRAIN_ZONE;
+}
+
 bool
 oh_change_check (const Oh__Change *change, oh_error_t *error)
 {
@@ -411,6 +438,8 @@
   wire.key_generation = state->key_generation;
   wire.drained = (char **)state->drained->pdata;
   wire.n_drained = state->drained->len;
+  wire.drained_zones = (char **)state->drained_zones->pdata;
+  wire.n_drained_zones = state->drained_zones->len;
   wire.last_id.data = (uint8_t *)state->last_id;
   wire.last_id.len = sizeof state->last_id;
   wire.last_author = (char *)state->last_author;
@@ -449,5 +478,5 @@
 {
   guint position;
 
-  return find_drained (state, upstream, &position);
+  return find_name (state->drained, upstream, &position);
 }
--- a/lib/core/control_state.h
+++ b/lib/core/control_state.h
@@ -9,7 +9,7 @@
 
 /*
  * Replicated state machine of the control plane: version, operators' configuration text, key generation,
- * drained upstreams and the results of recent changes. Commands are applied in log order and
+ * drained upstreams and zones, and the results of recent changes. Commands are applied in log order and
  * deterministically: the same commands give the same state and the same results on every replica.
  *
  * Each accepted change that alters the state creates the next version. Changes of the text and of the keys
@@ -26,6 +26,7 @@
   OH_CHANGE_TARGET_MAX_BYTES = 63,
   OH_CHANGE_RESULTS_MAX = 1024, /* results kept to reply to resent changes */
   OH_DRAINED_MAX = 4096,
+  OH_DRAINED_ZONES_MAX = 64,
   OH_DOCUMENT_MAX_BYTES = 1024 * 1024,
 };
 
@@ -49,7 +50,8 @@
   uint64_t published_number; /* of the last publication that took effect; 0 if none */
   GBytes *document;          /* source of the published text; NULL if none was published */
   uint32_t key_generation;
-  GPtrArray *drained; /* of char *, owned, sorted */
+  GPtrArray *drained;       /* names of upstreams: of char *, owned, sorted */
+  GPtrArray *drained_zones; /* the same of availability zones */
   /* The change that created the current version. */
   uint8_t last_id[OH_CHANGE_ID_BYTES];
   char last_author[OH_CHANGE_AUTHOR_MAX_BYTES + 1];
@@ -60,6 +62,12 @@
 void oh_control_state_init (oh_control_state_t *state);
 void oh_control_state_finish (oh_control_state_t *state);
 
+/* True for the name of an upstream, replica or availability zone that a change may have as its target. */
+bool oh_change_target_valid (const char *target);
+
+/* True for a change that drains or undrains an availability zone. */
+bool oh_change_is_of_zone (const Oh__Change *change);
+
 /*
  * Validates what does not depend on the state: sizes, names, endpoint and text. A replica calls it before it
  * proposes a change. Applying a command repeats all of it except the parsing of the text, so that replicas
--- a/lib/core/control_views.c
+++ b/lib/core/control_views.c
@@ -102,6 +102,8 @@
     }
   view->n_drained = core->state.drained->len;
   view->drained = (char **)core->state.drained->pdata;
+  view->n_drained_zones = core->state.drained_zones->len;
+  view->drained_zones = (char **)core->state.drained_zones->pdata;
   message.sender = core->name;
   message.body_case = OH__CONTROL__BODY_VIEW;
   message.view = view;
--- a/lib/core/raft.c
+++ b/lib/core/raft.c
@@ -136,6 +136,7 @@
   raft->report_change_pending = true;
   raft->reply_nonce++;
   oh_raft_prune_lost_disks (raft);
+  oh_raft_update_zone_drain_set (raft);
   update_peers (raft);
 }
 
@@ -483,6 +484,7 @@
     .agreeing_ids = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL),
     .replicas = oh_raft_replicas_new (),
     .lost_ids = g_array_new (FALSE, FALSE, sizeof (uint64_t)),
+    .zone_drain_ids = g_array_new (FALSE, FALSE, sizeof (uint64_t)),
     .peers = g_array_new (FALSE, TRUE, sizeof (oh_raft_peer_t)),
     .persist_from = no_index,
     .dirty_from = no_index,
@@ -503,6 +505,7 @@
   g_ptr_array_unref (raft->replicas);
   g_clear_pointer (&raft->previous_replicas, g_ptr_array_unref);
   g_array_unref (raft->lost_ids);
+  g_array_unref (raft->zone_drain_ids);
   g_array_unref (raft->peers);
   g_queue_clear_full (&raft->pending_messages, oh_raft_pending_message_free);
   oh_snapshot_clear (&raft->incoming_snapshot);
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -261,6 +261,8 @@
   oh_raft_log_t log;
   GPtrArray *replicas;          /* of oh_raft_replica_t *, the latest set in the log, committed or not */
   GArray *lost_ids;             /* of uint64_t: replicas of the set whose disks are known to be lost */
+  uint64_t set_digest;          /* of replicas */
+  GArray *zone_drain_ids;       /* of uint64_t: replicas of the set that understand drains of zones */
   uint64_t reply_nonce;         /* for HelloReply */
   uint64_t replicas_index;      /* of the entry or snapshot that holds it */
   GPtrArray *previous_replicas; /* the set before it; NULL if there is none in the log */
@@ -349,6 +351,12 @@
 /* Latest committed replica set, of oh_raft_replica_t *; free with g_ptr_array_unref. */
 GPtrArray *oh_raft_committed_replicas (const oh_raft_t *raft);
 
+/*
+ * Leader only: the name of a replica of the set that is not known to understand drains of zones, NULL if all
+ * do; see raft_zone_drain.c. Borrowed until the next event.
+ */
+const char *oh_raft_find_without_zone_drain (const oh_raft_t *raft);
+
 /* Time since the contact with a quorum that oh_raft_confirmed relies on: the leader's own, otherwise the one
  * that the leader reported. INT64_MAX if there was none. */
 int64_t oh_raft_quorum_age_us (const oh_raft_t *raft, int64_t now_us);
--- a/lib/core/raft_private.h
+++ b/lib/core/raft_private.h
@@ -169,3 +169,17 @@
 /* Leader: appends at most one change of the set, if one is due: removes the voter that a caught-up learner of
  * its name replaces, promotes a caught-up learner, or demotes a lost voter. */
 void oh_raft_adjust_voters (oh_raft_t *raft);
+
+/* raft_zone_drain.c */
+
+/* Computes the digest of the set, and forgets replicas that are not in it any more. */
+void oh_raft_update_zone_drain_set (oh_raft_t *raft);
+
+/* Leader: records what a replica reports about itself. */
+void oh_raft_record_zone_drain (oh_raft_t *raft, uint64_t id, bool understands);
+
+/* Leader: adds what is known about the set to a request. */
+void oh_raft_fill_zone_drain (const oh_raft_t *raft, Oh__AppendRequest *request);
+
+/* Takes over what the leader knows, if it has the same set. */
+void oh_raft_adopt_zone_drain (oh_raft_t *raft, const Oh__AppendRequest *request);
--- a/lib/core/raft_replication.c
+++ b/lib/core/raft_replication.c
@@ -63,6 +63,7 @@
   request->quorum_age_us = raft->now_us - oh_raft_quorum_contact_us (raft, raft->now_us);
   message.body_case = OH__RAFT_MESSAGE__BODY_APPEND_REQUEST;
   message.append_request = request;
+  oh_raft_fill_zone_drain (raft, request);
   oh_raft_send (raft, to, raft->hard.term, &message);
 }
 
@@ -322,6 +323,7 @@
   raft->adjust_voters_pending |= reply->leaving && !peer->leaving;
   peer->leaving = reply->leaving;
   peer->unpacks = reply->unpacks;
+  oh_raft_record_zone_drain (raft, peer->id, reply->drains_zones);
   if (!reply->success && !reply->full)
     {
       if (reply->sent_us < peer->sent_us)
@@ -405,6 +407,7 @@
   reply.leaving = raft->leaving;
   reply.full = raft->storage_full;
   reply.unpacks = true;
+  reply.drains_zones = true;
   /* A slow disk must not look like lost contact: the durable part is acknowledged at once, the rest after its
    * sync. */
   if (raft->hard.term == raft->durable_term)
@@ -538,6 +541,7 @@
       return;
     }
   append_new_entries (raft, entries, (size_t)skip);
+  oh_raft_adopt_zone_drain (raft, request);
   update_confirmed (raft, request);
   if (MIN (request->commit, end) > raft->commit)
     {
--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -273,6 +273,12 @@
   agent->sink = NULL;
 }
 
+void
+oh_segment_agent_set_zone_drained (oh_segment_agent_t *agent, bool drained)
+{
+  agent->zone_drained = drained;
+}
+
 /* Returns unanswered SYNs to their balancers, which offer them to other agents long before the caller would
  * retransmit. */
 static void
--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -214,6 +214,7 @@
   int64_t ended_us;          /* when that became known */
   int64_t asked_us;          /* when a leaving upstream was last asked whether it still runs */
   bool listener_gone;        /* no process listens at its address, while nothing was announced since */
+  bool zone_drained;         /* the operators have drained the agent's zone: SYNs are refused */
   unsigned unanswered_ticks; /* since it was first asked after its last segment; 0: it was not */
   int64_t now_us;
   oh_segment_agent_sink_t *sink; /* set only while an event is handled */
@@ -240,6 +241,9 @@
 void oh_segment_agent_set_services (oh_segment_agent_t *agent, const oh_service_set_t *services,
                                     oh_segment_agent_sink_t *sink);
 
+/* Tells whether a confirmed view lists the agent's zone as drained. */
+void oh_segment_agent_set_zone_drained (oh_segment_agent_t *agent, bool drained);
+
 /* Fills the load report for the control replicas. *load points to *relay, which gets the agent's address, and
  * borrows the agent's name. */
 void oh_segment_agent_get_load (oh_segment_agent_t *agent, int64_t now_us, Oh__Load *load,
--- a/lib/core/segment_agent_relay.c
+++ b/lib/core/segment_agent_relay.c
@@ -21,7 +21,7 @@
     *result = OH__RESULT__RESULT_NO_UPSTREAM;
   else if (identity->service_id != service)
     *result = OH__RESULT__RESULT_WRONG_SERVICE;
-  else if (identity->state != OH_ANNOUNCED_READY)
+  else if (identity->state != OH_ANNOUNCED_READY || agent->zone_drained)
     *result = OH__RESULT__RESULT_NOT_RUN_DRAINING;
   else if (!oh_upstream_identity_accepts_flows (identity, agent->now_us) || agent->upstream_ended)
     *result = OH__RESULT__RESULT_NO_UPSTREAM;
--- a/lib/core/stop_order.c
+++ b/lib/core/stop_order.c
@@ -10,6 +10,9 @@
   for (size_t i = 0; i < status->n_drained; i++)
     if (strcmp (status->drained[i], member->load->upstream) == 0)
       return false;
+  for (size_t i = 0; i < status->n_drained_zones; i++)
+    if (strcmp (status->drained_zones[i], member->zone) == 0)
+      return false;
   return true;
 }
 
--- a/lib/core/view.c
+++ b/lib/core/view.c
@@ -184,9 +184,21 @@
   return candidate->incarnation == record->member.incarnation;
 }
 
+static bool
+contains (const GPtrArray *names, const char *name)
+{
+  return g_ptr_array_find_with_equal_func ((GPtrArray *)names, name, g_str_equal, NULL);
+}
+
+static bool
+is_drained (const oh_view_t *view, const oh_view_member_t *member)
+{
+  return contains (view->drained, member->name) || oh_view_is_zone_drained (view, member->zone);
+}
+
 /* Selects the entry to use among those of the replicas. Returns true if the member changed. */
 static bool
-select_entry (member_record_t *record)
+select_entry (const oh_view_t *view, member_record_t *record)
 {
   const oh_view_member_t *best = NULL;
   oh_view_member_t chosen;
@@ -205,19 +217,13 @@
   chosen.name = g_strdup (best->name);
   chosen.zone = g_strdup (best->zone);
   chosen.peer_endpoint = g_strdup (best->peer_endpoint);
-  chosen.drained = record->member.drained;
+  chosen.drained = is_drained (view, best);
   chosen.listed_by = record->member.listed_by;
   clear_member (&record->member);
   record->member = chosen;
   return true;
 }
 
-static bool
-is_drained (const oh_view_t *view, const char *name)
-{
-  return g_ptr_array_find_with_equal_func (view->drained, name, g_str_equal, NULL);
-}
-
 static bool
 add_member_listing (oh_view_t *view, unsigned replica, uint64_t list_epoch, const Oh__Member *wire)
 {
@@ -234,7 +240,6 @@
     {
       record = g_new0 (member_record_t, 1);
       record->member.name = g_strdup (entry->name);
-      record->member.drained = is_drained (view, entry->name);
       g_ptr_array_insert (view->members, (gint)position, record);
     }
   record = g_ptr_array_index (view->members, position);
@@ -242,7 +247,7 @@
     retire (record, record->listed[replica]->incarnation);
   free_member (record->listed[replica]);
   record->listed[replica] = entry;
-  return select_entry (record) || added;
+  return select_entry (view, record) || added;
 }
 
 static bool
@@ -254,7 +259,7 @@
     return false;
   g_clear_pointer (&record->listed[replica], free_member);
 
-  const bool changed = select_entry (record);
+  const bool changed = select_entry (view, record);
 
   if (record->member.listed_by != 0)
     return changed;
@@ -377,17 +382,24 @@
   return remove_former_list (view, replica, message) || changed;
 }
 
+static void
+replace_names (GPtrArray *names, char **replacements, size_t n)
+{
+  g_ptr_array_set_size (names, 0);
+  for (size_t i = 0; i < n; i++)
+    g_ptr_array_add (names, g_strdup (replacements[i]));
+}
+
 static void
 set_drained (oh_view_t *view, const Oh__View *message)
 {
-  g_ptr_array_set_size (view->drained, 0);
-  for (size_t i = 0; i < message->n_drained; i++)
-    g_ptr_array_add (view->drained, g_strdup (message->drained[i]));
+  replace_names (view->drained, message->drained, message->n_drained);
+  replace_names (view->drained_zones, message->drained_zones, message->n_drained_zones);
   for (guint i = 0; i < view->members->len; i++)
     {
       oh_view_member_t *member = g_ptr_array_index (view->members, i);
 
-      member->drained = is_drained (view, member->name);
+      member->drained = is_drained (view, member);
     }
 }
 
@@ -450,6 +462,7 @@
     .members = g_ptr_array_new_with_free_func (free_record),
     .balancers = g_ptr_array_new_with_free_func (free_balancer),
     .drained = g_ptr_array_new_with_free_func (g_free),
+    .drained_zones = g_ptr_array_new_with_free_func (g_free),
   };
 }
 
@@ -462,6 +475,7 @@
   g_clear_pointer (&view->members, g_ptr_array_unref);
   g_clear_pointer (&view->balancers, g_ptr_array_unref);
   g_clear_pointer (&view->drained, g_ptr_array_unref);
+  g_clear_pointer (&view->drained_zones, g_ptr_array_unref);
 }
 
 bool
@@ -490,6 +504,12 @@
   return apply_membership (view, replica, message) || changed;
 }
 
+bool
+oh_view_is_zone_drained (const oh_view_t *view, const char *zone)
+{
+  return zone != NULL && contains (view->drained_zones, zone);
+}
+
 const oh_view_member_t *
 oh_view_find_member (const oh_view_t *view, const char *name)
 {
--- a/lib/core/view.h
+++ b/lib/core/view.h
@@ -35,7 +35,7 @@
   unsigned flows;
   unsigned max_flows;
   Oh__UpstreamState state;
-  bool drained;        /* by an operator */
+  bool drained;        /* by an operator, alone or with its availability zone */
   uint32_t listed_by;  /* one bit per replica */
   uint64_t list_epoch; /* of the replica's list that the entry came with; 0: from an earlier release */
 } oh_view_member_t;
@@ -64,6 +64,7 @@
   GPtrArray *members;                         /* of oh_view_member_t *, owned, sorted by name */
   GPtrArray *balancers;                       /* of oh_view_balancer_t *, owned, sorted by name */
   GPtrArray *drained;                         /* of char *, owned: names of drained upstreams */
+  GPtrArray *drained_zones;                   /* the same of availability zones */
   uint64_t list_epochs[OH_VIEW_REPLICAS_MAX]; /* of each replica's list, once that was complete */
 } oh_view_t;
 
@@ -73,5 +74,8 @@
 /* Merges a message from the replica with the given index, 0 to 31. Returns true if the view changed. */
 bool oh_view_merge (oh_view_t *view, unsigned replica, const Oh__View *message);
 
+/* True if the operators have drained the availability zone. */
+bool oh_view_is_zone_drained (const oh_view_t *view, const char *zone);
+
 /* Returns NULL if there is no such member. */
 const oh_view_member_t *oh_view_find_member (const oh_view_t *view, const char *name);
--- a/lib/wire/raft.pb-c.c
+++ b/lib/wire/raft.pb-c.c
@@ -1227,7 +1227,7 @@
   (ProtobufCMessageInit) oh__vote_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__append_request__field_descriptors[7] =
+static const ProtobufCFieldDescriptor oh__append_request__field_descriptors[9] =
 {
   {
     "previous_index",
@@ -1313,20 +1313,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "set_digest",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Oh__AppendRequest, set_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "drains_zones",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Oh__AppendRequest, drains_zones),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__append_request__field_indices_by_name[] = {
   2,   /* field[2] = commit */
+  8,   /* field[8] = drains_zones */
   3,   /* field[3] = entries */
   5,   /* field[5] = has_quorum */
   0,   /* field[0] = previous_index */
   1,   /* field[1] = previous_term */
   6,   /* field[6] = quorum_age_us */
   4,   /* field[4] = sent_us */
+  7,   /* field[7] = set_digest */
 };
 static const ProtobufCIntRange oh__append_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor oh__append_request__descriptor =
 {
@@ -1336,14 +1362,14 @@
   "Oh__AppendRequest",
   "oh",
   sizeof(Oh__AppendRequest),
-  7,
+  9,
   oh__append_request__field_descriptors,
   oh__append_request__field_indices_by_name,
   1,  oh__append_request__number_ranges,
   (ProtobufCMessageInit) oh__append_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor oh__append_reply__field_descriptors[7] =
+static const ProtobufCFieldDescriptor oh__append_reply__field_descriptors[8] =
 {
   {
     "success",
@@ -1429,8 +1455,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "drains_zones",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Oh__AppendReply, drains_zones),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned oh__append_reply__field_indices_by_name[] = {
+  7,   /* field[7] = drains_zones */
   4,   /* field[4] = full */
   2,   /* field[2] = hint */
   5,   /* field[5] = leaving */
@@ -1442,7 +1481,7 @@
 static const ProtobufCIntRange oh__append_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor oh__append_reply__descriptor =
 {
@@ -1452,7 +1491,7 @@
   "Oh__AppendReply",
   "oh",
   sizeof(Oh__AppendReply),
-  7,
+  8,
   oh__append_reply__field_descriptors,
   oh__append_reply__field_indices_by_name,
   1,  oh__append_reply__number_ranges,
--- a/lib/wire/raft.pb-c.h
+++ b/lib/wire/raft.pb-c.h
@@ -218,10 +218,18 @@
    * time since the leader was last in contact with a quorum
    */
   int64_t quorum_age_us;
+  /*
+   * of the leader's replica set; 0: not sent
+   */
+  uint64_t set_digest;
+  /*
+   * bit i: replica i of that set has reported that it understands drains of zones
+   */
+  uint32_t drains_zones;
 };
 #define OH__APPEND_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__append_request__descriptor) \
-    , 0, 0, 0, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 struct  Oh__AppendReply
@@ -252,10 +260,14 @@
    * the sender understands packed_data, and packed snapshots
    */
   protobuf_c_boolean unpacks;
+  /*
+   * the sender understands CHANGE_DRAIN_ZONE and CHANGE_UNDRAIN_ZONE
+   */
+  protobuf_c_boolean drains_zones;
 };
 #define OH__APPEND_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&oh__append_reply__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Oh__SnapshotRequest
--- a/scripts/lib/platform_system.py
+++ b/scripts/lib/platform_system.py
@@ -21,6 +21,7 @@
 Ports = collections.namedtuple('Ports', 'segments readiness control app outbound first last heartbeat_ms')
 PROXY_PORT = 7721  # of the fault proxy in front of a control process
 DRAIN_APPLY_S = 3  # from the acknowledged drain of an upstream to the last new flow that it may get
+EVACUATE_MS = 5000  # from the confirmed order to drain a zone to the last new flow that its upstreams may get
 PORTS = Ports(8172, 8167, 8166, 8165, 8162, 7720, 7735, 300)
 
 
@@ -30,20 +31,29 @@
 
 def render(template, fields):
     """Renders the part of the platform's template language that deploy/templates uses: {{name}}, {{list.0}},
-    {{#name}}...{{/name}} if the field is set, and {{^name}}...{{/name}} if it is not."""
-    def value(name):
+    {{#name}}...{{/name}} if the field is set, {{^name}}...{{/name}} if it is not, and for a table {{#name}}...{{/name}}
+    once for each of its keys, with the key as {{@}} and {{,}} between two of them."""
+    def field(name):
         result = fields
         for part in name.split('.'):
-            result = result[int(part)] if isinstance(result, list) else result.get(part)
+            result = result[int(part)] if isinstance(result, list) else (result or {}).get(part)
+        return result
+
+    def value(name):
+        result = field(name)
         if isinstance(result, list):
             return ','.join(str(item) for item in result)
         return '' if result is None else str(result)
 
     def section(match):
-        wanted = match.group(1) == '#'
-        return match.group(3) if bool(fields.get(match.group(2))) == wanted else ''
-
-    template = re.sub(r'\{\{([#^])(\w+)\}\}(.*?)\{\{/\2\}\}', section, template)
+        kind, name, body = match.groups()
+        found = field(name)
+        if isinstance(found, dict) and kind == '#':
+            return ''.join(body.replace('{{@}}', key).replace('{{,}}', '' if key == list(found)[-1] else ',') for key in found)
+        return re.sub(pattern, section, body, flags=re.DOTALL) if bool(found) == (kind == '#') else ''
+
+    pattern = r'\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}'
+    template = re.sub(pattern, section, template, flags=re.DOTALL)
     return re.sub(r'\{\{([\w.]+)\}\}', lambda match: value(match.group(1)), template)
 
 
@@ -104,6 +114,9 @@
         """Machines of each kind are spread over the availability zones in turn, by the last number of their address."""
         return 'abcdefg'[int(ip.split('.')[3]) % self.n_zones]
 
+    def zones(self):
+        return 'abcdefg'[:self.n_zones]
+
     def template_fields(self, name, ip, bootstrap):
         return {
             'NodeName': name, 'Ip': ip, 'Zone': self.zone_of(ip), 'InternalPortRange': [PORTS.first, PORTS.last],
@@ -111,7 +124,8 @@
                           'Control': f'{ip}:{PORTS.control}', 'outbound': f'{ip}:{PORTS.outbound}'},
             'Seeds': self.seeds, 'Bootstrap': bootstrap, 'DataDir': os.path.join(self.folder, f'data-{name}'),
             'HeartbeatMs': PORTS.heartbeat_ms, 'FaultTolerance': {'Machines': self.tolerate},
-            'PolicyParams': {'FlowTimeoutS': 60}, 'app': f'{ip}:{PORTS.app}',
+            'PolicyParams': {'FlowTimeoutS': 60, 'EvacuateMs': EVACUATE_MS}, 'Zones': {zone: {} for zone in self.zones()},
+            'app': f'{ip}:{PORTS.app}',
         }
 
     def start(self, program, template, name, ip, bootstrap=True, preexec=None):
--- a/tests/raft_sim.c
+++ b/tests/raft_sim.c
@@ -109,7 +109,10 @@
   const unsigned copies = 1 + (random_below (sim, 100) < sim->duplicate_percent);
 
   if (node->former_release && wire->body_case == OH__RAFT_MESSAGE__BODY_APPEND_REPLY)
-    wire->append_reply->unpacks = false;
+    {
+      wire->append_reply->unpacks = false;
+      wire->append_reply->drains_zones = false;
+    }
   for (unsigned slot = 0; slot < SIM_NODES_MAX; slot++)
     for (unsigned i = 0; g_str_equal (sim->nodes[slot].endpoint, to->endpoint) && i < copies; i++)
       {
--- a/tests/test_control_core.c
+++ b/tests/test_control_core.c
@@ -35,6 +35,7 @@
   bool stopped;         /* handles no events; messages queue up */
   bool inbound_dropped; /* messages to it are dropped */
   bool disk_stalled;    /* persist requests stay outstanding */
+  bool former_release;  /* does not say that it understands drains of zones */
   GQueue inbox;         /* of message_t * */
   GQueue synced;        /* ids of outstanding persist requests, as pointers */
   int64_t timer_us;
@@ -125,10 +126,33 @@
     }
 }
 
+/* Sends the message as a replica of the former release would: without the fields that it does not know. */
+static void
+enqueue_without_zone_drain (const replica_t *from, const char *endpoint, const Oh__Control *message)
+{
+  Oh__RaftMessage *raft = oh__raft_message__unpack (NULL, message->raft.len, message->raft.data);
+  g_autofree uint8_t *bytes = g_malloc (message->raft.len);
+  Oh__Control altered = *message;
+
+  if (raft->body_case == OH__RAFT_MESSAGE__BODY_APPEND_REPLY)
+    raft->append_reply->drains_zones = false;
+  if (raft->body_case == OH__RAFT_MESSAGE__BODY_APPEND_REQUEST)
+    raft->append_request->set_digest = raft->append_request->drains_zones = 0;
+  altered.raft.len = oh__raft_message__pack (raft, bytes);
+  altered.raft.data = bytes;
+  enqueue_message (from, endpoint, &altered);
+  oh__raft_message__free_unpacked (raft, NULL);
+}
+
 static void
 on_send_replica (oh_control_sink_t *sink, const char *endpoint, const Oh__Control *message)
 {
-  enqueue_message (replica_of (sink), endpoint, message);
+  const replica_t *replica = replica_of (sink);
+
+  if (replica->former_release && message->body_case == OH__CONTROL__BODY_RAFT)
+    enqueue_without_zone_drain (replica, endpoint, message);
+  else
+    enqueue_message (replica, endpoint, message);
 }
 
 static void
@@ -602,6 +626,179 @@
   deliver (replica, "operator", &message, OH_CONTROL_OPERATOR_MESSAGE);
 }
 
+/* Sends an order for a zone with an id of its own. */
+static void
+send_zone_order (replica_t *replica, Oh__ChangeKind kind)
+{
+  static uint8_t last_id = 100;
+  Oh__Control message = OH__CONTROL__INIT;
+  Oh__Change change = OH__CHANGE__INIT;
+  uint8_t id[OH_CHANGE_ID_BYTES] = { ++last_id };
+
+  change.id.data = id;
+  change.id.len = sizeof id;
+  change.kind = kind;
+  change.target = (char *)"plv-b";
+  message.body_case = OH__CONTROL__BODY_CHANGE;
+  message.change = &change;
+  deliver (replica, "operator", &message, OH_CONTROL_OPERATOR_MESSAGE);
+}
+
+/* Returns the status of the reply, which has to come within 200 ms. */
+static Oh__ChangeStatus
+order_zone (replica_t *replica, Oh__ChangeKind kind)
+{
+  const unsigned n_replies = replica->n_replies;
+
+  send_zone_order (replica, kind);
+  run_for (SECOND / 5);
+  g_assert_cmpuint (replica->n_replies, ==, n_replies + 1);
+  return replica->status;
+}
+
+static void
+check_drained (const replica_t *replica, bool drained, uint64_t version)
+{
+  g_assert_cmpuint (replica->core.state.drained_zones->len, ==, drained);
+  g_assert_cmpuint (replica->core.state.version, ==, version);
+}
+
+/* Guards against an order that replicas apply differently, since one of them is of the former release, and
+ * against one that stays refused once that one has been upgraded. */
+static void
+test_zone_former_replica (void)
+{
+  replica_t *leader;
+  replica_t *former;
+
+  start_cluster ();
+  leader = find_leader ();
+  former = find_follower ();
+  former->former_release = true;
+  run_for (SECOND);
+  g_assert_cmpint (order_zone (leader, OH__CHANGE_KIND__CHANGE_DRAIN_ZONE), ==,
+                   OH__CHANGE_STATUS__CHANGE_UNAVAILABLE);
+  for (unsigned i = 0; i < VOTERS; i++)
+    check_drained (&cluster.replicas[i], false, 0);
+  g_assert_cmpint (order_zone (former, OH__CHANGE_KIND__CHANGE_DRAIN_ZONE), ==,
+                   OH__CHANGE_STATUS__CHANGE_NOT_LEADER);
+  former->former_release = false;
+  run_for (SECOND);
+  g_assert_cmpint (order_zone (leader, OH__CHANGE_KIND__CHANGE_DRAIN_ZONE), ==,
+                   OH__CHANGE_STATUS__CHANGE_ACCEPTED);
+  g_assert_cmpint (order_zone (leader, OH__CHANGE_KIND__CHANGE_DRAIN_ZONE), ==,
+                   OH__CHANGE_STATUS__CHANGE_ACCEPTED);
+  run_for (SECOND);
+  for (unsigned i = 0; i < VOTERS; i++)
+    check_drained (&cluster.replicas[i], true, 1);
+  stop_cluster ();
+}
+
+/* Guards against an order that is lost with its leader, and against orders that a new leader refuses because
+ * the former one has stopped and cannot say what it understands. */
+static void
+test_zone_leader_stopped (void)
+{
+  replica_t *former;
+  replica_t *leader;
+
+  start_cluster ();
+  former = find_leader ();
+  g_assert_cmpint (order_zone (former, OH__CHANGE_KIND__CHANGE_DRAIN_ZONE), ==,
+                   OH__CHANGE_STATUS__CHANGE_ACCEPTED);
+  former->stopped = true;
+  run_for (2 * SECOND);
+  leader = find_leader ();
+  g_assert_true (leader != former);
+  check_drained (leader, true, 1);
+  g_assert_cmpint (order_zone (leader, OH__CHANGE_KIND__CHANGE_DRAIN_ZONE), ==,
+                   OH__CHANGE_STATUS__CHANGE_ACCEPTED);
+  g_assert_cmpint (order_zone (leader, OH__CHANGE_KIND__CHANGE_UNDRAIN_ZONE), ==,
+                   OH__CHANGE_STATUS__CHANGE_ACCEPTED);
+  former->stopped = false;
+  run_for (2 * SECOND);
+  for (unsigned i = 0; i < VOTERS; i++)
+    check_drained (&cluster.replicas[i], false, 2);
+  stop_cluster ();
+}
+
+/* Guards against an order that a leader accepts although it does not know what a stopped replica understands:
+ * that one became a member of the former release, and stopped before the leader was elected. */
+static void
+test_zone_unknown_replica (void)
+{
+  replica_t *former;
+  replica_t *leader;
+
+  start_cluster ();
+  former = find_leader ();
+  former->former_release = true;
+  run_for (SECOND);
+  for (unsigned i = 0; i < VOTERS; i++)
+    g_array_set_size (cluster.replicas[i].core.raft.zone_drain_ids, 0);
+  former->stopped = true;
+  run_for (2 * SECOND);
+  leader = find_leader ();
+  g_assert_cmpint (order_zone (leader, OH__CHANGE_KIND__CHANGE_DRAIN_ZONE), ==,
+                   OH__CHANGE_STATUS__CHANGE_UNAVAILABLE);
+  run_for (10 * SECOND); /* a voter is waited for however long it takes */
+  g_assert_cmpint (order_zone (leader, OH__CHANGE_KIND__CHANGE_DRAIN_ZONE), ==,
+                   OH__CHANGE_STATUS__CHANGE_UNAVAILABLE);
+  check_drained (leader, false, 0);
+  stop_cluster ();
+}
+
+/* Guards against a non-voter that is gone for good, of which a leader knows nothing, and that keeps zones
+ * from being drained forever; and against one that has stopped for a moment and is not waited for. */
+static void
+test_zone_lost_observer (void)
+{
+  replica_t *observer = &cluster.replicas[VOTERS];
+  replica_t *leader;
+
+  start_cluster_with (true);
+  run_for (2 * SECOND);
+  leader = find_leader ();
+  observer->former_release = true;
+  run_for (SECOND);
+  observer->stopped = true;
+  run_for (SECOND);
+  g_assert_cmpint (order_zone (leader, OH__CHANGE_KIND__CHANGE_DRAIN_ZONE), ==,
+                   OH__CHANGE_STATUS__CHANGE_UNAVAILABLE);
+  run_for (3 * SECOND);
+  g_assert_cmpint (order_zone (leader, OH__CHANGE_KIND__CHANGE_DRAIN_ZONE), ==,
+                   OH__CHANGE_STATUS__CHANGE_ACCEPTED);
+  stop_cluster ();
+}
+
+/* Guards against an order that is accepted, or left without an answer, without a leader or a quorum. */
+static void
+test_zone_no_leader (void)
+{
+  replica_t *leader;
+  replica_t *follower;
+
+  start_cluster ();
+  leader = find_leader ();
+  follower = find_follower ();
+  for (unsigned i = 0; i < VOTERS; i++)
+    cluster.replicas[i].stopped = &cluster.replicas[i] != leader;
+  g_assert_cmpuint (leader->n_replies, ==, 0);
+  send_zone_order (leader, OH__CHANGE_KIND__CHANGE_DRAIN_ZONE);
+  run_for (2 * SECOND);
+  g_assert_cmpuint (leader->n_replies, ==, 1);
+  g_assert_cmpint (leader->status, ==, OH__CHANGE_STATUS__CHANGE_UNAVAILABLE);
+  g_assert_cmpint (order_zone (leader, OH__CHANGE_KIND__CHANGE_DRAIN_ZONE), ==,
+                   OH__CHANGE_STATUS__CHANGE_NOT_LEADER);
+  leader->stopped = true;
+  follower->stopped = false;
+  run_for (2 * SECOND);
+  g_assert_cmpint (order_zone (follower, OH__CHANGE_KIND__CHANGE_DRAIN_ZONE), ==,
+                   OH__CHANGE_STATUS__CHANGE_NOT_LEADER);
+  check_drained (follower, false, 0);
+  stop_cluster ();
+}
+
 /* Fails if a replica shows an older number than before, or is confirmed with an older one than was accepted
  * OH_RAFT_CONFIRMED_US ago. */
 static void
@@ -715,6 +912,11 @@
   g_test_add_func ("/control-core/stalled-leader-unconfirmed", test_stalled_leader_unconfirmed);
   g_test_add_func ("/control-core/stalled-leader-observer", test_stalled_leader_observer);
   g_test_add_func ("/control-core/reply-without-commit", test_reply_without_commit);
+  g_test_add_func ("/control-core/zone-former-replica", test_zone_former_replica);
+  g_test_add_func ("/control-core/zone-leader-stopped", test_zone_leader_stopped);
+  g_test_add_func ("/control-core/zone-unknown-replica", test_zone_unknown_replica);
+  g_test_add_func ("/control-core/zone-lost-observer", test_zone_lost_observer);
+  g_test_add_func ("/control-core/zone-no-leader", test_zone_no_leader);
   g_test_add_func ("/control-core/confirmed-under-faults", test_confirmed_under_faults);
   return g_test_run ();
 }
--- a/tests/test_control_state.c
+++ b/tests/test_control_state.c
@@ -127,6 +127,100 @@
     }
 }
 
+/* Guards against an order for a zone that has no effect, a repeated one that makes a new version or is
+ * refused, crossing orders of which not the last one holds, and a snapshot that loses drained zones. */
+static void
+test_zones (void)
+{
+  enum
+  {
+    DRAIN = OH__CHANGE_KIND__CHANGE_DRAIN_ZONE,
+    UNDRAIN = OH__CHANGE_KIND__CHANGE_UNDRAIN_ZONE,
+    DRAIN_UPSTREAM = OH__CHANGE_KIND__CHANGE_DRAIN,
+    OK = OH__CHANGE_STATUS__CHANGE_ACCEPTED,
+    CONFLICT = OH__CHANGE_STATUS__CHANGE_CONFLICT,
+    INVALID = OH__CHANGE_STATUS__CHANGE_INVALID,
+  };
+  static const struct
+  {
+    uint8_t id;
+    int kind;
+    uint64_t base;
+    const char *zone;
+    int status;
+    uint64_t version;
+    const char *drained; /* zones, separated by commas */
+  } steps[] = {
+    { 1, UNDRAIN, 0, "plv-b", OK, 0, "" }, /* not drained: accepted without effect */
+    { 2, DRAIN, 0, "plv-b", OK, 1, "plv-b" },
+    { 3, DRAIN, 0, "plv-b", OK, 1, "plv-b" }, /* sent again by the platform, under another id */
+    { 4, DRAIN, 0, "plv-a", OK, 2, "plv-a,plv-b" },
+    { 5, DRAIN_UPSTREAM, 0, "plv-c", OK, 3, "plv-a,plv-b" }, /* an upstream of the same name as a zone */
+    { 6, DRAIN, 1, "plv-d", CONFLICT, 3, "plv-a,plv-b" },
+    { 7, UNDRAIN, 0, "plv-b", OK, 4, "plv-a" },
+    { 2, DRAIN, 0, "plv-b", OK, 1, "plv-a" },       /* resend with its id: the first result */
+    { 8, DRAIN, 0, "plv-b", OK, 5, "plv-a,plv-b" }, /* late copy with an id of its own: the last one holds */
+    { 9, DRAIN, 0, "plv b", INVALID, 5, "plv-a,plv-b" },
+    { 10, UNDRAIN, 0, "plv-a", OK, 6, "plv-b" },
+    { 11, UNDRAIN, 0, "plv-b", OK, 7, "" },
+  };
+
+  for (unsigned with_restart = 0; with_restart < 2; with_restart++)
+    {
+      oh_control_state_t state;
+
+      oh_control_state_init (&state);
+      for (size_t i = 0; i < G_N_ELEMENTS (steps); i++)
+        {
+          const uint8_t id[OH_CHANGE_ID_BYTES] = { steps[i].id };
+          const Oh__Change change
+            = make_change (id, (Oh__ChangeKind)steps[i].kind, steps[i].base, "", steps[i].zone);
+          const oh_change_result_t result = apply (&state, &change);
+          g_autofree char *drained = NULL;
+
+          g_test_message ("step %zu: %s", i, result.detail);
+          g_assert_cmpint (result.status, ==, steps[i].status);
+          g_assert_cmpuint (result.version, ==, steps[i].version);
+          g_ptr_array_add (state.drained_zones, NULL);
+          drained = g_strjoinv (",", (char **)state.drained_zones->pdata);
+          g_ptr_array_set_size (state.drained_zones, (gint)state.drained_zones->len - 1);
+          g_assert_cmpstr (drained, ==, steps[i].drained);
+          if (with_restart)
+            restart (&state);
+        }
+      oh_control_state_finish (&state);
+    }
+}
+
+/* Guards against an unbounded number of drained zones, and a limit that keeps zones from being undrained. */
+static void
+test_zone_bound (void)
+{
+  oh_control_state_t state;
+
+  oh_control_state_init (&state);
+  for (uint8_t i = 0; i <= OH_DRAINED_ZONES_MAX; i++)
+    {
+      const uint8_t id[OH_CHANGE_ID_BYTES] = { i };
+      g_autofree char *zone = g_strdup_printf ("zone-%u", i);
+      const Oh__Change change = make_change (id, OH__CHANGE_KIND__CHANGE_DRAIN_ZONE, 0, "", zone);
+
+      g_assert_cmpint (apply (&state, &change).status, ==,
+                       i < OH_DRAINED_ZONES_MAX ? OH__CHANGE_STATUS__CHANGE_ACCEPTED
+                                                : OH__CHANGE_STATUS__CHANGE_INVALID);
+      restart (&state);
+    }
+  g_assert_cmpuint (state.version, ==, OH_DRAINED_ZONES_MAX);
+  {
+    const uint8_t id[OH_CHANGE_ID_BYTES] = { 200 };
+    const Oh__Change change = make_change (id, OH__CHANGE_KIND__CHANGE_UNDRAIN_ZONE, 0, "", "zone-7");
+
+    g_assert_cmpint (apply (&state, &change).status, ==, OH__CHANGE_STATUS__CHANGE_ACCEPTED);
+  }
+  g_assert_cmpuint (state.drained_zones->len, ==, OH_DRAINED_ZONES_MAX - 1);
+  oh_control_state_finish (&state);
+}
+
 /* Guards against an unbounded number of kept results, and against a result removed too early. */
 static void
 test_result_bound (void)
@@ -178,6 +272,10 @@
     { OH__CHANGE_KIND__CHANGE_DRAIN, 16, "", "kiln 1", "", false },
     { OH__CHANGE_KIND__CHANGE_UNDRAIN, 16, "", "", "", false },
     { OH__CHANGE_KIND__CHANGE_ROTATE_KEYS, 16, "", "", "", true },
+    { OH__CHANGE_KIND__CHANGE_DRAIN_ZONE, 16, "", "plv-a", "", true },
+    { OH__CHANGE_KIND__CHANGE_UNDRAIN_ZONE, 16, "", "plv-a", "", true },
+    { OH__CHANGE_KIND__CHANGE_DRAIN_ZONE, 16, "", "plv/a", "", false },
+    { OH__CHANGE_KIND__CHANGE_UNDRAIN_ZONE, 16, "", "", "", false },
     { OH__CHANGE_KIND__CHANGE_ADD_REPLICA, 16, "", "d", "tcp://127.0.0.1:7", true },
     { OH__CHANGE_KIND__CHANGE_ADD_REPLICA, 16, "", "d", "127.0.0.1:7", false },
     { OH__CHANGE_KIND__CHANGE_REMOVE_REPLICA, 16, "", "d", "", true },
@@ -279,6 +377,8 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/control-state/changes", test_changes);
+  g_test_add_func ("/control-state/zones", test_zones);
+  g_test_add_func ("/control-state/zone-bound", test_zone_bound);
   g_test_add_func ("/control-state/result-bound", test_result_bound);
   g_test_add_func ("/control-state/check", test_check);
   g_test_add_func ("/control-state/publications", test_publications);
--- a/tests/test_view.c
+++ b/tests/test_view.c
@@ -162,6 +162,68 @@
   oh_view_finish (&view);
 }
 
+/* Guards against a member of a drained zone that gets flows, be it listed before or after the order or moved
+ * there, and against one that stays drained after the order has ended. */
+static void
+test_drained_zones (void)
+{
+  static const struct
+  {
+    const char *zone;     /* drained; NULL: none */
+    const char *upstream; /* drained; NULL: none */
+    const char *member_zone;
+    bool listed_first; /* the member is listed before the view with the version, otherwise after it */
+    bool expected;
+  } cases[] = {
+    { NULL, NULL, "plv-a", true, false },       { "plv-a", NULL, "plv-a", true, true },
+    { "plv-a", NULL, "plv-a", false, true },    { "plv-a", NULL, "plv-b", true, false },
+    { "plv-a", NULL, "plv-b", false, false },   { "plv-a", NULL, "", false, false },
+    { "plv-a", "kiln-1", "plv-b", true, true }, { "plv-b", "kiln-1", "plv-b", false, true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *zones[] = { (char *)cases[i].zone };
+      char *upstreams[] = { (char *)cases[i].upstream };
+      message_t member;
+      message_t version;
+      oh_view_t view;
+
+      oh_view_init (&view);
+      member_message (&member, false, 1, 1);
+      member.member.zone = (char *)cases[i].member_zone;
+      version_message (&version, 1, true, TEXT);
+      version.view.drained_zones = zones;
+      version.view.n_drained_zones = cases[i].zone != NULL;
+      version.view.drained = upstreams;
+      version.view.n_drained = cases[i].upstream != NULL;
+      oh_view_merge (&view, 0, cases[i].listed_first ? &member.view : &version.view);
+      oh_view_merge (&view, 0, cases[i].listed_first ? &version.view : &member.view);
+      g_assert_cmpint (oh_view_find_member (&view, "kiln-1")->drained, ==, cases[i].expected);
+      g_assert_cmpint (oh_view_is_zone_drained (&view, "plv-a"), ==, g_strcmp0 (cases[i].zone, "plv-a") == 0);
+
+      /* An older version does not bring a zone back; a newer one does. */
+      version.view.n_drained_zones = version.view.n_drained = 0;
+      version.view.version = 0;
+      oh_view_merge (&view, 1, &version.view);
+      g_assert_cmpint (oh_view_find_member (&view, "kiln-1")->drained, ==, cases[i].expected);
+      version.view.version = 2;
+      oh_view_merge (&view, 1, &version.view);
+      g_assert_false (oh_view_find_member (&view, "kiln-1")->drained);
+      g_assert_false (oh_view_is_zone_drained (&view, "plv-a"));
+
+      /* The same upstream starts again in a drained zone. */
+      version.view.version = 3;
+      version.view.n_drained_zones = cases[i].zone != NULL;
+      oh_view_merge (&view, 0, &version.view);
+      member_message (&member, false, 2, 1);
+      member.member.zone = (char *)(cases[i].zone != NULL ? cases[i].zone : "plv-c");
+      oh_view_merge (&view, 0, &member.view);
+      g_assert_cmpint (oh_view_find_member (&view, "kiln-1")->drained, ==, cases[i].zone != NULL);
+      oh_view_finish (&view);
+    }
+}
+
 /* Guards against adopting a version whose text is missing, or whose compressed text is truncated or too long.
  */
 static void
@@ -250,6 +312,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/view/drained-zones", test_drained_zones);
   g_test_add_func ("/view/versions", test_versions);
   g_test_add_func ("/view/members", test_members);
   g_test_add_func ("/view/snapshot", test_snapshot);
