control, tests: cases for orders to drain a zone, over HTTP, at nodes and with processes

Change: table of the HTTP status for each state of the replica, cases of the flow agent, the flow balancer, oriole-agent and the stop order, and a test with killed processes.

--- a/tests/agent_fixture.c
+++ b/tests/agent_fixture.c
@@ -199,6 +199,7 @@
   const oh_agent_config_t config = {
     .name = agent->name,
     .service_name = SERVICE,
+    .zone = "a",
     .service = oh_service_id (SERVICE),
     .incarnation = ++fixture->last_incarnation,
     .relay = { .ipv4 = 0x7f000001, .port = (uint16_t)(7000 + index) },
@@ -275,6 +276,12 @@
 
 void
 fixture_update_view (fixture_t *fixture, const char *drained)
+{
+  fixture_update_view_with_zone (fixture, drained, false);
+}
+
+void
+fixture_update_view_with_zone (fixture_t *fixture, const char *drained, bool zone_drained)
 {
   Oh__View message = OH__VIEW__INIT;
   Oh__Member members[FIXTURE_AGENTS];
@@ -285,6 +292,7 @@
   Oh__BalancerEntry *balancers[] = { &balancer };
   Oh__Address relay;
   char *names[] = { (char *)drained };
+  char *zones[] = { (char *)"a" };
   static uint64_t sequence;
 
   message.replica_epoch = 1;
@@ -295,6 +303,8 @@
   message.key_generation = fixture->keyring.generation;
   message.drained = names;
   message.n_drained = drained != NULL ? 1 : 0;
+  message.drained_zones = zones;
+  message.n_drained_zones = zone_drained;
   message.members = list;
   for (unsigned i = 0; i < FIXTURE_AGENTS; i++)
     if (fixture->agents[i].alive)
--- a/tests/agent_fixture.h
+++ b/tests/agent_fixture.h
@@ -95,6 +95,9 @@
  * operator drains, or NULL. */
 void fixture_update_view (fixture_t *fixture, const char *drained);
 
+/* The same, with the operators' drain of the zone of all agents. */
+void fixture_update_view_with_zone (fixture_t *fixture, const char *drained, bool zone_drained);
+
 /* Starts the agent with a new incarnation and empty state. */
 void fixture_restart (fixture_t *fixture, unsigned agent);
 
--- a/tests/control_processes.py
+++ b/tests/control_processes.py
@@ -5,6 +5,7 @@
 The docstring of each test states the failure that it guards against.
 """
 
+import http.client
 import os
 import re
 import shutil
@@ -48,9 +49,10 @@
         self.key = self.path("master.key")
         with open(self.key, "w") as f:
             f.write(os.urandom(32).hex())
-        ports = free_ports(2 * (len(names) + 1))
+        ports = free_ports(3 * (len(names) + 1))
         self.endpoints = {n: f"tcp://127.0.0.1:{ports[i]}" for i, n in enumerate(names + "d")}
         self.admins = {n: f"127.0.0.1:{ports[i + len(names) + 1]}" for i, n in enumerate(names + "d")}
+        self.operators = {n: f"127.0.0.1:{ports[i + 2 * (len(names) + 1)]}" for i, n in enumerate(names + "d")}
         self.initial = ",".join(f"{n}={self.endpoints[n]}" for n in names)
         self.list = ",".join(self.endpoints[n] for n in names)
         self.processes = {}
@@ -67,6 +69,7 @@
         with open(self.path(name + ".ini"), "w") as f:
             f.write(f"[control]\nname={name}\nlisten={self.endpoints[name]}\nadmin={self.admins[name]}\n"
                     f"data={self.path('data-' + name)}\nreplicas={self.initial}\njoin={str(join).lower()}\n"
+                    f"operators={self.operators[name]}\nzones=plv-a,plv-b\n"
                     f"[keys]\nfile={self.key}\n")
         with open(self.path(name + ".log"), "a") as log:
             self.processes[name] = subprocess.Popen([CONTROL, "--settings", self.path(name + ".ini")], stderr=log)
@@ -85,6 +88,14 @@
         pairs = dict(re.findall(r"(\w+)=(\S*)", result.stdout))
         return result.returncode, pairs, result.stdout + result.stderr
 
+    def post(self, name, path):
+        """Returns the HTTP status that the replica answers an operator with."""
+        connection = http.client.HTTPConnection(self.operators[name], timeout=1)
+        connection.request("POST", path)
+        status = connection.getresponse().status
+        connection.close()
+        return status
+
     def text(self, number):
         path = self.path(f"text-{number}.ini")
         with open(path, "w") as f:
@@ -308,6 +319,49 @@
     wait_for("the restarted replica", lambda: cluster.counters(follower).get("confirmed") == 1)
 
 
+def test_drained_zone(cluster):
+    """An order to drain a zone is lost when the leader or all replicas are killed, does not reach upstreams that are
+    listed later, cannot be given or taken back by a new leader, or gets a 4xx although it is valid."""
+    watcher = cluster.node("watcher")
+    cluster.node("kiln-log-0", agent=True)
+    wait_for("the member", lambda: watcher.views and watcher.views[-1][3] == "kiln-log-0")
+    leader = cluster.leader()
+    # 503 until all replicas have told the leader that they understand the order, or know the leader
+    for name in [leader] + [name for name in "abc" if name != leader]:
+        statuses = []
+        wait_for(f"the answer of {name}, the leader is {leader}: {statuses}", lambda: statuses.append(
+            cluster.post(name, "/evacuations/plv-a/start")) or statuses[-1] != 503, 6)
+        assert statuses[-1] == (200 if name == leader else 307), (name, leader, statuses)
+    assert cluster.post(leader, "/evacuations/plv-x/start") == 404, "an unknown zone"
+    wait_for("the drain in the view", lambda: watcher.views[-1][3] == "kiln-log-0:drained", 3)
+    wait_for("the gauge", lambda: cluster.counters(leader)["drained_zones"] == 1, 1)
+    cluster.kill(leader)
+    code, pairs, output = cluster.ctl("drain-zone", "plv-a")
+    assert code == DONE and pairs["version"] == "1", output
+    late_node = cluster.node("late")
+    late_node.wait_version(1, 10)
+    cluster.node("kiln-log-1", agent=True)
+    for node in (watcher, late_node):
+        wait_for("both members drained", lambda: node.views[-1][3] == "kiln-log-0:drained,kiln-log-1:drained", 5)
+    output = cluster.ctl("status")[2]
+    assert "drained_zone=plv-a" in output, output
+    assert re.search(r"upstream=kiln-log-0 \S+ zone=plv-a \S+ drained=1", output), output
+    for name in list(cluster.processes):
+        cluster.kill(name)
+    for name in "abc":
+        cluster.start(name)
+    leader = cluster.leader()
+    output = cluster.ctl("status")[2]
+    assert "drained_zone=plv-a" in output, output
+    # 503 until the last replica has told the leader that it understands the order
+    wait_for("the order to end it", lambda: cluster.post(leader, "/evacuations/plv-a/end") == 200, 6)
+    wait_for("the end of the drain", lambda: watcher.views[-1][3] == "kiln-log-0,kiln-log-1", 3)
+    output = cluster.ctl("status")[2]
+    assert "drained_zone" not in output, output
+    code, pairs, output = cluster.ctl("undrain-zone", "plv-a")
+    assert code == DONE and pairs["version"] == "2", output
+
+
 def test_member_of_dead_replica(cluster):
     """A member stays listed because the replica that listed it died first, or nodes drop members when all replicas
     die."""
--- a/tests/test_agent_core.c
+++ b/tests/test_agent_core.c
@@ -462,6 +462,39 @@
   fixture_finish (&fixture);
 }
 
+/* Guards against an Open that is accepted in a drained zone, an open flow that ends or moves because of the
+ * order, and Opens that are refused after its end. */
+static void
+test_zone_drained (void)
+{
+  fixture_t fixture;
+  g_autoptr (GBytes) open = NULL;
+  fake_agent_t *agent;
+  Oh__Load load;
+  Oh__Address address;
+
+  fixture_init (&fixture, 4, 2);
+  fixture_update_view (&fixture, NULL);
+  fixture_open (&fixture, 0, 1);
+  fixture_update_view_with_zone (&fixture, NULL, true);
+  open = fixture_open_packet (&fixture, 1);
+  fixture_deliver (&fixture, 1, open);
+  g_assert_cmpint (fixture.open_refusal, ==, OH__RESULT__RESULT_NOT_RUN_DRAINING);
+  oh_agent_core_load (&fixture.agents[1].core, fixture.now_us, &load, &address);
+  g_assert_cmpint (load.state, ==, OH__UPSTREAM_STATE__UPSTREAM_DRAINING);
+
+  fixture_advance (&fixture, 1000);
+  g_assert_false (fixture_deliver_next_state (&fixture, false));
+  fixture_send (&fixture, fixture_request (&fixture, 1, 1, OH__REQUEST_KIND__REQUEST_ONCE, 1, 5000, 0, 0, 0));
+  g_assert_nonnull (fixture_find_run (&fixture, 1, &agent));
+
+  fixture_update_view (&fixture, NULL);
+  fixture.open_refusal = OH__RESULT__RESULT_NONE;
+  fixture_deliver (&fixture, 1, open);
+  g_assert_cmpint (fixture.open_refusal, ==, OH__RESULT__RESULT_NONE);
+  fixture_finish (&fixture);
+}
+
 /* Guards against accepting flows for an upstream whose service has not been checked. */
 static void
 test_unknown_upstream (void)
@@ -951,6 +984,7 @@
       g_test_add_data_func (path, &scripts[i], run_script);
     }
   g_test_add_func ("/agent/open-refused", test_open_refused);
+  g_test_add_func ("/agent/zone-drained", test_zone_drained);
   g_test_add_func ("/agent/unknown-upstream", test_unknown_upstream);
   g_test_add_func ("/agent/flow-limit", test_flow_limit);
   g_test_add_func ("/agent/window", test_window);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1,11 +1,15 @@
 #include <glib.h>
+#include <libsoup/soup.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "core/config_text.h"
 #include "core/keyring.h"
 #include "core/route_table.h"
+#include "platform/change_outcome.h"
 #include "platform/config_document.h"
 #include "platform/heartbeat_http.h"
+#include "platform/operator_http.h"
 #include "platform/segment_codec.h"
 #include "platform/service_name.h"
 
@@ -431,6 +435,164 @@
       }
 }
 
+static uint16_t
+free_port (void)
+{
+  g_autoptr (GSocketListener) listener = g_socket_listener_new ();
+  const uint16_t port = g_socket_listener_add_any_inet_port (listener, NULL, NULL);
+
+  g_assert_cmpuint (port, !=, 0);
+  g_socket_listener_close (listener);
+  return port;
+}
+
+/* A replica behind the operators' interface, which answers orders as a test case says. */
+typedef struct
+{
+  oh_operator_http_t *api;
+  Oh__ChangeStatus status;
+  const char *leader;
+  bool unknown_zone;
+  unsigned n_orders;
+  char order[32]; /* the last one */
+} fake_replica_t;
+
+static void
+on_order_zone (void *data, uint64_t request, const oh_zone_order_t *order)
+{
+  fake_replica_t *replica = data;
+  Oh__ChangeReply reply = OH__CHANGE_REPLY__INIT;
+  oh_address_t leader = { 0 };
+  oh_publish_status_t status;
+
+  reply.status = replica->status;
+  reply.leader = (char *)replica->leader;
+  status = replica->unknown_zone ? OH_PUBLISH_UNKNOWN : oh_zone_order_outcome (&reply, &leader);
+  replica->n_orders++;
+  g_snprintf (replica->order, sizeof replica->order, "%s %s", order->drain ? "drain" : "undrain",
+              order->zone);
+  oh_operator_http_answer (replica->api, request, status, leader.ipv4, "reason");
+}
+
+static void
+on_sent (GObject *session, GAsyncResult *result, gpointer data)
+{
+  g_autoptr (GError) error = NULL;
+
+  *(GBytes **)data = soup_session_send_and_read_finish (SOUP_SESSION (session), result, &error);
+  g_assert_no_error (error);
+}
+
+/* Returns the request after it has been answered. */
+static SoupMessage *
+send_request (SoupSession *session, const char *method, oh_address_t server, const char *path, size_t length)
+{
+  char address[OH_ADDRESS_TEXT_BYTES];
+  g_autofree char *uri = g_strconcat ("http://", oh_address_format (server, address), path, NULL);
+  SoupMessage *message = soup_message_new (method, uri);
+  g_autofree char *text = g_strnfill (length, 'x');
+  g_autoptr (GBytes) body = g_bytes_new (text, length);
+  GBytes *response = NULL;
+
+  if (length > 0)
+    soup_message_set_request_body_from_bytes (message, "text/plain", body);
+  soup_message_add_flags (message, SOUP_MESSAGE_NO_REDIRECT);
+  soup_session_send_and_read_async (session, message, G_PRIORITY_DEFAULT, NULL, on_sent, &response);
+  while (response == NULL)
+    g_main_context_iteration (NULL, TRUE);
+  g_bytes_unref (response);
+  return message;
+}
+
+/* Guards against an order for a zone that gets a 4xx although it is valid, so that the operator gives up,
+ * whatever the state of the replica; one that is acknowledged although it may be lost; and a redirect to
+ * another path. */
+static void
+test_zone_orders (void)
+{
+  enum
+  {
+    OK = OH__CHANGE_STATUS__CHANGE_ACCEPTED,
+    CONFLICT = OH__CHANGE_STATUS__CHANGE_CONFLICT,
+    INVALID = OH__CHANGE_STATUS__CHANGE_INVALID,
+    NOT_LEADER = OH__CHANGE_STATUS__CHANGE_NOT_LEADER,
+    UNAVAILABLE = OH__CHANGE_STATUS__CHANGE_UNAVAILABLE,
+    BEYOND_LIMIT = 3 << 20, /* bytes, more than the server takes for a document */
+  };
+  static const char leader[] = "tcp://127.0.0.9:7720";
+  static const struct
+  {
+    const char *name;
+    const char *method;
+    const char *path;
+    const char *order; /* that the replica gets; NULL: none */
+    int reply;         /* of the replica */
+    const char *leader;
+    bool unknown_zone;
+    size_t body_bytes;
+    unsigned status;
+    const char *redirect; /* path at the leader */
+  } cases[] = {
+    { "committed", "POST", "/evacuations/plv-b/start", "drain plv-b", OK, "", false, 0, 200, NULL },
+    { "end", "POST", "/evacuations/plv-b/end", "undrain plv-b", OK, "", false, 0, 200, NULL },
+    { "escaped name", "POST", "/evacuations/plv%2Db/start", "drain plv-b", OK, "", false, 0, 200, NULL },
+    { "ignored body", "POST", "/evacuations/plv-b/start", "drain plv-b", OK, "", false, 7, 200, NULL },
+    { "large body", "POST", "/evacuations/plv-b/start", "drain plv-b", OK, "", false, BEYOND_LIMIT, 200,
+      NULL },
+    { "follower", "POST", "/evacuations/plv-b/start", "drain plv-b", NOT_LEADER, leader, false, 0, 307,
+      "/evacuations/plv-b/start" },
+    { "follower, end", "POST", "/evacuations/plv-b/end", "undrain plv-b", NOT_LEADER, leader, false, 0, 307,
+      "/evacuations/plv-b/end" },
+    { "no leader, or no cluster yet", "POST", "/evacuations/plv-b/start", "drain plv-b", NOT_LEADER, "",
+      false, 0, 503, NULL },
+    { "unusable leader", "POST", "/evacuations/plv-b/start", "drain plv-b", NOT_LEADER, "tcp://x", false, 0,
+      503, NULL },
+    { "leadership lost, disk full, or a replica of the former release", "POST", "/evacuations/plv-b/start",
+      "drain plv-b", UNAVAILABLE, leader, false, 0, 503, NULL },
+    { "conflict", "POST", "/evacuations/plv-b/start", "drain plv-b", CONFLICT, "", false, 0, 503, NULL },
+    { "too many zones", "POST", "/evacuations/plv-b/start", "drain plv-b", INVALID, "", false, 0, 503, NULL },
+    { "unknown zone", "POST", "/evacuations/plv-x/start", "drain plv-x", OK, "", true, 0, 404, NULL },
+    { "no name", "POST", "/evacuations//start", NULL, OK, "", false, 0, 404, NULL },
+    { "not a name", "POST", "/evacuations/plv%20b/start", NULL, OK, "", false, 0, 404, NULL },
+    { "another call", "POST", "/evacuations/plv-b/stop", NULL, OK, "", false, 0, 404, NULL },
+    { "no call", "POST", "/evacuations/plv-b", NULL, OK, "", false, 0, 404, NULL },
+    { "longer path", "POST", "/evacuations/plv-b/start/now", NULL, OK, "", false, 0, 404, NULL },
+    { "another method", "GET", "/evacuations/plv-b/start", NULL, OK, "", false, 0, 404, NULL },
+  };
+  static const oh_operator_api_callbacks_t callbacks = { .order_zone = on_order_zone };
+  /* An address of this process, as other tests may take the port in between. */
+  const oh_address_t server
+    = { .ipv4 = 0x7f010001 + (((uint32_t)getpid () & 0xffff) << 8), .port = free_port () };
+  g_autoptr (SoupSession) session = soup_session_new ();
+  fake_replica_t replica = { 0 };
+  oh_error_t error;
+
+  replica.api = oh_operator_http_start (server, &callbacks, &replica, &error);
+  g_assert_nonnull (replica.api);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (SoupMessage) message = NULL;
+      g_autofree char *location = cases[i].redirect != NULL ? g_strdup_printf ("http://127.0.0.9:%u%s",
+                                                                               server.port, cases[i].redirect)
+                                                            : NULL;
+
+      g_test_message ("%s", cases[i].name);
+      replica.status = (Oh__ChangeStatus)cases[i].reply;
+      replica.leader = cases[i].leader;
+      replica.unknown_zone = cases[i].unknown_zone;
+      replica.n_orders = 0;
+      message = send_request (session, cases[i].method, server, cases[i].path, cases[i].body_bytes);
+      g_assert_cmpuint (soup_message_get_status (message), ==, cases[i].status);
+      g_assert_cmpstr (soup_message_headers_get_one (soup_message_get_response_headers (message), "Location"),
+                       ==, location);
+      g_assert_cmpuint (replica.n_orders, ==, cases[i].order != NULL);
+      if (cases[i].order != NULL)
+        g_assert_cmpstr (replica.order, ==, cases[i].order);
+    }
+  soup_session_abort (session);
+  oh_operator_http_stop (replica.api);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -443,6 +605,7 @@
   g_test_add_func ("/platform/deregister", test_deregister);
   g_test_add_func ("/platform/instance-ids", test_instance_ids);
   g_test_add_func ("/platform/segments", test_segments);
+  g_test_add_func ("/platform/zone-orders", test_zone_orders);
   g_test_add_func ("/platform/service-names", test_service_names);
   return g_test_run ();
 }
--- a/tests/test_segment_agent.c
+++ b/tests/test_segment_agent.c
@@ -36,6 +36,7 @@
   STEP_RETURN,             /* a: caller, b: flags; the upstream returns a segment */
   STEP_REFUSED,            /* the system refuses a datagram to the upstream */
   STEP_LISTENER_GONE,      /* no process listens at the upstream's address any more */
+  STEP_ZONE,               /* a: whether the agent's zone is drained */
   STEP_PAUSE,              /* a: ms without an event */
   STEP_WAIT,               /* a: ms, with ticks meanwhile */
   EXPECT_DELIVERED,        /* a: segments that the upstream got since the last such check */
@@ -333,6 +334,9 @@
     case STEP_LISTENER_GONE:
       handle (fixture, (oh_segment_agent_event_t){ .kind = OH_SEGMENT_AGENT_LISTENER_GONE });
       return;
+    case STEP_ZONE:
+      oh_segment_agent_set_zone_drained (&fixture->core, step->a);
+      return;
     case STEP_PAUSE:
       fixture->now_us += (int64_t)step->a * 1000;
       return;
@@ -425,6 +429,10 @@
   {                                                                                                          \
     STEP_RETURN, caller, flags, 0, NULL                                                                      \
   }
+#define ZONE_DRAINED(drained)                                                                                \
+  {                                                                                                          \
+    STEP_ZONE, drained, 0, 0, NULL                                                                           \
+  }
 #define REFUSAL                                                                                              \
   {                                                                                                          \
     STEP_REFUSED, 0, 0, 0, NULL                                                                              \
@@ -471,6 +479,16 @@
   const char *name; /* the failure that it guards against */
   step_t steps[STEPS_MAX];
 } cases[] = {
+  { "an upstream of a drained zone gets new flows from balancers with an old view, or loses its open ones",
+    { READY (1, 1), OPENS (0), ACCEPTS (0), DELIVERED (1), ZONE_DRAINED (true), OPENS (1), DELIVERED (0),
+      MESSAGES (REFUSED, 1, DRAINING), REQUESTS (0), DELIVERED (1), READY (1, 2), OPENS (2), DELIVERED (0),
+      MESSAGES (REFUSED, 1, DRAINING) } },
+  { "a flow that was opening when its zone was drained is refused although its upstream has it",
+    { READY (1, 1), OPENS (0), ZONE_DRAINED (true), OPENS (0), DELIVERED (2), ACCEPTS (0), CALLERS (1, 0),
+      MESSAGES (REFUSED, 0, 0) } },
+  { "an upstream gets no flows after its zone is no longer drained",
+    { READY (1, 1), ZONE_DRAINED (true), OPENS (0), DELIVERED (0), ZONE_DRAINED (false), OPENS (0),
+      DELIVERED (1) } },
   { "a flow is not tracked from its SYN to its response",
     { READY (1, 1), OPENS (0), DELIVERED (1), ACCEPTS (0), CALLERS (1, 0), MESSAGES (ACCEPTED, 1, 0),
       REQUESTS (0), DELIVERED (1), REQUESTS_WAITING (1), RESPONDS (0), CALLERS (1, 0),
--- a/tests/test_segment_balancer.c
+++ b/tests/test_segment_balancer.c
@@ -37,6 +37,7 @@
   STEP_END,
   STEP_LIST_PEERS, /* later views list two other balancers of the zone */
   STEP_UNLIST_PEERS,
+  STEP_DRAIN_ZONE,           /* a: later views list the zone of the first a agents as drained */
   STEP_UNANNOUNCED_UPSTREAM, /* later views list the last agent without a service: its upstream has not
                                 announced itself */
   STEP_PEER_MESSAGE,         /* a: peer, b: kind, c: agent named as owner; a message about the flow */
@@ -82,6 +83,7 @@
   unsigned stored;
   oh_address_t stored_owner;
   int restarted; /* agent that is another process now, and has heard of no upstream yet; -1: none */
+  int n_drained; /* the first agents, which are in a drained zone */
   bool unannounced_upstream; /* views list the last agent without a service */
 } fixture_t;
 
@@ -239,6 +241,7 @@
   Oh__BalancerEntry balancers[4];
   Oh__BalancerEntry *balancer_pointers[4];
   Oh__Address balancer_addresses[4];
+  char *drained_zones[] = { (char *)"drained" };
 
   for (int i = 0; i < step->c; i++)
     {
@@ -248,7 +251,7 @@
       members[i].load = &loads[i];
       members[i].service_name = (char *)announced_service (fixture, i);
       loads[i].service = oh_service_id (members[i].service_name);
-      members[i].zone = (char *)"a";
+      members[i].zone = (char *)(i < fixture->n_drained ? "drained" : "a");
       pointers[i] = &members[i];
     }
   oh_view_init (&view);
@@ -262,6 +265,8 @@
   message.key_generation = 1;
   message.members = pointers;
   message.n_members = (size_t)step->c;
+  message.drained_zones = drained_zones;
+  message.n_drained_zones = fixture->n_drained > 0;
   if (fixture->peers)
     add_peers (fixture, &message, balancers, balancer_pointers, balancer_addresses);
   oh_view_merge (&view, 0, &message);
@@ -398,6 +403,9 @@
     case STEP_LIST_PEERS:
       fixture->peers = true;
       return;
+    case STEP_DRAIN_ZONE:
+      fixture->n_drained = step->a;
+      return;
     case STEP_UNLIST_PEERS:
       fixture->peers = false;
       return;
@@ -515,6 +523,10 @@
   {                                                                                                          \
     STEP_UNANNOUNCED_UPSTREAM, 0, 0, 0, NULL                                                                 \
   }
+#define DRAIN_ZONE(agents)                                                                                   \
+  {                                                                                                          \
+    STEP_DRAIN_ZONE, agents, 0, 0, NULL                                                                      \
+  }
 #define UNLIST_PEERS                                                                                         \
   {                                                                                                          \
     STEP_UNLIST_PEERS, 0, 0, 0, NULL                                                                         \
@@ -547,6 +559,24 @@
 } cases[] = {
   { "a flow is placed before a confirmed view",
     { { STEP_VIEW, 0, 1, AGENTS, kiln_text }, SYN, SENT (OPEN, 0), RESETS (0) } },
+  { "a flow is offered to an agent of a drained zone",
+    { DRAIN_ZONE (2),
+      CONFIRMED_VIEW (kiln_text),
+      SYN,
+      SENT (OPEN, 1),
+      { EXPECT_LAST_AGENT, 2, 0, 0, NULL },
+      FROM_LAST_AGENT (REFUSED, DRAINING),
+      SENT (OPEN, 0),
+      RESETS (1) } },
+  { "the caller waits although all upstreams of the service are in drained zones",
+    { DRAIN_ZONE (KILN_AGENTS), CONFIRMED_VIEW (kiln_text), WAIT (4000), SYN, SENT (OPEN, 0), RESETS (1) } },
+  { "a flow is lost that was open before its zone was drained",
+    { CONFIRMED_VIEW (kiln_text), SYN, FROM_LAST_AGENT (ACCEPTED, 0), FROM_LAST_AGENT (OWNED, 0),
+      DRAIN_ZONE (KILN_AGENTS), CONFIRMED_VIEW (kiln_text), SENT (OPEN, 1), REQUEST, SENT (DELIVER, 1),
+      RESETS (0) } },
+  { "an upstream gets no flows after its zone is no longer drained",
+    { DRAIN_ZONE (KILN_AGENTS), CONFIRMED_VIEW (kiln_text), DRAIN_ZONE (0), CONFIRMED_VIEW (kiln_text), SYN,
+      SENT (OPEN, 1) } },
   { "segments of an open flow are not forwarded to its owner",
     { CONFIRMED_VIEW (kiln_text), SYN, SENT (OPEN, 1), FROM_LAST_AGENT (ACCEPTED, 0), REQUEST,
       SENT (DELIVER, 1) } },
--- a/tests/test_stop_order.c
+++ b/tests/test_stop_order.c
@@ -27,13 +27,17 @@
     const char *draining;   /* reports UPSTREAM_DRAINING */
     const char *upstream;
     const char *dependant; /* NULL: the drain is allowed */
+    const char *zone;      /* drained by operators; upstream i is in zone i */
   } cases[] = {
-    { { NULL }, NULL, "meter-1", NULL },
-    { { "meter-2" }, NULL, "meter-1", "plan-fetch" },
-    { { NULL }, "meter-2", "meter-1", "plan-fetch" },
-    { { "meter-2", "plan-1" }, NULL, "meter-1", NULL },
-    { { "meter-2" }, NULL, "plan-1", NULL },
-    { { "meter-2" }, NULL, "not-announced", NULL },
+    { { NULL }, NULL, "meter-1", NULL, NULL },
+    { { "meter-2" }, NULL, "meter-1", "plan-fetch", NULL },
+    { { NULL }, "meter-2", "meter-1", "plan-fetch", NULL },
+    { { "meter-2", "plan-1" }, NULL, "meter-1", NULL, NULL },
+    { { "meter-2" }, NULL, "plan-1", NULL, NULL },
+    { { "meter-2" }, NULL, "not-announced", NULL, NULL },
+    { { NULL }, NULL, "meter-1", "plan-fetch", "zone-1" },
+    { { NULL }, NULL, "meter-1", NULL, "zone-0" },
+    { { "meter-2" }, NULL, "meter-1", NULL, "zone-2" },
   };
   oh_config_t config;
 
@@ -44,6 +48,7 @@
       Oh__Member members[G_N_ELEMENTS (upstreams)];
       Oh__Load loads[G_N_ELEMENTS (upstreams)];
       Oh__Member *list[G_N_ELEMENTS (upstreams)];
+      char zones[G_N_ELEMENTS (upstreams)][8];
       const char *dependant = NULL;
 
       for (size_t j = 0; j < G_N_ELEMENTS (upstreams); j++)
@@ -55,6 +60,8 @@
           if (g_strcmp0 (cases[i].draining, upstreams[j][0]) == 0)
             loads[j].state = OH__UPSTREAM_STATE__UPSTREAM_DRAINING;
           members[j].load = &loads[j];
+          g_snprintf (zones[j], sizeof zones[j], "zone-%zu", j);
+          members[j].zone = zones[j];
           list[j] = &members[j];
         }
       status.n_members = G_N_ELEMENTS (upstreams);
@@ -62,6 +69,8 @@
       while (status.n_drained < 3 && cases[i].drained[status.n_drained] != NULL)
         status.n_drained++;
       status.drained = (char **)cases[i].drained;
+      status.n_drained_zones = cases[i].zone != NULL;
+      status.drained_zones = (char **)&cases[i].zone;
       g_assert_cmpint (oh_stop_order_allows (&config, &status, cases[i].upstream, &dependant), ==,
                        cases[i].dependant == NULL);
       g_assert_cmpstr (dependant, ==, cases[i].dependant);
--- a/tests/test_wire_names.py
+++ b/tests/test_wire_names.py
@@ -10,7 +10,7 @@
 # meaning.
 NAMES = ['HeartbeatUrl', 'TrafficSplit', 'PathPrefix', 'DatagramAddr', 'WarmupLeftMs', 'MaxConcurrency', 'InternalPortRange',
          'ContactMs', 'TimeoutMs', 'TargetLatencyMs', 'IdleTimeoutMs', 'FlowTimeoutS', 'HeartbeatMs', 'MaxConns', 'HealthPath',
-         'BOUNCED', '/config/put', '/config/get', '/instances', 'deregister', '"born"']
+         'BOUNCED', '/config/put', '/config/get', '/evacuations', 'EvacuateMs', '/instances', 'deregister', '"born"']
 FOLDERS = ('lib', 'daemons')
 
 
--- a/tests/view_node.c
+++ b/tests/view_node.c
@@ -112,6 +112,7 @@
   node.load.agent = &node.address;
   node.member.load = &node.load;
   node.member.service_name = (char *)"kiln-log";
+  node.member.zone = (char *)"plv-a";
   if (!oh_keyring_load (&keyring, node.key_file, &error))
     {
       g_printerr ("%s\n", error.message);
