--- a/scripts/lib/platform_system.py
+++ b/scripts/lib/platform_system.py
@@ -71,6 +71,7 @@
         self.stopping = []  # processes of machines that are taken away
         self.n_upstream_addresses = 0
         self.former_upstreams = []  # replaced by a new upstream of the same name
+        self.zone_drains = []  # [zone, time of the acknowledgement, time when its end was ordered or None]
         self.control = [f'{self.network}.1.{i + 1}' for i in range(n_control)]
         self.balancers = [f'{self.network}.2.{i + 1}' for i in range(n_balancers)]
         self.seeds = [f'{ip}:{PORTS.control}' for ip in self.control[:3]]
@@ -186,6 +187,17 @@
             process.wait()
             raise AssertionError(f'{name} did not end within {limit_s} s of the signal')
 
+    def order_zone(self, zone, drain, limit_s=6):
+        """Returns the status of the order. To be called from a thread while callers are to go on."""
+        drains = [entry for entry in self.zone_drains if entry[0] == zone and entry[2] is None]
+        if not drain:
+            for entry in drains:
+                entry[2] = self.loop.now()  # it may take effect before it is acknowledged
+        status = self.operator.order_zone(zone, drain, limit_s)
+        if status == 200 and drain and not drains:
+            self.zone_drains.append([zone, self.loop.now(), None])
+        return status
+
     def check_running(self):
         for name, process in self.processes.items():
             if process.poll() is not None:
@@ -311,6 +323,14 @@
                 if late:
                     violations.append(f'DRAIN: {upstream.service} got {len(late)} new flows more than '
                                       f'{DRAIN_APPLY_S} s after its drain was acknowledged')
+        for zone, acknowledged, ended in self.zone_drains:
+            end = ended if ended is not None else float('inf')
+            late = [(upstream.id, round(at - acknowledged, 3)) for upstream in self.all_upstreams()
+                    for at, _ in upstream.opened
+                    if self.zone_of(upstream.ip) == zone and acknowledged + EVACUATE_MS / 1000 < at < end]
+            if late:
+                violations.append(f'ZONE: zone {zone} got {len(late)} new flows more than {EVACUATE_MS} ms after its drain '
+                                  f'was acknowledged: {late[:5]}')
         for request, count in n_runs.items():
             if count > 1:
                 where = [(upstream.id, upstream.ip, round(at, 3)) for upstream in self.all_upstreams()
--- a/standins/platform_standins.py
+++ b/standins/platform_standins.py
@@ -732,6 +732,18 @@
             time.sleep(0.1)
         return 0
 
+    def order_zone(self, zone, drain, limit_s=6):
+        """Orders that a zone be drained, or that this ends, again and again until it is accepted. A 400, 409, 412, 413 or
+        422 ends the call at once, any other 4xx at the third attempt. Returns the last HTTP status."""
+        end, status, refused = time.monotonic() + limit_s, 0, 0
+        while time.monotonic() < end:
+            status, _ = self.request('POST', f'/evacuations/{zone}/{"start" if drain else "end"}')
+            refused += 400 <= status < 500
+            if status == 200 or status in (400, 409, 412, 413, 422) or refused == 3:
+                return status
+            time.sleep(0.1)
+        return status
+
     def read(self, limit_s=10):
         """Returns the published document as bytes, or None if no control process answered in time."""
         end = time.monotonic() + limit_s
--- a/tests/test_control_state.c
+++ b/tests/test_control_state.c
@@ -199,9 +199,9 @@
   oh_control_state_t state;
 
   oh_control_state_init (&state);
-  for (uint8_t i = 0; i <= OH_DRAINED_ZONES_MAX; i++)
+  for (unsigned i = 0; i <= OH_DRAINED_ZONES_MAX; i++)
     {
-      const uint8_t id[OH_CHANGE_ID_BYTES] = { i };
+      const uint8_t id[OH_CHANGE_ID_BYTES] = { (uint8_t)i };
       g_autofree char *zone = g_strdup_printf ("zone-%u", i);
       const Oh__Change change = make_change (id, OH__CHANGE_KIND__CHANGE_DRAIN_ZONE, 0, "", zone);
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -103,6 +103,42 @@
             self.check_finished(system)
             self.assertGreater(len(system.upstreams['kiln-new'].opened), 0)
 
+    def test_drained_zone(self):
+        """Guards against new flows to the upstreams of a drained zone, open flows that end because of it, an order that
+        is lost when all processes are killed, and upstreams that get no flows after its end."""
+        with platform_system.PlatformSystem(BUILD, n_balancers=4, n_zones=2) as system:
+            self.deploy(system, n_kiln=4, n_scan=2)
+            drained = [upstream for upstream in system.upstreams.values() if system.zone_of(upstream.ip) == 'b']
+            long_callers = [system.call(SAFE_ROUTE, 'safe', requests=30, pause_s=0.3) for _ in range(20)]
+            system.loop.run(1)
+            self.assertTrue(any(upstream.opened for upstream in drained))
+            self.assertEqual(system.order_zone('x', True), 404)
+            self.assertEqual(system.order_zone('b', True), 200)
+            system.loop.run(1)
+            before = [len(upstream.opened) for upstream in drained]
+            for _ in range(40):
+                system.call(SAFE_ROUTE, 'safe', requests=2)
+                system.call(DOWNLOAD_ROUTE, 'download', length=2000)
+                system.loop.run(0.05)
+            self.assertTrue(system.loop.run(20, lambda: all(caller.ended for caller in long_callers)))
+            self.assertEqual({caller.state for caller in long_callers}, {'closed'}, 'open flows have to stay')
+            for name in list(system.processes):
+                system.kill(name)
+            for name in list(system.commands):
+                system.restart(name)
+            system.loop.run(2)
+            system.wait_ready()
+            for _ in range(20):
+                system.call(SAFE_ROUTE, 'safe', requests=2)
+            self.assertTrue(system.wait_callers(10))
+            self.assertEqual([len(upstream.opened) for upstream in drained], before)
+            self.assertEqual(system.order_zone('b', False), 200)
+            system.loop.run(1)
+            for _ in range(40):
+                system.call(SAFE_ROUTE, 'safe', requests=2)
+            self.check_finished(system)
+            self.assertNotEqual([len(upstream.opened) for upstream in drained], before)
+
     def test_restarted_agent(self):
         """Guards against flows that are lost when the agent of a running upstream, and then a balancer, is killed and
         restarted."""
