--- a/scripts/lib/platform_system.py
+++ b/scripts/lib/platform_system.py
@@ -76,6 +76,8 @@
         self.balancers = [f'{self.network}.2.{i + 1}' for i in range(n_balancers)]
         self.seeds = [f'{ip}:{PORTS.control}' for ip in self.control[:3]]
         self.operator = platform_standins.Operator([(ip, PORTS.control) for ip in self.control], seed)
+        # Of its own, so that orders do not change which replicas get the documents.
+        self.zone_operator = platform_standins.Operator([(ip, PORTS.control) for ip in self.control], seed)
         self.callers, self.next_port = [], 20000
         self.router = None
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
@@ -193,7 +195,7 @@
         if not drain:
             for entry in drains:
                 entry[2] = self.loop.now()  # it may take effect before it is acknowledged
-        status = self.operator.order_zone(zone, drain, limit_s)
+        status = self.zone_operator.order_zone(zone, drain, limit_s)
         if status == 200 and drain and not drains:
             self.zone_drains.append([zone, self.loop.now(), None])
         return status
