--- a/scripts/lib/platform_system.py
+++ b/scripts/lib/platform_system.py
@@ -21,6 +21,7 @@
 Ports = collections.namedtuple('Ports', 'segments readiness control app outbound first last heartbeat_ms')
 PROXY_PORT = 7721  # of the fault proxy in front of a control process
 DRAIN_APPLY_S = 3  # from the acknowledged drain of an upstream to the last new flow that it may get
+EVACUATE_MS = 5000  # from the confirmed order to drain a zone to the last new flow that its upstreams may get
 PORTS = Ports(8172, 8167, 8166, 8165, 8162, 7720, 7735, 300)
 
 
@@ -30,24 +31,29 @@
 
 def render(template, fields):
     """Renders the part of the platform's template language that deploy/templates uses: {{name}}, {{list.0}},
-    {{#name}}...{{/name}} if the field is set, and {{^name}}...{{/name}} if it is not."""
-    def look_up(name):
+    {{#name}}...{{/name}} if the field is set, {{^name}}...{{/name}} if it is not, and for a table {{#name}}...{{/name}}
+    once for each of its keys, with the key as {{@}} and {{,}} between two of them."""
+    def field(name):
         result = fields
         for part in name.split('.'):
-            result = result[int(part)] if isinstance(result, list) else result.get(part)
+            result = result[int(part)] if isinstance(result, list) else (result or {}).get(part)
         return result
 
     def value(name):
-        result = look_up(name)
+        result = field(name)
         if isinstance(result, list):
             return ','.join(str(item) for item in result)
         return '' if result is None else str(result)
 
     def section(match):
-        wanted = match.group(1) == '#'
-        return match.group(3) if bool(look_up(match.group(2))) == wanted else ''
-
-    template = re.sub(r'\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}', section, template)
+        kind, name, body = match.groups()
+        found = field(name)
+        if isinstance(found, dict) and kind == '#':
+            return ''.join(body.replace('{{@}}', key).replace('{{,}}', '' if key == list(found)[-1] else ',') for key in found)
+        return re.sub(pattern, section, body, flags=re.DOTALL) if bool(found) == (kind == '#') else ''
+
+    pattern = r'\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}'
+    template = re.sub(pattern, section, template, flags=re.DOTALL)
     return re.sub(r'\{\{([\w.]+)\}\}', lambda match: value(match.group(1)), template)
 
 
@@ -67,10 +73,13 @@
         self.stopping = []  # processes of machines that are taken away
         self.n_upstream_addresses = 0
         self.former_upstreams = []  # replaced by a new upstream of the same name
+        self.zone_drains = []  # [zone, time of the acknowledgement, time when its end was ordered or None]
         self.control = [f'{self.network}.1.{i + 1}' for i in range(n_control)]
         self.balancers = [f'{self.network}.2.{i + 1}' for i in range(n_balancers)]
         self.seeds = [f'{ip}:{PORTS.control}' for ip in self.control[:3]]
         self.operator = platform_standins.Operator([(ip, PORTS.control) for ip in self.control], seed)
+        # Of its own, so that orders do not change which replicas get the documents.
+        self.zone_operator = platform_standins.Operator([(ip, PORTS.control) for ip in self.control], seed)
         self.callers, self.next_port = [], 20000
         self.router = None
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
@@ -110,6 +119,9 @@
         """Machines of each kind are spread over the availability zones in turn, by the last number of their address."""
         return 'abcdefg'[int(ip.split('.')[3]) % self.n_zones]
 
+    def zones(self):
+        return 'abcdefg'[:self.n_zones]
+
     def template_fields(self, name, ip, bootstrap):
         return {
             'NodeName': name, 'Ip': ip, 'Zone': self.zone_of(ip), 'InternalPortRange': [PORTS.first, PORTS.last],
@@ -117,7 +129,8 @@
                           'Control': f'{ip}:{PORTS.control}', 'outbound': f'{ip}:{PORTS.outbound}'},
             'Seeds': self.seeds, 'Bootstrap': bootstrap, 'DataDir': os.path.join(self.folder, f'data-{name}'),
             'HeartbeatMs': PORTS.heartbeat_ms, 'FaultTolerance': {'Machines': self.tolerate},
-            'PolicyParams': self.policy, 'app': f'{ip}:{PORTS.app}',
+            'PolicyParams': self.policy | {'EvacuateMs': EVACUATE_MS}, 'Zones': {zone: {} for zone in self.zones()},
+            'app': f'{ip}:{PORTS.app}',
         }
 
     def start(self, program, template, name, ip, bootstrap=True, preexec=None):
@@ -178,6 +191,17 @@
             process.wait()
             raise AssertionError(f'{name} did not end within {limit_s} s of the signal')
 
+    def order_zone(self, zone, drain, limit_s=6):
+        """Returns the status of the order. To be called from a thread while callers are to go on."""
+        drains = [entry for entry in self.zone_drains if entry[0] == zone and entry[2] is None]
+        if not drain:
+            for entry in drains:
+                entry[2] = self.loop.now()  # it may take effect before it is acknowledged
+        status = self.zone_operator.order_zone(zone, drain, limit_s)
+        if status == 200 and drain and not drains:
+            self.zone_drains.append([zone, self.loop.now(), None])
+        return status
+
     def check_running(self):
         for name, process in self.processes.items():
             if process.poll() is not None:
@@ -303,6 +327,14 @@
                 if late:
                     violations.append(f'DRAIN: {upstream.service} got {len(late)} new flows more than '
                                       f'{DRAIN_APPLY_S} s after its drain was acknowledged')
+        for zone, acknowledged, ended in self.zone_drains:
+            end = ended if ended is not None else float('inf')
+            late = [(upstream.id, round(at - acknowledged, 3)) for upstream in self.all_upstreams()
+                    for at, _ in upstream.opened
+                    if self.zone_of(upstream.ip) == zone and acknowledged + EVACUATE_MS / 1000 < at < end]
+            if late:
+                violations.append(f'ZONE: zone {zone} got {len(late)} new flows more than {EVACUATE_MS} ms after its drain '
+                                  f'was acknowledged: {late[:5]}')
         for request, count in n_runs.items():
             if count > 1:
                 where = [(upstream.id, upstream.ip, round(at, 3)) for upstream in self.all_upstreams()
