segment_agent: tell balancers that were refused when a position is free

Cause: responses go past the balancers, so that they offered flows to full agents and left positions of others empty. Change: position_waiters.c, a bounded queue of refused balancers; one load report for each free position. Result: unit tests of the agent and test_overload pass; not yet measured under load.

--- /dev/null
+++ b/lib/core/position_waiters.c
@@ -0,0 +1,75 @@
+#include "core/position_waiters.h"
+
+static void
+drop_first (oh_position_waiter_ring_t *ring)
+{
+  ring->first = (ring->first + 1) % OH_POSITION_WAITERS_MAX;
+  ring->n--;
+}
+
+static void
+expire (oh_position_waiter_ring_t *ring, int64_t now_us)
+{
+  const int64_t before_us = now_us - (int64_t)OH_POSITION_WAITER_TIMEOUT_MS * 1000;
+
+  while (ring->n > 0 && ring->entries[ring->first].refused_us < before_us)
+    drop_first (ring);
+}
+
+static bool
+contains (const oh_position_waiter_ring_t *ring, oh_address_t balancer)
+{
+  for (unsigned i = 0; i < ring->n; i++)
+    if (oh_address_equal (ring->entries[(ring->first + i) % OH_POSITION_WAITERS_MAX].balancer, balancer))
+      return true;
+  return false;
+}
+
+void
+oh_position_waiters_init (oh_position_waiters_t *waiters)
+{
+  *waiters = (oh_position_waiters_t){ 0 };
+}
+
+void
+oh_position_waiters_add (oh_position_waiters_t *waiters, oh_address_t balancer, bool yields, int64_t now_us)
+{
+  oh_position_waiter_ring_t *ring = &waiters->rings[yields];
+
+  expire (ring, now_us);
+  if (ring->n == OH_POSITION_WAITERS_MAX || contains (ring, balancer))
+    return;
+  ring->entries[(ring->first + ring->n) % OH_POSITION_WAITERS_MAX]
+    = (oh_position_waiter_t){ .balancer = balancer, .refused_us = now_us };
+  ring->n++;
+}
+
+void
+oh_position_waiters_offered (oh_position_waiters_t *waiters)
+{
+  if (waiters->n_promised > 0)
+    waiters->n_promised--;
+}
+
+bool
+oh_position_waiters_take (oh_position_waiters_t *waiters, unsigned n_free, unsigned n_reserved,
+                          int64_t now_us, oh_address_t *balancer)
+{
+  if (now_us - waiters->promised_us > (int64_t)OH_POSITION_PROMISE_MS * 1000)
+    waiters->n_promised = 0;
+  for (int yields = false; yields <= true; yields++)
+    {
+      oh_position_waiter_ring_t *ring = &waiters->rings[yields];
+      const unsigned n_taken = waiters->n_promised + (yields ? n_reserved : 0);
+
+      expire (ring, now_us);
+      if (ring->n == 0 || n_free <= n_taken)
+        continue;
+      *balancer = ring->entries[ring->first].balancer;
+      drop_first (ring);
+      waiters->n_promised++;
+      waiters->promised_us = now_us;
+      return true;
+    }
+  return false;
+}
--- a/lib/core/segment_agent_admission.c
+++ b/lib/core/segment_agent_admission.c
@@ -56,6 +56,39 @@
   return result == OH_ADMISSION_ADMITTED;
 }
 
+void
+oh_segment_agent_add_waiter (oh_segment_agent_t *agent, const Oh__SegmentRelay *open, oh_address_t balancer)
+{
+  if (open->target_ms > 0)
+    oh_position_waiters_add (&agent->position_waiters, balancer, open->yields, agent->now_us);
+}
+
+static bool
+accepts_flows (const oh_segment_agent_t *agent)
+{
+  return oh_upstream_identity_accepts_flows (&agent->identity, agent->now_us) && !agent->upstream_ended
+         && !agent->zone_drained && oh_agent_warmup_has_room (agent);
+}
+
+void
+oh_segment_agent_tell_waiters (oh_segment_agent_t *agent)
+{
+  const oh_admission_work_t work = oh_segment_agent_work (agent);
+  const oh_admission_report_t report = oh_admission_report (&agent->admission, &work);
+  const unsigned taken = report.taken + agent->n_awaiting_request;
+  oh_address_t balancer;
+
+  if (!accepts_flows (agent))
+    return;
+  while (taken < report.limit
+         && oh_position_waiters_take (&agent->position_waiters, report.limit - taken, report.reserved,
+                                      agent->now_us, &balancer))
+    {
+      oh_counter_increment (&agent->counters.positions_told);
+      oh_segment_agent_send_load (agent, balancer);
+    }
+}
+
 void
 oh_segment_agent_note_request (oh_segment_agent_t *agent)
 {
--- a/lib/core/segment_agent_private.h
+++ b/lib/core/segment_agent_private.h
@@ -65,6 +65,9 @@
                                   Oh__Result result, const uint8_t *bytes, size_t length);
 void oh_segment_agent_report_load (oh_segment_agent_t *agent, bool to_all);
 
+/* Sends a load report to one balancer. */
+void oh_segment_agent_send_load (oh_segment_agent_t *agent, oh_address_t balancer);
+
 /* Sends a segment to the upstream. */
 void oh_segment_agent_deliver (oh_segment_agent_t *agent, const uint8_t *bytes, size_t length);
 
@@ -114,7 +117,10 @@
  * incarnation was announced. */
 void oh_agent_warmup_update (oh_segment_agent_t *agent, bool replaced);
 
-/* False if the limit does not allow a new flow now. */
+/* True if the limit allows a new flow now. */
+bool oh_agent_warmup_has_room (const oh_segment_agent_t *agent);
+
+/* The same, and counts a flow that is not allowed. */
 bool oh_agent_warmup_admits (oh_segment_agent_t *agent);
 
 /* False if the limit does not allow that the SYN of a flow is delivered again now. The caller repeats it. */
@@ -141,6 +147,14 @@
 /* New flows whose request has not come in time count as idle from now on (request_wait.h). */
 void oh_segment_agent_expire_expected (oh_segment_agent_t *agent);
 
+/* Notes that an offer of the balancer was refused for want of a position. */
+void oh_segment_agent_add_waiter (oh_segment_agent_t *agent, const Oh__SegmentRelay *open,
+                                  oh_address_t balancer);
+
+/* Reports free positions to balancers that wait for them (position_waiters.h). To be called after each event.
+ */
+void oh_segment_agent_tell_waiters (oh_segment_agent_t *agent);
+
 /* Notes that a request was delivered. */
 void oh_segment_agent_note_request (oh_segment_agent_t *agent);
 
--- a/lib/core/segment_agent_relay.c
+++ b/lib/core/segment_agent_relay.c
@@ -44,8 +44,11 @@
         oh_agent_warmup_deliver_syn (agent, bytes, length);
       return;
     }
+  oh_position_waiters_offered (&agent->position_waiters);
   if (!check_admission (agent, open, &result) || length > OH_SEGMENT_SYN_MAX_BYTES)
     {
+      if (result == OH__RESULT__RESULT_NOT_RUN_OVERLOADED)
+        oh_segment_agent_add_waiter (agent, open, balancer);
       oh_segment_agent_refuse_syn (agent, balancer, key, result, bytes, length);
       return;
     }
--- a/lib/core/segment_agent_replies.c
+++ b/lib/core/segment_agent_replies.c
@@ -89,6 +89,18 @@
     agent->sink->ops->report (agent->sink, agent->out, size, to_all);
 }
 
+void
+oh_segment_agent_send_load (oh_segment_agent_t *agent, oh_address_t balancer)
+{
+  Oh__SegmentRelay relay = OH__SEGMENT_RELAY__INIT;
+  size_t size;
+
+  relay.kind = OH__SEGMENT_RELAY_KIND__SEGMENT_LOAD;
+  size = encode (agent, &relay);
+  if (size > 0 && balancer.port != 0)
+    agent->sink->ops->send_balancer (agent->sink, balancer, agent->out, size);
+}
+
 /* Reports the state of a flow to a balancer. bytes is the segment to return, if any. */
 static void
 send_answer (oh_segment_agent_t *agent, oh_address_t balancer, Oh__SegmentRelay *relay,
--- a/lib/core/segment_agent_warmup.c
+++ b/lib/core/segment_agent_warmup.c
@@ -78,10 +78,16 @@
   agent->sink->ops->log (agent->sink, OH_LOG_INFO, "warmup_limit", pairs);
 }
 
+bool
+oh_agent_warmup_has_room (const oh_segment_agent_t *agent)
+{
+  return oh_warmup_limit_admits (&agent->warmup_limit, current_rate (agent), agent->now_us);
+}
+
 bool
 oh_agent_warmup_admits (oh_segment_agent_t *agent)
 {
-  if (oh_warmup_limit_admits (&agent->warmup_limit, current_rate (agent), agent->now_us))
+  if (oh_agent_warmup_has_room (agent))
     return true;
   oh_counter_increment (&agent->counters.limited);
   return false;
@@ -106,7 +112,7 @@
 void
 oh_agent_warmup_fill_load (const oh_segment_agent_t *agent, Oh__Load *load)
 {
-  if (oh_warmup_limit_admits (&agent->warmup_limit, current_rate (agent), agent->now_us))
+  if (oh_agent_warmup_has_room (agent))
     return;
   /* A limit of 0 would mean that it is not reported. */
   if (load->busy + load->queued == 0)
