control: Confirm followers and push confirmed views at once

After a restart of all processes a follower asked its leader for confirmation only at ticks of 100 ms, and a replica pushed its view at the tick after it had become confirmed. A voter was confirmed 190 ms after the election in a deployment, a balancer up to 100 ms later.

A follower that is not confirmed now also asks when it learns of the leader, when the leader first reports contact with a quorum (before, it does not reply), and when a node polls it, for polls once in 20 ms at most. Views are pushed in the event in which the replica becomes confirmed. Unconfirmed views list the voters of the latest set in the log: a restarted replica does not know which set is committed, and listed none. What is confirmed is unchanged.

test_control_core has two new cases, which fail on: confirmed within two messages after the contact, and the bound on queries. test_control_core, test_control_views, test_raft, test_raft_flow, test_raft_losses and control_processes pass.

--- a/lib/core/control_core.c
+++ b/lib/core/control_core.c
@@ -160,6 +160,63 @@
   return NULL;
 }
 
+/* Messages to replicas. */
+
+static void
+send_to_replica (const oh_control_core_t *core, const char *endpoint, Oh__Control *message)
+{
+  message->sender = core->name;
+  core->sink->ops->send_replica (core->sink, endpoint, message);
+}
+
+/* Confirmation by the leader. */
+
+static void
+query_leader (oh_control_core_t *core)
+{
+  Oh__Control message = OH__CONTROL__INIT;
+  Oh__CurrentQuery query = OH__CURRENT_QUERY__INIT;
+  const char *leader = oh_raft_leader_endpoint (&core->raft);
+
+  if (oh_raft_role (&core->raft) == OH_RAFT_LEADER || leader == NULL)
+    return;
+  core->last_query_us = core->now_us;
+  query.sent_us = core->now_us;
+  message.body_case = OH__CONTROL__BODY_CURRENT_QUERY;
+  message.current_query = &query;
+  send_to_replica (core, leader, &message);
+}
+
+/*
+ * Queries the leader if the last event made it known, or brought the first report of its contact with a
+ * quorum: before that it does not reply.
+ */
+static void
+query_new_leader (oh_control_core_t *core)
+{
+  const bool known
+    = oh_raft_role (&core->raft) != OH_RAFT_LEADER && oh_raft_leader_endpoint (&core->raft) != NULL;
+  const uint64_t term = known ? oh_raft_term (&core->raft) : 0;
+  const bool confirmed = oh_raft_confirmed (&core->raft, core->now_us);
+  const bool is_new = term != core->leader_term || (confirmed && !core->leader_confirmed);
+
+  core->leader_term = term;
+  core->leader_confirmed = confirmed;
+  if (is_new && !oh_control_core_confirmed (core, core->now_us))
+    query_leader (core);
+}
+
+/* Tells the nodes at once that their views are confirmed. */
+static void
+push_confirmation (oh_control_core_t *core)
+{
+  if (core->pushed_confirmed || !oh_control_core_confirmed (core, core->now_us))
+    return;
+  oh_control_log_event (core, "confirmed_changed", "confirmed=1 version=%" G_GUINT64_FORMAT,
+                        core->state.version);
+  oh_control_views_push (core);
+}
+
 /* Polls. */
 
 static void
@@ -174,6 +231,9 @@
                           "node=%s role=%s version=%" G_GUINT64_FORMAT " sequence=%" G_GUINT64_FORMAT,
                           poll->name, poll->role == OH__NODE_ROLE__NODE_AGENT ? "agent" : "balancer",
                           poll->version_in_force, core->membership.sequence);
+  if (core->now_us - core->last_query_us >= OH_CONTROL_POLL_QUERY_US
+      && !oh_control_core_confirmed (core, core->now_us))
+    query_leader (core);
   if (!poll->leaving)
     oh_control_views_answer (core, route, poll);
   else if (core->membership.sequence != sequence)
@@ -371,13 +431,6 @@
 
 /* Messages between replicas. */
 
-static void
-send_to_replica (const oh_control_core_t *core, const char *endpoint, Oh__Control *message)
-{
-  message->sender = core->name;
-  core->sink->ops->send_replica (core->sink, endpoint, message);
-}
-
 static void
 handle_raft_message (oh_control_core_t *core, const char *sender, const ProtobufCBinaryData *bytes)
 {
@@ -393,21 +446,6 @@
   oh__raft_message__free_unpacked (message, NULL);
 }
 
-static void
-query_leader (const oh_control_core_t *core)
-{
-  Oh__Control message = OH__CONTROL__INIT;
-  Oh__CurrentQuery query = OH__CURRENT_QUERY__INIT;
-  const char *leader = oh_raft_leader_endpoint (&core->raft);
-
-  if (oh_raft_role (&core->raft) == OH_RAFT_LEADER || leader == NULL)
-    return;
-  query.sent_us = core->now_us;
-  message.body_case = OH__CONTROL__BODY_CURRENT_QUERY;
-  message.current_query = &query;
-  send_to_replica (core, leader, &message);
-}
-
 static void
 handle_current_query (const oh_control_core_t *core, GBytes *route, const Oh__CurrentQuery *query)
 {
@@ -722,11 +760,12 @@
     oh_control_log_event (core, "leases_ended", "count=%" G_GUINT64_FORMAT,
                           core->membership.sequence - sequence);
   query_leader (core);
+  push_confirmation (core);
   confirmed = oh_control_core_confirmed (core, core->now_us);
-  if (confirmed != core->pushed_confirmed)
-    oh_control_log_event (core, "confirmed_changed", "confirmed=%d version=%" G_GUINT64_FORMAT, confirmed,
+  if (!confirmed && core->pushed_confirmed)
+    oh_control_log_event (core, "confirmed_changed", "confirmed=0 version=%" G_GUINT64_FORMAT,
                           core->state.version);
-  if ((confirmed && !core->pushed_confirmed) || (complete && !core->pushed_complete))
+  if (complete && !core->pushed_complete)
     oh_control_views_push (core);
   else if (core->membership.sequence != core->pushed_sequence)
     oh_control_views_push_list (core);
@@ -767,6 +806,7 @@
     .name = g_strdup (name),
     .pending = g_ptr_array_new_with_free_func (free_pending),
     .confirmation_query_us = G_MININT64 / 2, /* none yet; subtracting it must not overflow */
+    .last_query_us = G_MININT64 / 2,
     .committed_replicas = oh_raft_replicas_new (),
   };
   oh_raft_init (&core->raft, random);
@@ -829,6 +869,8 @@
     }
   while (process_deferred (core))
     ;
+  query_new_leader (core);
+  push_confirmation (core);
   if (core->state.version != core->pushed_version)
     oh_control_views_push (core);
   core->sink = NULL;
--- a/lib/core/control_core.h
+++ b/lib/core/control_core.h
@@ -20,6 +20,10 @@
  * most OH_CONTROL_CONFIRMATION_MAX_AGE_US ago, and the commit index in the reply has been applied here. The
  * age is measured from the sending of the query on this replica's own clock, so a message delayed while the
  * process was stopped or the path was cut confirms nothing.
+ *
+ * A follower queries the leader at each tick. While it is not confirmed, it also does so at once when it
+ * learns of the leader, when the leader first reports contact with a quorum, and when a node polls it. Views
+ * are pushed as soon as the replica becomes confirmed.
  */
 
 enum
@@ -28,6 +32,8 @@
   /* A leader replies only if it was in contact with a quorum within OH_RAFT_CONFIRMED_US minus this time, so
    * that the two ages add up to at most OH_RAFT_CONFIRMED_US. */
   OH_CONTROL_CONFIRMATION_MAX_AGE_US = 500000,
+  /* Least time since the last query to the leader at which a poll of a node causes another one. */
+  OH_CONTROL_POLL_QUERY_US = 20000,
   OH_CONTROL_PENDING_MAX = 256, /* uncommitted changes */
 };
 
@@ -134,6 +140,9 @@
   uint64_t next_tag;
   int64_t confirmation_query_us; /* when the last query that the leader replied to was sent */
   uint64_t confirmation_index;   /* commit index in the leader's reply to it */
+  int64_t last_query_us;         /* when the leader was last queried */
+  uint64_t leader_term;          /* of the known leader, another replica, after the last event; 0: none */
+  bool leader_confirmed;         /* oh_raft_confirmed after the last event */
 
   /* State covered by the last views; a difference causes the next push. */
   uint64_t pushed_version;
--- a/lib/core/control_views.c
+++ b/lib/core/control_views.c
@@ -87,15 +87,19 @@
 {
   Oh__Control message = OH__CONTROL__INIT;
   char *endpoints[OH_RAFT_REPLICAS_MAX];
+  const GPtrArray *replicas;
 
   view->confirmed = oh_control_core_confirmed (core, core->now_us);
+  /* A restarted replica does not know what is committed; the latest set of its log helps nodes to find the
+   * other replicas. */
+  replicas = view->confirmed ? core->committed_replicas : oh_raft_replicas (&core->raft);
   view->version = core->state.version;
   view->key_generation = core->state.key_generation;
   view->listed = oh_membership_is_complete (&core->membership, core->now_us);
   view->replicas = endpoints;
-  for (guint i = 0; i < core->committed_replicas->len; i++)
+  for (guint i = 0; i < replicas->len; i++)
     {
-      const oh_raft_replica_t *replica = g_ptr_array_index (core->committed_replicas, i);
+      const oh_raft_replica_t *replica = g_ptr_array_index (replicas, i);
 
       if (replica->role == OH__REPLICA_ROLE__REPLICA_VOTER)
         endpoints[view->n_replicas++] = replica->endpoint;
--- a/tests/test_control_core.c
+++ b/tests/test_control_core.c
@@ -44,6 +44,7 @@
   Oh__ChangeStatus status; /* of the last change reply */
   uint64_t status_version;
   unsigned n_replies;
+  unsigned n_queries; /* to the leader */
 } replica_t;
 
 typedef struct
@@ -128,6 +129,7 @@
 static void
 on_send_replica (oh_control_sink_t *sink, const char *endpoint, const Oh__Control *message)
 {
+  replica_of (sink)->n_queries += message->body_case == OH__CONTROL__BODY_CURRENT_QUERY;
   enqueue_message (replica_of (sink), endpoint, message);
 }
 
@@ -584,6 +586,65 @@
   stop_cluster ();
 }
 
+/* Guards against a follower in contact with its leader that becomes confirmed, or tells its nodes, only at
+ * its next tick. */
+static void
+test_confirmed_at_once (void)
+{
+  for (unsigned offset = 0; offset < OH_CONTROL_TICK_US / STEP_US; offset++)
+    {
+      replica_t *follower;
+
+      start_cluster ();
+      follower = find_follower ();
+      poll_view (follower);
+      follower->inbound_dropped = true;
+      run_for (2 * SECOND + (int64_t)offset * STEP_US);
+      poll_view (follower);
+      g_assert_false (follower->view_confirmed);
+      follower->inbound_dropped = false;
+      while (!oh_raft_confirmed (&follower->core.raft, cluster.now_us))
+        run_for (STEP_US);
+      /* The query and its reply take a step each. */
+      run_for (2 * STEP_US);
+      g_assert_true (follower->view_confirmed);
+      stop_cluster ();
+    }
+}
+
+/* Guards against a follower that polls lead to flood its leader with queries, and one that they do not lead
+ * to query it. */
+static void
+test_queries_bounded (void)
+{
+  const unsigned most = SECOND / OH_CONTROL_POLL_QUERY_US + SECOND / OH_CONTROL_TICK_US;
+  replica_t *follower;
+  unsigned before;
+
+  start_cluster ();
+  follower = find_follower ();
+  before = follower->n_queries;
+  for (unsigned i = 0; i < SECOND / STEP_US; i++)
+    {
+      poll_view (follower);
+      run_for (STEP_US);
+    }
+  /* Confirmed: at ticks only. */
+  g_assert_cmpuint (follower->n_queries - before, <=, SECOND / OH_CONTROL_TICK_US);
+  cluster.replies_without_commit = true;
+  run_for (SECOND);
+  before = follower->n_queries;
+  for (unsigned i = 0; i < SECOND / STEP_US; i++)
+    {
+      for (unsigned j = 0; j < 3; j++)
+        poll_view (follower);
+      run_for (STEP_US);
+    }
+  g_assert_cmpuint (follower->n_queries - before, <=, most);
+  g_assert_cmpuint (follower->n_queries - before, >=, most / 2);
+  stop_cluster ();
+}
+
 static void
 send_publish (replica_t *replica, uint64_t number)
 {
@@ -715,6 +776,8 @@
   g_test_add_func ("/control-core/stalled-leader-unconfirmed", test_stalled_leader_unconfirmed);
   g_test_add_func ("/control-core/stalled-leader-observer", test_stalled_leader_observer);
   g_test_add_func ("/control-core/reply-without-commit", test_reply_without_commit);
+  g_test_add_func ("/control-core/confirmed-at-once", test_confirmed_at_once);
+  g_test_add_func ("/control-core/queries-bounded", test_queries_bounded);
   g_test_add_func ("/control-core/confirmed-under-faults", test_confirmed_under_faults);
   return g_test_run ();
 }
