view_client: Poll more often until the view is confirmed

A node without a confirmed view polled once a second, and only the replicas of its settings, until a confirmed view listed others.

It now polls each replica every 100 ms, ten times, then at doubling intervals; less often with many nodes, and after a poll without an answer. It also polls the voters that unconfirmed views list. New log event view_confirmed.

--- a/lib/adapters/view_client.c
+++ b/lib/adapters/view_client.c
@@ -8,10 +8,11 @@
 #include "adapters/system_clock.h"
 #include "core/codec.h"
 #include "core/list_reader.h"
+#include "core/replica_poll.h"
 
 enum
 {
-  TICK_MS = 50,    /* interval at which polls that found no connection are sent again */
+  TICK_MS = 50,    /* interval at which polls ahead of the regular ones are sent */
   POLL_TICKS = 20, /* between regular polls */
   /* A member's lease: what a silent replica listed is older than that. */
   REPLICA_TIMEOUT_US = 3 * G_USEC_PER_SEC,
@@ -28,6 +29,7 @@
   char *endpoint;
   oh_link_t *link;
   oh_list_reader_t reader;     /* of the list that this replica sends */
+  oh_replica_poll_t poll;      /* polls until the view is confirmed */
   int64_t last_view_us;        /* last view; 0: none, or the replica was found silent */
   int64_t responsive_since_us; /* start of the current period without a gap above REPLICA_TIMEOUT_US */
   bool poll_unsent;            /* poll at the next tick: new replica, or no connection for the last poll */
@@ -51,6 +53,7 @@
   int64_t text_missing_since_us; /* since when a version without its text is known; 0: none */
   GSource *timer;
   unsigned ticks;
+  int64_t started_us;
 };
 
 static void
@@ -81,10 +84,25 @@
   message.poll = &replica_poll;
   bytes = oh_control_encode (&message, client->keyring, OH_KEY_CONTROL, &length);
   replica->poll_unsent = !oh_link_send (replica->link, NULL, bytes, length);
+  if (!replica->poll_unsent)
+    oh_replica_poll_sent (&replica->poll, oh_clock_now_us (oh_system_clock ()));
+}
+
+/* Ahead of its regular poll: the last one found no connection, or the node waits for a confirmed view. */
+static bool
+is_poll_due (const replica_t *replica)
+{
+  const oh_view_t *view = &replica->client->view;
+  /* Rounds to the nearest tick. */
+  const int64_t now_us = oh_clock_now_us (oh_system_clock ()) + (int64_t)TICK_MS * 1000 / 2;
+
+  return replica->poll_unsent
+         || oh_replica_poll_is_due (&replica->poll, view->confirmed,
+                                    view->members->len + view->balancers->len, now_us);
 }
 
 static void
-send_some_polls (oh_view_client_t *client, bool leaving, bool only_unsent)
+send_some_polls (oh_view_client_t *client, bool leaving, bool only_due)
 {
   Oh__Poll poll = OH__POLL__INIT;
 
@@ -101,7 +119,7 @@
     {
       replica_t *replica = g_ptr_array_index (client->replicas, i);
 
-      if (!only_unsent || replica->poll_unsent)
+      if (!only_due || is_poll_due (replica))
         send_poll (replica, &poll);
     }
 }
@@ -167,15 +185,18 @@
 }
 
 /*
- * Marks the replicas that a confirmed view lists, and adds those that are new. adjust_polled_replicas drops
- * the others.
+ * Adds the replicas that a view lists and that are new, and marks those that a confirmed view lists.
+ * adjust_polled_replicas drops the others.
  */
 static void
 update_listed_replicas (oh_view_client_t *client, const Oh__View *message)
 {
-  if (!message->confirmed || message->n_replicas == 0)
+  const oh_replica_list_use_t use = oh_replica_poll_list_use (client->view.confirmed, message->confirmed,
+                                                              message->n_replicas, client->replicas->len);
+
+  if (use == OH_REPLICA_LIST_IGNORED)
     return;
-  for (guint i = 0; i < client->replicas->len; i++)
+  for (guint i = 0; i < client->replicas->len && use == OH_REPLICA_LIST_IN_FORCE; i++)
     ((replica_t *)g_ptr_array_index (client->replicas, i))->listed = false;
   for (size_t i = 0; i < message->n_replicas; i++)
     {
@@ -190,10 +211,10 @@
               oh_log_warning ("replica_unusable", "reason=\"%s\"", error.message);
               continue;
             }
-          oh_log_info ("replica_learned", "replica=%s", replica->endpoint);
+          oh_log_info ("replica_learned", "replica=%s confirmed=%d", replica->endpoint, message->confirmed);
           replica->poll_unsent = true;
         }
-      replica->listed = true;
+      replica->listed |= use == OH_REPLICA_LIST_IN_FORCE;
     }
 }
 
@@ -202,6 +223,7 @@
 {
   oh_view_client_t *client = replica->client;
   const uint64_t version = client->view.version;
+  const bool confirmed = client->view.confirmed;
 
   if (!oh_view_merge (&client->view, replica->index, message))
     return;
@@ -212,6 +234,11 @@
                    client->view.version, client->view.confirmed, replica->endpoint);
       send_polls (client, false); /* replicas report the version in effect at each node */
     }
+  if (client->view.confirmed && !confirmed)
+    oh_log_info ("view_confirmed",
+                 "version=%" G_GUINT64_FORMAT " replica=%s replicas=%u after_ms=%" G_GINT64_FORMAT,
+                 client->view.version, replica->endpoint, client->replicas->len,
+                 (oh_clock_now_us (oh_system_clock ()) - client->started_us) / 1000);
   if (client->callbacks.changed != NULL)
     client->callbacks.changed (&client->view, client->data);
 }
@@ -261,6 +288,7 @@
       if (replica->last_view_us == 0 || now_us - replica->last_view_us > REPLICA_TIMEOUT_US)
         replica->responsive_since_us = now_us;
       replica->last_view_us = now_us;
+      oh_replica_poll_answered (&replica->poll, now_us);
       if (message->view->text_withheld)
         replica->withheld_version = message->view->version;
       update_listed_replicas (client, message->view);
@@ -461,6 +489,7 @@
   client->keyring = keyring;
   client->callbacks = *callbacks;
   client->data = data;
+  client->started_us = oh_clock_now_us (oh_system_clock ());
   client->replicas = g_ptr_array_new_with_free_func (free_replica);
   oh_view_init (&client->view);
   if (!add_configured_replicas (client, replicas, error))
--- a/lib/adapters/view_client.h
+++ b/lib/adapters/view_client.h
@@ -6,8 +6,9 @@
 
 /*
  * Polls the control replicas each second, which announces the node to them, and merges their replies into
- * one view. The replicas are those of the settings and those that confirmed views list. Runs in the given
- * main context, which also calls the callbacks.
+ * one view. The replicas are those of the settings and those that confirmed views list. Until the node has a
+ * confirmed view, it polls more often, and also the replicas that unconfirmed views list
+ * (core/replica_poll.h). Runs in the given main context, which also calls the callbacks.
  */
 
 typedef struct oh_view_client oh_view_client_t;
--- a/tests/test_control_views.c
+++ b/tests/test_control_views.c
@@ -5,6 +5,7 @@
 #include "core/codec.h"
 #include "core/control_core.h"
 #include "core/list_reader.h"
+#include "core/replica_poll.h"
 #include "core/view.h"
 
 /* Tests of the views that a control replica sends to many nodes: one replica, and the part of a node that
@@ -39,6 +40,7 @@
   oh_list_reader_t reader;
   oh_view_t view;
   int64_t poll_due_us;
+  oh_replica_poll_t poll;
   uint64_t bytes; /* of the views that it was sent */
 } node_t;
 
@@ -51,6 +53,8 @@
   int64_t now_us;
   uint64_t epoch;
   unsigned loss_percent;
+  bool fast_polls; /* as of nodes without a confirmed view, which they never get here */
+  unsigned polls;
   node_t nodes[NODES];
 } fleet_t;
 
@@ -80,6 +84,7 @@
   node->bytes += oh__control__get_packed_size (message);
   if (node->away || oh_random_below (&fleet->random.base, 100) < fleet->loss_percent)
     return;
+  oh_replica_poll_answered (&node->poll, fleet->now_us);
   if (oh_list_reader_accept (&node->reader, message->view))
     oh_view_merge (&node->view, 0, message->view);
   else
@@ -189,6 +194,8 @@
   };
 
   node->poll_due_us = fleet->now_us + POLL_US;
+  oh_replica_poll_sent (&node->poll, fleet->now_us);
+  fleet->polls++;
   oh_list_reader_fill_poll (&node->reader, &poll);
   poll.increments = node->increments;
   poll.name = node->name;
@@ -255,6 +262,17 @@
   g_free (fleet);
 }
 
+static bool
+is_poll_due (const fleet_t *fleet, const node_t *node)
+{
+  if (node->away)
+    return false;
+  return node->poll_due_us <= fleet->now_us
+         || (fleet->fast_polls && node->poll.sent_us != 0
+             && oh_replica_poll_is_due (&node->poll, node->view.confirmed,
+                                        node->view.members->len + node->view.balancers->len, fleet->now_us));
+}
+
 static void
 run_for (fleet_t *fleet, int64_t duration_us)
 {
@@ -264,7 +282,7 @@
 
       fleet->now_us += 10 * MS;
       for (unsigned i = 0; i < NODES; i++)
-        if (!fleet->nodes[i].away && fleet->nodes[i].poll_due_us <= fleet->now_us)
+        if (is_poll_due (fleet, &fleet->nodes[i]))
           poll_replica (fleet, &fleet->nodes[i]);
       tick.now_us = fleet->now_us;
       if (fleet->now_us % TICK_US == 0)
@@ -331,6 +349,28 @@
   fleet_free (fleet);
 }
 
+/* Guards against nodes that flood a replica while there is no confirmed view: with polls, or with lists that
+ * are sent again for each of them. */
+static void
+test_unconfirmed_start (void)
+{
+  const uint64_t lists = (uint64_t)BALANCERS * (AGENTS * MEMBER_BYTES + BALANCERS * BALANCER_BYTES)
+                         + (uint64_t)AGENTS * BALANCERS * BALANCER_BYTES;
+  fleet_t *fleet = fleet_new (4);
+
+  fleet->fast_polls = true;
+  run_for (fleet, 6 * SECOND);
+  check_lists (fleet);
+  g_test_message ("%u polls in 6 s", fleet->polls);
+  g_assert_cmpuint (fleet->polls, <=, NODES * (6 + 13));
+  g_assert_cmpuint (take_bytes (fleet), <=, lists + (uint64_t)NODES * VIEW_BYTES * (10 + 6 + 13));
+  fleet->polls = 0;
+  run_for (fleet, 10 * SECOND);
+  g_assert_cmpuint (fleet->polls, <=, NODES * 11);
+  g_assert_cmpuint (take_bytes (fleet), <=, (uint64_t)NODES * VIEW_BYTES * 11);
+  fleet_free (fleet);
+}
+
 /* Guards against a restarted replica that sends every list again, and against entries of its former run that
  * stay listed for ever. */
 static void
@@ -405,6 +445,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/control-views/mass-start", test_mass_start);
+  g_test_add_func ("/control-views/unconfirmed-start", test_unconfirmed_start);
   g_test_add_func ("/control-views/replica-restarted", test_replica_restarted);
   g_test_add_func ("/control-views/lost-views", test_lost_views);
   g_test_add_func ("/control-views/former-nodes", test_former_nodes);
