raft: Tell late voters of the commit at once

The leader sent the commit index at once only to peers without an outstanding request, so a replica that synced an entry after the quorum learned of its commit with the next heartbeat, up to 100 ms later. After a restart of all replicas that is the first entry of the term, which a voter needs to be confirmed.

When the last reply to an outstanding request arrives, the leader now sends a heartbeat if the peer has not been sent the commit index yet: at most one message for each commit and peer.

--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -213,6 +213,7 @@
   uint64_t id;
   uint64_t next_index;  /* of the next entry to send */
   uint64_t match_index; /* last entry known to be durable there and to agree with the leader's log */
+  uint64_t sent_commit; /* commit index in the last append request */
   /* When the last request that it replied to was sent; at first the start of the leadership. */
   int64_t contact_us;
   bool has_replied;     /* to this leader in this term */
--- a/lib/core/raft_replication.c
+++ b/lib/core/raft_replication.c
@@ -52,12 +52,14 @@
 
 /* Fills in what every append request carries, and sends it. */
 static void
-send_append_request (oh_raft_t *raft, const oh_raft_replica_t *to, Oh__AppendRequest *request)
+send_append_request (oh_raft_t *raft, const oh_raft_replica_t *to, oh_raft_peer_t *peer,
+                     Oh__AppendRequest *request)
 {
   Oh__RaftMessage message = OH__RAFT_MESSAGE__INIT;
   uint64_t commit_term = 0;
 
   oh_raft_log_term (&raft->log, raft->commit, &commit_term);
+  peer->sent_commit = raft->commit;
   request->commit = raft->commit;
   request->has_quorum = commit_term == raft->hard.term;
   request->quorum_age_us = raft->now_us - oh_raft_quorum_contact_us (raft, raft->now_us);
@@ -113,7 +115,7 @@
       request.n_entries++;
     }
   peer->request_end = request.previous_index + request.n_entries;
-  send_append_request (raft, to, &request);
+  send_append_request (raft, to, peer, &request);
   for (size_t i = 0; i < request.n_entries; i++)
     g_bytes_unref (contents[i]);
 }
@@ -171,7 +173,7 @@
   if (oh_raft_log_term (&raft->log, expected, &request.previous_term))
     request.previous_index = expected;
   request.sent_us = next_stamp_us (raft, peer);
-  send_append_request (raft, to, &request);
+  send_append_request (raft, to, peer, &request);
 }
 
 /* True if a heartbeat cannot tell whether the outstanding request arrived: the log was compacted beyond it.
@@ -341,8 +343,12 @@
   else
     resend_lost_chunk (raft, peer, reply);
   oh_raft_advance_commit (raft);
-  if (raft->role == OH_RAFT_LEADER && !peer->awaiting_reply && !reply->full && peer->match_index < last)
+  if (raft->role != OH_RAFT_LEADER || peer->awaiting_reply || reply->full)
+    return;
+  if (peer->match_index < last)
     send_append (raft, peer);
+  else if (peer->sent_commit < raft->commit && !raft->broadcast_pending)
+    send_heartbeat (raft, peer); /* it replied after the quorum that committed the entries */
 }
 
 /* Follower. */
--- a/tests/test_raft_flow.c
+++ b/tests/test_raft_flow.c
@@ -247,6 +247,29 @@
   sim_finish (&sim);
 }
 
+/* Guards against a voter that syncs an entry after the quorum did, and learns of the commit only with the
+ * next heartbeat: as long as a node waits for a view that it confirms. */
+static void
+test_late_voter (void)
+{
+  for (uint32_t seed = 60; seed < 70; seed++)
+    {
+      sim_t sim;
+      unsigned late;
+
+      setup (&sim, seed);
+      late = (sim_leader (&sim)->slot + 1) % 3;
+      for (unsigned slot = 0; slot < 3; slot++)
+        sim.nodes[slot].sync_us = slot == late ? 20 * SIM_MS : SIM_MS;
+      for (unsigned i = 0; i < 10; i++)
+        {
+          sim_run (&sim, 33 * SIM_MS);
+          sim_wait_applied (&sim, late, sim_commit (&sim, SIM_S), 25 * SIM_MS);
+        }
+      sim_finish (&sim);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -257,5 +280,6 @@
   g_test_add_func ("/raft-flow/heartbeats-pass", test_heartbeats_pass);
   g_test_add_func ("/raft-flow/snapshot", test_snapshot_to_slow_replica);
   g_test_add_func ("/raft-flow/compression", test_compression);
+  g_test_add_func ("/raft-flow/late-voter", test_late_voter);
   return g_test_run ();
 }
--- a/tests/test_recovery.c
+++ b/tests/test_recovery.c
@@ -395,7 +395,10 @@
   for (size_t i = 0; i < view->n_replicas; i++)
     {
       const unsigned number = find_endpoint (view->replicas[i]);
+      int64_t *connected_us = &world.connected_us[REPLICAS + node->number][number];
 
+      if (*connected_us == 0)
+        *connected_us = connect_time_us (&world.replicas[number]);
       node->poll_unsent[number] |= !node->polled[number];
       node->polled[number] = true;
     }
