raft: Send Hello more often after a start

An observer joins the set after each start. Its first Hello is dropped, as there is no connection yet, and the next one followed after 200 ms, so that a node that knows only observers waited for it.

A replica without a leader now sends Hello every 50 ms in its first 0.5 s.

--- a/lib/core/raft_membership.c
+++ b/lib/core/raft_membership.c
@@ -6,6 +6,10 @@
 enum
 {
   HELLO_INTERVAL_US = 200000,
+  /* Of a replica without a leader, for FIRST_HELLOS_US after its start. The first Hello finds no connection,
+   * and others arrive while there is no leader yet or while it adds another replica. */
+  FIRST_HELLO_INTERVAL_US = 50000,
+  FIRST_HELLOS_US = 500000,
   /* With target_voters: between Hellos of a voter, or of another replica in contact with its leader, to
    * replicas that may be looking for the cluster. */
   MEMBER_HELLO_INTERVAL_US = 1000000,
@@ -123,7 +127,11 @@
   if (raft->role == OH_RAFT_UNFORMED
       || (!oh_raft_is_voter (raft, raft->self->id)
           && raft->now_us - raft->leader_contact_us > OH_RAFT_CONFIRMED_US))
-    send_hellos (raft);
+    {
+      if (raft->now_us - raft->started_us < FIRST_HELLOS_US)
+        raft->hello_due_us = raft->now_us + FIRST_HELLO_INTERVAL_US;
+      send_hellos (raft);
+    }
   else if (raft->target_voters > 0 && raft->now_us >= raft->member_hello_due_us)
     {
       /* Shortly after a start, other replicas may have started too and be looking for the cluster. */
--- a/tests/test_recovery.c
+++ b/tests/test_recovery.c
@@ -75,7 +75,8 @@
 {
   oh_seeded_random_t random;
   int64_t now_us;
-  int64_t sync_us; /* greatest time that a sync takes */
+  int64_t sync_us;    /* greatest time that a sync takes */
+  bool observer_only; /* the settings of the nodes name the observer only */
   replica_t replicas[REPLICAS];
   node_t nodes[NODES];
   int64_t connected_us[ACTORS][REPLICAS]; /* 0: no link yet */
@@ -479,7 +480,7 @@
 {
   *node = (node_t){ .number = number, .start_us = world.now_us + random_up_to (START_US) };
   oh_view_init (&node->view);
-  node->polled[0] = true;
+  node->polled[0] = !world.observer_only;
   node->polled[VOTERS] = true;
 }
 
@@ -599,6 +600,7 @@
 {
   const char *name;
   int64_t sync_us;
+  bool observer_only;
   int64_t median_max_ms;
   int64_t last_max_ms; /* 99th percentile */
 } restart_case_t;
@@ -608,8 +610,9 @@
  * one of the first entry, six messages, and up to a tick of the node.
  */
 static const restart_case_t restart_cases[] = {
-  { "fast-disks", 5 * MS, 150, 220 },
-  { "slow-disks", 30 * MS, 180, 290 },
+  { "fast-disks", 5 * MS, false, 150, 220 },
+  { "slow-disks", 30 * MS, false, 180, 290 },
+  { "observer-only", 5 * MS, true, 150, 240 },
 };
 
 /* Guards against a control plane that leads again, but tells the nodes later than needed. */
@@ -624,6 +627,7 @@
   for (uint32_t seed = 0; seed < seeds; seed++)
     {
       init_world (seed, c->sync_us);
+      world.observer_only = c->observer_only;
       start_world ();
       run_until_confirmed (times_us);
       finish_world ();
