placement: refuse flows at once whose upstreams are all drained by operators

Cause: a flow that was refused for overload before, or that came within 3 s of a balancer's start, waited until its caller gave up although every upstream of its service had been drained (found by the author of the zone drain). Change: a reason of its own, all-drained; at a start only once every live node is listed.

--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -594,6 +594,7 @@
 {
   service_entry_t *entry = g_hash_table_lookup (placement->services, &request->service);
   const char *unavailable_dependency;
+  unsigned n_drained = 0;
   unsigned eligible = 0;
 
   *decision = (oh_placement_decision_t){ .service_name = "", .unavailable_dependency = "" };
@@ -614,12 +615,15 @@
     {
       const oh_placement_upstream_t *upstream = g_ptr_array_index (entry->upstreams, i);
 
+      n_drained += upstream->drained;
       if (is_draining (upstream))
         continue;
       eligible++;
       if (suspicion (upstream, now_us) != SUSPICION_NONE)
         decision->suspects++;
     }
+  if (n_drained > 0 && n_drained == entry->upstreams->len)
+    return refuse (decision, OH_PLACEMENT_ALL_DRAINED, OH__RESULT__RESULT_NO_UPSTREAM);
   if (request->n_tried >= OH_PLACEMENT_TRIED_MAX)
     return refuse (decision, OH_PLACEMENT_TRIED_ALL, OH__RESULT__RESULT_NO_UPSTREAM);
   /* Suspicion excludes at most a third of the upstreams that do not drain. */
@@ -774,6 +778,8 @@
       return "dependency-unavailable";
     case OH_PLACEMENT_NO_UPSTREAM:
       return "no-upstream";
+    case OH_PLACEMENT_ALL_DRAINED:
+      return "all-drained";
     case OH_PLACEMENT_TRIED_ALL:
       return "tried-all";
     case OH_PLACEMENT_NO_POSITION:
--- a/lib/core/placement.h
+++ b/lib/core/placement.h
@@ -111,6 +111,7 @@
   OH_PLACEMENT_UNKNOWN_SERVICE,
   OH_PLACEMENT_DEPENDENCY_UNAVAILABLE,
   OH_PLACEMENT_NO_UPSTREAM,
+  OH_PLACEMENT_ALL_DRAINED, /* operators have drained every listed upstream */
   OH_PLACEMENT_TRIED_ALL,
   OH_PLACEMENT_NO_POSITION, /* agents that would be chosen are full */
 } oh_placement_reason_t;
--- a/lib/core/segment_placing.c
+++ b/lib/core/segment_placing.c
@@ -76,13 +76,21 @@
   return balancer->now_us - balancer->confirmed_us < (int64_t)OH_SEGMENT_STARTUP_MS * 1000;
 }
 
+/* True if upstreams of the service may still be announced. */
+static bool
+may_be_announced (const oh_segment_balancer_t *balancer, oh_placement_reason_t reason)
+{
+  return is_starting (balancer)
+         && (reason == OH_PLACEMENT_NO_UPSTREAM
+             || (reason == OH_PLACEMENT_ALL_DRAINED && !balancer->all_listed));
+}
+
 bool
 oh_segment_may_wait (const oh_segment_balancer_t *balancer, const oh_balancer_flow_t *flow,
                      oh_placement_reason_t reason)
 {
   return reason == OH_PLACEMENT_NO_POSITION
-         || (reason == OH_PLACEMENT_NO_UPSTREAM && is_starting (balancer)
-             && oh_segment_is_managed (balancer, flow));
+         || (may_be_announced (balancer, reason) && oh_segment_is_managed (balancer, flow));
 }
 
 /* True if there may be capacity for the flow while its caller still waits. */
@@ -93,7 +101,9 @@
   if (flow->syn_retransmissions >= OH_SEGMENT_SYN_RETRANSMISSIONS || reason == OH_PLACEMENT_UNKNOWN_SERVICE
       || reason == OH_PLACEMENT_NO_POSITION)
     return false;
-  return flow->overloaded || (is_starting (balancer) && reason == OH_PLACEMENT_NO_UPSTREAM);
+  if (reason == OH_PLACEMENT_ALL_DRAINED)
+    return may_be_announced (balancer, reason);
+  return flow->overloaded || may_be_announced (balancer, reason);
 }
 
 /* Transmissions of the SYN that its caller may have sent by now, as a set of bits. */
--- a/tests/test_segment_balancer.c
+++ b/tests/test_segment_balancer.c
@@ -628,6 +628,8 @@
       RESETS (1) } },
   { "the caller waits although all upstreams of the service are in drained zones",
     { DRAIN_ZONE (KILN_AGENTS), CONFIRMED_VIEW (kiln_text), WAIT (4000), SYN, SENT (OPEN, 0), RESETS (1) } },
+  { "a caller waits for the time of a start although all upstreams are in drained zones",
+    { DRAIN_ZONE (KILN_AGENTS), CONFIRMED_VIEW (kiln_text), SYN, SENT (OPEN, 0), RESETS (1) } },
   { "a flow is lost that was open before its zone was drained",
     { CONFIRMED_VIEW (kiln_text), SYN, FROM_LAST_AGENT (ACCEPTED, 0), FROM_LAST_AGENT (OWNED, 0),
       DRAIN_ZONE (KILN_AGENTS), CONFIRMED_VIEW (kiln_text), SENT (OPEN, 1), REQUEST, SENT (DELIVER, 1),
