base: one hash and comparison of addresses as hash table keys

route_table.c and held_queue.c each had the same two functions. They are now oh_address_hash and oh_address_equal_keys in base/settings.h. No change of behaviour.

--- a/lib/base/settings.c
+++ b/lib/base/settings.c
@@ -192,3 +192,17 @@
               (address.ipv4 >> 8) & 0xff, address.ipv4 & 0xff, address.port);
   return text;
 }
+
+unsigned
+oh_address_hash (const void *key)
+{
+  const oh_address_t *address = key;
+
+  return address->ipv4 * 31 + address->port;
+}
+
+int
+oh_address_equal_keys (const void *a, const void *b)
+{
+  return oh_address_equal (*(const oh_address_t *)a, *(const oh_address_t *)b);
+}
--- a/lib/base/settings.h
+++ b/lib/base/settings.h
@@ -65,3 +65,7 @@
 {
   return a.ipv4 == b.ipv4 && a.port == b.port;
 }
+
+/* GHashFunc and GEqualFunc for hash tables whose keys point to an oh_address_t. */
+unsigned oh_address_hash (const void *key);
+int oh_address_equal_keys (const void *a, const void *b);
--- a/lib/core/held_queue.c
+++ b/lib/core/held_queue.c
@@ -12,20 +12,6 @@
   oh_list_t link;                         /* in queue->waiting */
 };
 
-static guint
-hash_address (gconstpointer data)
-{
-  const oh_address_t *address = data;
-
-  return address->ipv4 * 31 + address->port;
-}
-
-static gboolean
-equal_addresses (gconstpointer a, gconstpointer b)
-{
-  return oh_address_equal (*(const oh_address_t *)a, *(const oh_address_t *)b);
-}
-
 static oh_held_route_t *
 ensure_route (oh_held_queue_t *queue, oh_address_t address)
 {
@@ -47,7 +33,7 @@
 oh_held_queue_init (oh_held_queue_t *queue)
 {
   *queue = (oh_held_queue_t){
-    .routes = g_hash_table_new_full (hash_address, equal_addresses, NULL, g_free),
+    .routes = g_hash_table_new_full (oh_address_hash, oh_address_equal_keys, NULL, g_free),
   };
   oh_list_init (&queue->waiting);
 }
--- a/lib/core/route_table.c
+++ b/lib/core/route_table.c
@@ -2,20 +2,6 @@
 
 #include "core/service_classes.h"
 
-static guint
-hash_address (gconstpointer data)
-{
-  const oh_address_t *address = data;
-
-  return address->ipv4 * 31 + address->port;
-}
-
-static gboolean
-equal_addresses (gconstpointer a, gconstpointer b)
-{
-  return oh_address_equal (*(const oh_address_t *)a, *(const oh_address_t *)b);
-}
-
 static void
 free_route (gpointer data)
 {
@@ -28,7 +14,7 @@
 void
 oh_route_table_init (oh_route_table_t *table)
 {
-  table->routes = g_hash_table_new_full (hash_address, equal_addresses, NULL, free_route);
+  table->routes = g_hash_table_new_full (oh_address_hash, oh_address_equal_keys, NULL, free_route);
 }
 
 void
