balancer: usual terms for speculative offers and unused routes

"Guess" stood for an offer to an agent that is not known to have a free position; it is a speculative offer now, with a speculative_budget. The metric offers_guessed_total keeps its name. Comments on the budget, the start of an overload and the rounds of the queue say what is counted.

--- a/lib/core/held_queue.c
+++ b/lib/core/held_queue.c
@@ -87,7 +87,7 @@
 }
 
 void
-oh_held_queue_forget_routes (oh_held_queue_t *queue)
+oh_held_queue_remove_unused_routes (oh_held_queue_t *queue)
 {
   g_hash_table_foreach_remove (queue->routes, has_no_flows, NULL);
 }
--- a/lib/core/held_queue.h
+++ b/lib/core/held_queue.h
@@ -13,8 +13,8 @@
  * would wait until it is late.
  *
  * The flows of a route wait in lists by the number of the SYN's transmission that arrived first. Each list is
- * in the order of the callers' first transmissions, so that its newest flow is also the best one: the late
- * flows are at its other end. Choosing looks at the ends of the lists only, whatever their length.
+ * in the order of the callers' first transmissions, so its newest flow is also the first to be offered, and
+ * late flows are at the other end. oh_held_queue_next looks only at the last flow of each list.
  */
 
 enum
@@ -38,7 +38,7 @@
   GHashTable *routes; /* address to oh_held_route_t, owned; one for each route that a flow has waited for */
   oh_list_t waiting;  /* of oh_held_route_t that have flows */
   unsigned n_flows;
-  unsigned round;
+  unsigned round; /* number of the current round, see oh_held_queue_start_round */
 } oh_held_queue_t;
 
 void oh_held_queue_init (oh_held_queue_t *queue);
@@ -46,7 +46,7 @@
 /* No flow may wait any more. */
 void oh_held_queue_finish (oh_held_queue_t *queue);
 
-/* Adds a flow that does not wait. It can be answered in time until allowance_us after its start. class and
+/* Adds a flow that does not wait. It can be answered in time until allowance_us after started_us. class and
  * allowance_us replace those of the route's other flows. */
 void oh_held_queue_add (oh_held_queue_t *queue, oh_held_flow_t *flow, oh_address_t route, unsigned class,
                         int64_t allowance_us);
@@ -55,7 +55,7 @@
 void oh_held_queue_remove (oh_held_flow_t *flow);
 
 /* Frees what is kept for routes without flows; called when the routes have changed. */
-void oh_held_queue_forget_routes (oh_held_queue_t *queue);
+void oh_held_queue_remove_unused_routes (oh_held_queue_t *queue);
 
 /* Unblocks all routes. */
 void oh_held_queue_start_round (oh_held_queue_t *queue);
--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -92,8 +92,8 @@
       flow->may_be_open = true; /* a copy of an offer that was refused */
       return;
     }
-  if (offer->guessed && offer->state == OH_OFFER_SENT)
-    balancer->guesses++;
+  if (offer->speculative && offer->state == OH_OFFER_SENT)
+    balancer->speculative_budget++;
   offer->state = OH_OFFER_ACCEPTED;
   oh_segment_end_hold (flow);
 }
@@ -333,7 +333,7 @@
       balancer->routes_version = view->version;
       oh_counter_set (&balancer->counters.view_version, view->version);
       oh_route_table_load (&balancer->routes, &view->config);
-      oh_held_queue_forget_routes (&balancer->waiting);
+      oh_held_queue_remove_unused_routes (&balancer->waiting);
     }
   balancer->all_listed = view->complete;
   balancer->peers = g_array_new (FALSE, FALSE, sizeof (oh_segment_peer_t));
@@ -375,7 +375,7 @@
     .flows = g_hash_table_new_full (oh_flow_key_hash, oh_flow_key_equal, NULL, oh_balancer_flow_free),
     .resumed_us = G_MININT64 / 2,
     .search_budget = OH_SEGMENT_SEARCH_MESSAGES_PER_S,
-    .guesses = OH_SEGMENT_GUESSES_MIN,
+    .speculative_budget = OH_SEGMENT_SPECULATIVE_MIN,
     .query_queue = g_array_new (FALSE, FALSE, sizeof (oh_flow_key_t)),
   };
   oh_list_init (&balancer->lru);
@@ -428,7 +428,8 @@
     { &own->lookups_found, "flow_lookups_found_total", "Flows whose owner another balancer knew" },
     { &own->resets_absent, "resets_absent_total", "Resets of flows that no upstream holds" },
     { &own->held, "flows_held_total", "Refusals of flows that are kept and offered again, for want of room" },
-    { &own->guesses, "offers_guessed_total", "Offers to agents that were not known to have a position" },
+    { &own->speculative_offers, "offers_guessed_total",
+      "Offers to agents that were not known to have a position" },
     { &own->resets_expired, "resets_expired_total", "Flows that waited until their callers gave up" },
     { &own->flows_waiting, "flows_waiting", "Flows that wait for a position at an agent" },
     { &own->resets_no_route, "resets_no_route_total", "Flows refused because no route leads there" },
--- a/lib/core/segment_balancer.h
+++ b/lib/core/segment_balancer.h
@@ -32,8 +32,8 @@
 {
   OH_SEGMENT_OFFERS_MAX = OH_PLACEMENT_TRIED_MAX, /* agents that one flow is offered to */
   OH_SEGMENT_TICK_MS = 100,
-  OH_SEGMENT_HELD_INTERVAL_MS
-  = 10, /* the shortest time in which one agent may have a position again is 5 ms */
+  /* Between offers of waiting flows. A full agent is offered a flow again after 5 ms at the earliest. */
+  OH_SEGMENT_HELD_INTERVAL_MS = 10,
   OH_SEGMENT_SEARCH_MESSAGES_PER_S = 1500, /* budget of one balancer; about 150 KB/s */
   OH_SEGMENT_SEARCH_BACKOFF_MS = 1000,     /* until a flow that no agent owns is searched again */
   OH_SEGMENT_DIRECTORY_NODES = 2,          /* balancers that the owner of a flow is published to */
@@ -119,8 +119,8 @@
   uint64_t service;
   int64_t sent_us;
   bool repeated;         /* a retransmission of the SYN was sent there, too */
-  bool yields;           /* as the agent was told */
-  bool guessed;          /* the agent was not known to have a position */
+  bool yields;           /* as sent to the agent */
+  bool speculative;      /* the agent was not known to have a free position */
   unsigned transmission; /* of the SYN that was sent there last */
   oh_offer_state_t state;
 } oh_offer_t;
@@ -185,23 +185,23 @@
 
 typedef struct
 {
-  oh_counter_t segments;         /* from callers */
-  oh_counter_t forwarded;        /* segments sent to an agent that was offered the flow or owns it */
-  oh_counter_t searched;         /* flows queued for a query */
-  oh_counter_t search_messages;  /* queries and segments sent to agents to find owners */
-  oh_counter_t found;            /* flows whose owner was found by a search */
-  oh_counter_t placed;           /* offers to agents */
-  oh_counter_t placed_again;     /* offers of a flow after its first one */
-  oh_counter_t accepted;         /* offers whose SYN an upstream answered */
-  oh_counter_t refused_by_agent; /* offers */
-  oh_counter_t records;          /* owners published to other balancers */
-  oh_counter_t lookups;          /* flows looked up at directory nodes for lack of a record */
-  oh_counter_t lookups_found;    /* lookups that found the owner */
-  oh_counter_t resets_absent;    /* flows that the upstream of their owner does not have any more */
-  oh_counter_t held;             /* refusals of flows that are kept and offered again */
-  oh_counter_t guesses;          /* offers to agents that were not known to have a position */
-  oh_counter_t resets_expired;   /* flows that waited until their callers were about to give up */
-  oh_counter_t flows_waiting;    /* gauge */
+  oh_counter_t segments;           /* from callers */
+  oh_counter_t forwarded;          /* segments sent to an agent that was offered the flow or owns it */
+  oh_counter_t searched;           /* flows queued for a query */
+  oh_counter_t search_messages;    /* queries and segments sent to agents to find owners */
+  oh_counter_t found;              /* flows whose owner was found by a search */
+  oh_counter_t placed;             /* offers to agents */
+  oh_counter_t placed_again;       /* offers of a flow after its first one */
+  oh_counter_t accepted;           /* offers whose SYN an upstream answered */
+  oh_counter_t refused_by_agent;   /* offers */
+  oh_counter_t records;            /* owners published to other balancers */
+  oh_counter_t lookups;            /* flows looked up at directory nodes for lack of a record */
+  oh_counter_t lookups_found;      /* lookups that found the owner */
+  oh_counter_t resets_absent;      /* flows that the upstream of their owner does not have any more */
+  oh_counter_t held;               /* refusals of flows that are kept and offered again */
+  oh_counter_t speculative_offers; /* offers to agents that were not known to have a position */
+  oh_counter_t resets_expired;     /* flows that waited until their callers were about to give up */
+  oh_counter_t flows_waiting;      /* gauge */
   oh_counter_t resets_no_route;
   oh_counter_t resets_refused;
   oh_counter_t dropped_malformed;
@@ -239,9 +239,9 @@
   oh_list_t lookups;       /* flows with an unanswered lookup, oldest first */
   oh_list_t held;          /* flows to be offered again, the longest-waiting first */
   oh_held_queue_t waiting; /* flows of managed services that wait for a position, see segment_overload.h */
-  int guesses;             /* offers to agents that may have no position, until the next tick */
-  int64_t overload_us;     /* when flows had to wait for a position first; 0: none has lately */
-  int64_t waited_us;       /* when one had to last */
+  int speculative_budget;  /* speculative offers that may be refused until the next tick */
+  int64_t overload_us;     /* start of the current overload, see segment_overload.h; 0: none */
+  int64_t waited_us;       /* when a flow last had to wait for a position */
   oh_segment_balancer_counters_t counters;
   oh_histogram_t offer_seconds;
   int64_t last_event_us; /* when the last event was handled */
--- a/lib/core/segment_overload.c
+++ b/lib/core/segment_overload.c
@@ -160,9 +160,9 @@
 void
 oh_segment_overload_tick (oh_segment_balancer_t *balancer)
 {
-  balancer->guesses
-    = CLAMP ((int)oh_placement_upstream_share (&balancer->placement) * OH_SEGMENT_GUESSES_PER_UPSTREAM,
-             OH_SEGMENT_GUESSES_MIN, OH_SEGMENT_GUESSES_MAX);
+  balancer->speculative_budget
+    = CLAMP ((int)oh_placement_upstream_share (&balancer->placement) * OH_SEGMENT_SPECULATIVE_PER_UPSTREAM,
+             OH_SEGMENT_SPECULATIVE_MIN, OH_SEGMENT_SPECULATIVE_MAX);
   oh_segment_offer_waiting (balancer);
   oh_counter_set (&balancer->counters.flows_waiting, balancer->waiting.n_flows);
   if (balancer->overload_us == 0 || balancer->waiting.n_flows > 0
@@ -175,7 +175,7 @@
 oh_position_t
 oh_segment_least_position (const oh_segment_balancer_t *balancer)
 {
-  return balancer->guesses > 0 ? OH_POSITION_POSSIBLE : OH_POSITION_FREE;
+  return balancer->speculative_budget > 0 ? OH_POSITION_POSSIBLE : OH_POSITION_FREE;
 }
 
 bool
--- a/lib/core/segment_overload.h
+++ b/lib/core/segment_overload.h
@@ -6,18 +6,19 @@
  * Flows of managed services (placement_view.h) whose agents have no position. They wait in the order of
  * held_queue.h and are offered when a report shows a position, and while any of them waits every
  * OH_SEGMENT_HELD_INTERVAL_MS, as a position may have become free. Offers to agents that are not known to
- * have a position are limited in number; one that is accepted does not count. Flows whose agents report no
- * limits are held in segment_held.h.
+ * have a free position are speculative. Those that are not accepted are limited in number. Flows whose agents
+ * report no limits are held in segment_held.h.
  */
 
 enum
 {
   OH_SEGMENT_HELD_OFFERS_MAX = 32, /* in one event */
-  /* Refused offers of a balancer in OH_SEGMENT_TICK_MS: several for each upstream that falls to it. 16 offers
+  /* Speculative offers of a balancer that may be refused in OH_SEGMENT_TICK_MS: several for each upstream of
+   * its share. 16 offers
    * are 5 KB on links of 5 Mbit/s, 1% of what such a link carries in a second. */
-  OH_SEGMENT_GUESSES_MIN = 16,
-  OH_SEGMENT_GUESSES_MAX = 128,
-  OH_SEGMENT_GUESSES_PER_UPSTREAM = 4,
+  OH_SEGMENT_SPECULATIVE_MIN = 16,
+  OH_SEGMENT_SPECULATIVE_MAX = 128,
+  OH_SEGMENT_SPECULATIVE_PER_UPSTREAM = 4,
   /* Before the caller gives up: the first transmission of the SYN may have taken OH_SEGMENT_SYN_DELAY_MS, and
    * the flow has yet to open. */
   OH_SEGMENT_WAIT_MARGIN_MS = 100,
--- a/lib/core/segment_placing.c
+++ b/lib/core/segment_placing.c
@@ -159,16 +159,16 @@
     .service = choice->service,
     .sent_us = balancer->now_us,
     .yields = choice->yields,
-    .guessed = decision->position == OH_POSITION_POSSIBLE,
+    .speculative = decision->position == OH_POSITION_POSSIBLE,
     .transmission = oh_segment_transmission (balancer, bytes, length),
   };
   oh_counter_increment (&balancer->counters.placed);
   if (flow->n_offers > 1)
     oh_counter_increment (&balancer->counters.placed_again);
-  if (offer->guessed)
+  if (offer->speculative)
     {
-      balancer->guesses--;
-      oh_counter_increment (&balancer->counters.guesses);
+      balancer->speculative_budget--;
+      oh_counter_increment (&balancer->counters.speculative_offers);
     }
   oh_placement_open_sent (&balancer->placement, decision->upstream, oh_flow_key_digest (&flow->key),
                           balancer->now_us);
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -169,7 +169,8 @@
 
 /* Agents and upstreams. */
 
-/* As the page has it: half of the shortest objective, at least one request a slot, at most three. */
+/* As in docs/design/load.md, section 5: half of the shortest objective, at least one request a slot, at most
+ * three. */
 static unsigned
 agent_limit (const upstream_t *upstream)
 {
@@ -575,7 +576,8 @@
     sim->n_first++;
 }
 
-/* Perfect knowledge: the fastest free slot gets the best waiting request, by the order of the page. */
+/* Perfect knowledge: the fastest free slot gets the best waiting request, in the order of load.md, section 7.
+ */
 static void
 assign_perfectly (sim_t *sim)
 {
