segment_agent: usual terms for waiting balancers and lost requests

Positions were "promised" and waiters "told"; balancers are notified now, and an offer from each is expected for OH_POSITION_OFFER_TIMEOUT_MS. Silent SYNs are unanswered ones, and requests are marked lost. The comment on the pace lists what halves the limit. The metric positions_told_total keeps its name. Names and comments only; test_pace, test_position_waiters and test_segment_agent pass.

--- a/lib/core/pace.c
+++ b/lib/core/pace.c
@@ -34,7 +34,8 @@
   return CLAMP (pace->limit, pace->slots, limit_ceiling (pace));
 }
 
-/* The losses of one round have one cause, so what began before the last decrease causes no further one. */
+/* Losses of requests that were in progress together have one cause, so a request that began before the last
+ * decrease causes no further one. */
 static void
 decrease (oh_pace_t *pace, int64_t begun_us, int64_t now_us)
 {
@@ -62,7 +63,7 @@
   const bool outage = pace->n_lost >= pace->slots * OH_PACE_OUTAGE_LOSSES_PER_SLOT;
 
   pace->n_lost = 0;
-  pace->n_silent_syns = 0;
+  pace->n_unanswered_syns = 0;
   if (outage)
     {
       oh_pace_restart (pace, pace->slots, now_us);
@@ -182,7 +183,7 @@
 }
 
 void
-oh_pace_lose (oh_pace_t *pace, int64_t begun_us, int64_t now_us)
+oh_pace_mark_lost (oh_pace_t *pace, int64_t begun_us, int64_t now_us)
 {
   oh_pace_advance (pace, now_us);
   g_assert (pace->n_requests > 0);
@@ -195,14 +196,14 @@
 void
 oh_pace_syn_answered (oh_pace_t *pace)
 {
-  pace->n_silent_syns = 0;
+  pace->n_unanswered_syns = 0;
 }
 
 void
 oh_pace_syn_refused (oh_pace_t *pace, int64_t begun_us, int64_t now_us)
 {
   oh_pace_advance (pace, now_us);
-  pace->n_silent_syns = 0;
+  pace->n_unanswered_syns = 0;
   decrease (pace, begun_us, now_us);
 }
 
@@ -212,7 +213,7 @@
   oh_pace_advance (pace, now_us);
   if (begun_us < pace->valid_from_us)
     return;
-  pace->n_silent_syns++;
+  pace->n_unanswered_syns++;
   decrease (pace, begun_us, now_us);
 }
 
@@ -228,9 +229,9 @@
 oh_pace_taken (const oh_pace_t *pace, bool warming)
 {
   const unsigned limit = oh_pace_limit (pace, warming);
-  const unsigned silent = pace->n_lost + pace->n_silent_syns;
+  const unsigned unanswered = pace->n_lost + pace->n_unanswered_syns;
 
-  return pace->n_requests + (limit > 0 ? MIN (silent, limit - 1) : 0);
+  return pace->n_requests + (limit > 0 ? MIN (unanswered, limit - 1) : 0);
 }
 
 uint32_t
--- a/lib/core/pace.h
+++ b/lib/core/pace.h
@@ -9,9 +9,9 @@
  * - the service time: the mean time that a slot works on a request, which is the time that slots were busy
  *   divided by the number of answers;
  * - the limit: how many requests the upstream should have at the same time. It grows by one for each answer
- *   that came within the objective while the limit was in use, and is halved after a refusal, silence or a
- *   late answer, once for the requests that were begun since the last time. It is bounded by what can be
- *   answered within half of the objective.
+ *   that came within the objective while the limit was in use. It is halved after a refusal, a lost request,
+ *   an unanswered SYN or a late answer, at most once for the requests that were begun before that. It is
+ *   bounded by what can be answered within half of the objective.
  *
  * No I/O and no clock: times are passed in and do not decrease. Nothing is kept for each request; the caller
  * keeps when a request began. A gap between two calls is a pause of the calling process, so oh_pace_advance
@@ -29,11 +29,12 @@
   OH_PACE_LOST_TARGETS = 2,
   OH_PACE_LOST_MIN_MS = 400,
   OH_PACE_LOST_MAX_MS = 800,
-  /* So many losses per slot without an answer are an outage, after which the upstream starts anew. Fewer
-   * happen in a row if the upstream does not answer some of its requests. */
+  /* So many losses per slot without an answer are an outage: at the next answer the measurements restart.
+   * Fewer in a row occur at an upstream that does not answer some of its requests. */
   OH_PACE_OUTAGE_LOSSES_PER_SLOT = 3,
   OH_PACE_PAUSE_MS = 150, /* a longer gap between two calls is a pause */
-  /* After a pause, what came during it is handled within this time; it tells nothing about the upstream. */
+  /* Messages that arrived during a pause are handled within this time after it. Their times say nothing about
+   * the upstream. */
   OH_PACE_SETTLE_MS = 50,
 };
 
@@ -48,21 +49,21 @@
 typedef struct
 {
   unsigned slots;
-  int64_t target_us;        /* objective for the time to an answer; 0: none */
-  unsigned limit;           /* before it is bounded by the service time */
-  unsigned n_requests;      /* without an answer, except lost ones */
-  unsigned n_lost;          /* lost requests since the last answer */
-  unsigned n_silent_syns;   /* unanswered SYNs since the upstream last answered one */
-  int64_t advanced_us;      /* time of the last call */
-  int64_t valid_from_us;    /* what began earlier says nothing about the limit */
-  int64_t measured_from_us; /* answers and busy slots before this time do not count */
-  int64_t used_us;          /* when the limit was last in use */
-  int64_t decreased_us;
-  double mean_busy_us;   /* busy time of slots up to the last answer, of which earlier ones count less */
-  double mean_answers;   /* answers, weighted in the same way */
-  double recent_busy_us; /* busy time of slots since the last answer */
-  unsigned n_answers;    /* since the start */
-  uint64_t n_decreases;
+  int64_t target_us;          /* objective for the time to an answer; 0: none */
+  unsigned limit;             /* before it is bounded by the service time */
+  unsigned n_requests;        /* without an answer, except lost ones */
+  unsigned n_lost;            /* lost requests since the last answer */
+  unsigned n_unanswered_syns; /* unanswered SYNs since the upstream last answered one */
+  int64_t advanced_us;        /* time of the last call */
+  int64_t valid_from_us;      /* requests and SYNs begun earlier do not change the limit */
+  int64_t measured_from_us;   /* answers and busy slots before this time do not count */
+  int64_t used_us;            /* when the limit was last in use */
+  int64_t decreased_us;       /* when the limit was last decreased */
+  double mean_busy_us;        /* busy time of slots up to the last answer, of which earlier ones count less */
+  double mean_answers;        /* answers, weighted in the same way */
+  double recent_busy_us;      /* busy time of slots since the last answer */
+  unsigned n_answers;         /* since the start */
+  uint64_t n_decreases;       /* since oh_pace_init, as the next */
   uint64_t n_lost_total;
 } oh_pace_t;
 
@@ -86,14 +87,14 @@
 /* A request was delivered. */
 void oh_pace_begin (oh_pace_t *pace, int64_t now_us);
 
-/* A request that was begun at begun_us has ended. lost: oh_pace_lose was called for it. */
+/* A request that was begun at begun_us has ended. lost: oh_pace_mark_lost was called for it. */
 void oh_pace_end (oh_pace_t *pace, oh_pace_outcome_t outcome, int64_t begun_us, bool lost, int64_t now_us);
 
 /* True if a request without an answer should count as lost now. Those begun earlier are lost earlier. */
 bool oh_pace_is_lost (const oh_pace_t *pace, int64_t begun_us, int64_t now_us);
 
 /* Counts a request as lost. It may still be answered. */
-void oh_pace_lose (oh_pace_t *pace, int64_t begun_us, int64_t now_us);
+void oh_pace_mark_lost (oh_pace_t *pace, int64_t begun_us, int64_t now_us);
 
 /* The upstream has answered a SYN, refused one (returned it), or not answered one that was delivered at
  * begun_us in time. */
--- a/lib/core/position_waiters.c
+++ b/lib/core/position_waiters.c
@@ -47,28 +47,28 @@
 void
 oh_position_waiters_offered (oh_position_waiters_t *waiters)
 {
-  if (waiters->n_promised > 0)
-    waiters->n_promised--;
+  if (waiters->n_offers_expected > 0)
+    waiters->n_offers_expected--;
 }
 
 bool
 oh_position_waiters_take (oh_position_waiters_t *waiters, unsigned n_free, unsigned n_reserved,
                           int64_t now_us, oh_address_t *balancer)
 {
-  if (now_us - waiters->promised_us > (int64_t)OH_POSITION_PROMISE_MS * 1000)
-    waiters->n_promised = 0;
+  if (now_us - waiters->notified_us > (int64_t)OH_POSITION_OFFER_TIMEOUT_MS * 1000)
+    waiters->n_offers_expected = 0;
   for (int yields = false; yields <= true; yields++)
     {
       oh_position_waiter_ring_t *ring = &waiters->rings[yields];
-      const unsigned n_taken = waiters->n_promised + (yields ? n_reserved : 0);
+      const unsigned n_taken = waiters->n_offers_expected + (yields ? n_reserved : 0);
 
       expire (ring, now_us);
       if (ring->n == 0 || n_free <= n_taken)
         continue;
       *balancer = ring->entries[ring->first].balancer;
       drop_first (ring);
-      waiters->n_promised++;
-      waiters->promised_us = now_us;
+      waiters->n_offers_expected++;
+      waiters->notified_us = now_us;
       return true;
     }
   return false;
--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -398,7 +398,8 @@
     { &own->sent, "segments_sent_total", "Segments sent to callers" },
     { &own->opened, "flows_opened_total", "Flows that callers opened at the upstream" },
     { &own->refused, "firsts_refused_total", "First segments refused" },
-    { &own->positions_told, "positions_told_total", "Load reports to balancers that waited for a position" },
+    { &own->positions_reported, "positions_told_total",
+      "Load reports to balancers that waited for a position" },
     { &own->limited, "firsts_limited_total",
       "First segments refused or not repeated by the rate limit of a warming upstream" },
     { &own->unanswered, "firsts_unanswered_total", "First segments that the upstream left unanswered" },
@@ -479,6 +480,6 @@
       handle_tick (agent);
       break;
     }
-  oh_segment_agent_tell_waiters (agent);
+  oh_segment_agent_notify_waiters (agent);
   agent->sink = NULL;
 }
--- a/lib/core/segment_agent.h
+++ b/lib/core/segment_agent.h
@@ -156,19 +156,19 @@
 
 typedef struct
 {
-  oh_counter_t delivered;      /* segments to the upstream */
-  oh_counter_t returned;       /* segments that the upstream returned */
-  oh_counter_t sent;           /* segments to callers */
-  oh_counter_t opened;         /* flows */
-  oh_counter_t refused;        /* SYNs */
-  oh_counter_t positions_told; /* load reports to balancers that waited for a position */
-  oh_counter_t limited;        /* SYNs beyond the limit of a warming upstream */
-  oh_counter_t unanswered;     /* SYNs that the upstream did not answer in time */
-  oh_counter_t probes;         /* segments delivered to learn whether the upstream has the flow */
-  oh_counter_t probes_held;    /* segments not delivered, as enough probes of the flow were */
-  oh_counter_t searches;       /* flows that balancers searched for */
-  oh_counter_t absent;         /* segments of flows that the upstream does not have */
-  oh_counter_t resets;         /* of flows whose upstream is gone or has lost them */
+  oh_counter_t delivered;          /* segments to the upstream */
+  oh_counter_t returned;           /* segments that the upstream returned */
+  oh_counter_t sent;               /* segments to callers */
+  oh_counter_t opened;             /* flows */
+  oh_counter_t refused;            /* SYNs */
+  oh_counter_t positions_reported; /* load reports to balancers that waited for a position */
+  oh_counter_t limited;            /* SYNs beyond the limit of a warming upstream */
+  oh_counter_t unanswered;         /* SYNs that the upstream did not answer in time */
+  oh_counter_t probes;             /* segments delivered to learn whether the upstream has the flow */
+  oh_counter_t probes_held;        /* segments not delivered, as enough probes of the flow were */
+  oh_counter_t searches;           /* flows that balancers searched for */
+  oh_counter_t absent;             /* segments of flows that the upstream does not have */
+  oh_counter_t resets;             /* of flows whose upstream is gone or has lost them */
   oh_counter_t dropped_malformed;
   oh_counter_t dropped_bad_seal;
   oh_counter_t announcements;
--- a/lib/core/segment_agent_admission.c
+++ b/lib/core/segment_agent_admission.c
@@ -71,7 +71,7 @@
 }
 
 void
-oh_segment_agent_tell_waiters (oh_segment_agent_t *agent)
+oh_segment_agent_notify_waiters (oh_segment_agent_t *agent)
 {
   const oh_admission_work_t work = oh_segment_agent_work (agent);
   const oh_admission_report_t report = oh_admission_report (&agent->admission, &work);
@@ -84,7 +84,7 @@
          && oh_position_waiters_take (&agent->position_waiters, report.limit - taken, report.reserved,
                                       agent->now_us, &balancer))
     {
-      oh_counter_increment (&agent->counters.positions_told);
+      oh_counter_increment (&agent->counters.positions_reported);
       oh_segment_agent_send_load (agent, balancer);
     }
 }
@@ -104,7 +104,7 @@
 }
 
 static void
-lose_requests (oh_segment_agent_t *agent)
+mark_lost_requests (oh_segment_agent_t *agent)
 {
   while (!oh_list_is_empty (&agent->unanswered))
     {
@@ -112,7 +112,7 @@
 
       if (!oh_pace_is_lost (&agent->admission.pace, flow->request_us, agent->now_us))
         return;
-      oh_agent_flow_lose_request (agent, flow);
+      oh_agent_flow_mark_request_lost (agent, flow);
     }
 }
 
@@ -149,7 +149,7 @@
   oh_admission_report_t report;
 
   oh_pace_advance (&agent->admission.pace, agent->now_us);
-  lose_requests (agent);
+  mark_lost_requests (agent);
   work = oh_segment_agent_work (agent);
   report = oh_admission_report (&agent->admission, &work);
   log_limit (agent, &report);
--- a/lib/core/segment_agent_flows.c
+++ b/lib/core/segment_agent_flows.c
@@ -60,13 +60,13 @@
 }
 
 void
-oh_agent_flow_lose_request (oh_segment_agent_t *agent, oh_agent_flow_t *flow)
+oh_agent_flow_mark_request_lost (oh_segment_agent_t *agent, oh_agent_flow_t *flow)
 {
   flow->overdue = true;
   oh_list_remove (&flow->unanswered_link);
   oh_list_append (&agent->overdue, &flow->unanswered_link);
   oh_counter_increment (&agent->counters.lost_requests);
-  oh_pace_lose (&agent->admission.pace, flow->request_us, agent->now_us);
+  oh_pace_mark_lost (&agent->admission.pace, flow->request_us, agent->now_us);
 }
 
 void
--- a/lib/core/segment_agent_private.h
+++ b/lib/core/segment_agent_private.h
@@ -37,7 +37,7 @@
 void oh_agent_flow_end_request (oh_segment_agent_t *agent, oh_agent_flow_t *flow, oh_pace_outcome_t outcome);
 
 /* The request counts as lost. It may still be answered. */
-void oh_agent_flow_lose_request (oh_segment_agent_t *agent, oh_agent_flow_t *flow);
+void oh_agent_flow_mark_request_lost (oh_segment_agent_t *agent, oh_agent_flow_t *flow);
 
 /* Removes records that were not used for the flow timeout. */
 void oh_agent_flow_expire (oh_segment_agent_t *agent);
@@ -153,7 +153,7 @@
 
 /* Reports free positions to balancers that wait for them (position_waiters.h). To be called after each event.
  */
-void oh_segment_agent_tell_waiters (oh_segment_agent_t *agent);
+void oh_segment_agent_notify_waiters (oh_segment_agent_t *agent);
 
 /* Notes that a request was delivered. */
 void oh_segment_agent_note_request (oh_segment_agent_t *agent);
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -83,14 +83,14 @@
 typedef struct
 {
   bool used;
-  bool delivered;  /* the upstream has the request */
-  bool hung;       /* is never answered */
-  bool occupies;   /* occupies a slot, if hung */
-  bool lost;       /* counts as lost */
-  bool forgotten;  /* the agent does not count it any more */
-  bool expected;   /* is counted as expected */
-  bool syn_silent; /* the SYN was delivered to an upstream that is down */
-  bool answered;   /* while the agent was paused */
+  bool delivered;      /* the upstream has the request */
+  bool hung;           /* is never answered */
+  bool occupies;       /* occupies a slot, if hung */
+  bool lost;           /* counts as lost */
+  bool uncounted;      /* the agent does not count it any more */
+  bool expected;       /* is counted as expected */
+  bool syn_unanswered; /* the SYN was delivered to an upstream that is down */
+  bool answered;       /* while the agent was paused */
   int64_t opened_ms;
   int64_t begun_ms; /* request delivered */
   double work_ms;   /* left */
@@ -110,7 +110,7 @@
   bool next_hangs;
   int64_t now_ms;
   unsigned most_warming; /* at the upstream, while it is warming */
-  unsigned eaten;        /* flows that were admitted and not answered within the objective */
+  unsigned unserved;     /* flows that were admitted and not answered within the objective */
   unsigned good;
   unsigned good_in_goal;  /* in the windows where the capacity has to be reached */
   unsigned good_at_first; /* in the first FIRST_MS of them */
@@ -130,7 +130,7 @@
   for (unsigned i = 0; i < sim->n; i++)
     {
       result.n_expected += sim->requests[i].expected;
-      result.n_requests += sim->requests[i].delivered && !sim->requests[i].forgotten;
+      result.n_requests += sim->requests[i].delivered && !sim->requests[i].uncounted;
     }
   return result;
 }
@@ -243,7 +243,7 @@
     .hung = sim->next_hangs,
     .occupies = sim->phase->behaviour == HANGING_BUSY,
   };
-  sim->eaten += request->hung;
+  sim->unserved += request->hung;
   draw_next (sim);
   return request;
 }
@@ -266,8 +266,8 @@
         }
       request = add (sim);
       request->expected = true;
-      request->syn_silent = sim->phase->behaviour == DOWN;
-      if (!request->syn_silent)
+      request->syn_unanswered = sim->phase->behaviour == DOWN;
+      if (!request->syn_unanswered)
         oh_pace_syn_answered (&sim->admission.pace);
     }
 }
@@ -277,12 +277,12 @@
 {
   const int64_t latency_ms = sim->now_ms - request->opened_ms;
 
-  if (!request->forgotten)
+  if (!request->uncounted)
     oh_pace_end (&sim->admission.pace, outcome, request->begun_ms * 1000, request->lost, now_us (sim));
   if (good && latency_ms <= sim->test->target_ms)
     sim->good++;
   else
-    sim->eaten++;
+    sim->unserved++;
   request->used = false;
 }
 
@@ -301,23 +301,23 @@
 
       if (request->answered)
         end (sim, request, OH_PACE_ANSWERED, true);
-      else if (request->expected && request->syn_silent && age_ms == SYN_TIMEOUT_MS)
+      else if (request->expected && request->syn_unanswered && age_ms == SYN_TIMEOUT_MS)
         oh_pace_syn_unanswered (pace, request->opened_ms * 1000, now_us (sim));
-      else if (request->expected && request->syn_silent && age_ms >= EXPECTED_MS)
+      else if (request->expected && request->syn_unanswered && age_ms >= EXPECTED_MS)
         request->used = false;
-      else if (request->expected && !request->syn_silent && age_ms >= OPENING_MS)
+      else if (request->expected && !request->syn_unanswered && age_ms >= OPENING_MS)
         deliver (sim, request);
-      if (!request->used || !request->delivered || request->forgotten)
+      if (!request->used || !request->delivered || request->uncounted)
         continue;
       if (!request->lost && oh_pace_is_lost (pace, request->begun_ms * 1000, now_us (sim)))
         {
           request->lost = true;
-          oh_pace_lose (pace, request->begun_ms * 1000, now_us (sim));
+          oh_pace_mark_lost (pace, request->begun_ms * 1000, now_us (sim));
         }
       if (sim->now_ms - request->begun_ms > REQUEST_TIMEOUT_MS)
         {
           oh_pace_end (pace, OH_PACE_ABANDONED, request->begun_ms * 1000, request->lost, now_us (sim));
-          request->forgotten = true;
+          request->uncounted = true;
         }
     }
 }
@@ -366,7 +366,7 @@
   unsigned n = 0;
 
   for (unsigned i = 0; i < sim->n; i++)
-    if (sim->requests[i].used && !(sim->requests[i].forgotten && sim->requests[i].hung))
+    if (sim->requests[i].used && !(sim->requests[i].uncounted && sim->requests[i].hung))
       sim->requests[n++] = sim->requests[i];
   sim->n = n;
 }
@@ -525,7 +525,7 @@
   unsigned good;
   unsigned good_in_goal;
   unsigned good_at_first;
-  unsigned eaten;
+  unsigned unserved;
   unsigned most_warming; /* maximum */
 } result_t;
 
@@ -541,7 +541,7 @@
       result.good += sim.good;
       result.good_in_goal += sim.good_in_goal;
       result.good_at_first += sim.good_at_first;
-      result.eaten += sim.eaten;
+      result.unserved += sim.unserved;
       result.most_warming = MAX (result.most_warming, sim.most_warming);
     }
   return result;
@@ -571,7 +571,7 @@
                           " most_while_warming=%u",
                           names[j], results[j].good, results[j].good_in_goal,
                           results[j].good_in_goal / reachable, results[j].good_at_first / at_first,
-                          results[j].eaten, results[j].most_warming);
+                          results[j].unserved, results[j].most_warming);
         }
       g_assert_cmpfloat (pace->good_in_goal, >=,
                          REACHED * MAX (results[POLICY_PERFECT].good_in_goal, reachable));
@@ -580,7 +580,7 @@
       g_assert_cmpfloat (pace->good, >=, NOT_WORSE * results[POLICY_FIXED].good);
       g_assert_cmpuint (pace->most_warming, <=, 2 * slots);
       if (cases[i].fails)
-        g_assert_cmpuint (pace->eaten, <=, results[POLICY_FIXED].eaten);
+        g_assert_cmpuint (pace->unserved, <=, results[POLICY_FIXED].unserved);
     }
 }
 
@@ -688,7 +688,7 @@
       oh_pace_end (pace, OH_PACE_ABANDONED, begun_us, false, now_us);
       return;
     case LOST:
-      oh_pace_lose (pace, begun_us, now_us);
+      oh_pace_mark_lost (pace, begun_us, now_us);
       return;
     }
 }
@@ -767,7 +767,7 @@
   for (const int64_t until_us = now + 850000; now < until_us; now += STEP_US)
     oh_pace_advance (&pace, now);
   for (unsigned i = 0; i < 2; i++)
-    oh_pace_lose (&pace, begun_us, now);
+    oh_pace_mark_lost (&pace, begun_us, now);
   /* Both slots were busy in vain for longer than half of the objective. */
   g_assert_cmpuint (oh_pace_limit (&pace, false), ==, 2);
   g_assert_cmpuint (oh_pace_taken (&pace, false), ==, 1);
@@ -797,7 +797,7 @@
       for (unsigned i = 0; i < n; i++)
         {
           oh_pace_begin (&pace, now);
-          oh_pace_lose (&pace, now, now);
+          oh_pace_mark_lost (&pace, now, now);
         }
       oh_pace_begin (&pace, now);
       oh_pace_end (&pace, OH_PACE_ANSWERED, now, false, now);
--- a/tests/test_position_waiters.c
+++ b/tests/test_position_waiters.c
@@ -16,7 +16,7 @@
   STEP_REFUSE,  /* a: balancer, b: whether its flow yields */
   STEP_OFFERED, /* an offer arrives */
   STEP_WAIT,    /* a: ms */
-  EXPECT_TAKEN, /* a: balancer that is told, or NONE; b: free positions, c: reserved ones */
+  EXPECT_TAKEN, /* a: balancer that is notified, or NONE; b: free positions, c: reserved ones */
 } step_kind_t;
 
 typedef struct
@@ -38,18 +38,18 @@
       { EXPECT_TAKEN, NONE, 0, 0 },
       { EXPECT_TAKEN, 1, 1, 0 },
       { EXPECT_TAKEN, NONE, 4, 0 } } },
-  { "all balancers are told of the same position",
+  { "all balancers are notified of the same position",
     { { STEP_REFUSE, 1, 0, 0 },
       { STEP_REFUSE, 2, 0, 0 },
       { EXPECT_TAKEN, 1, 1, 0 },
       { EXPECT_TAKEN, NONE, 1, 0 },
       { STEP_OFFERED, 0, 0, 0 },
       { EXPECT_TAKEN, 2, 1, 0 } } },
-  { "a position stays promised to a balancer that does not use it",
+  { "a position stays taken by a notified balancer that sends no offer",
     { { STEP_REFUSE, 1, 0, 0 },
       { STEP_REFUSE, 2, 0, 0 },
       { EXPECT_TAKEN, 1, 1, 0 },
-      { STEP_WAIT, OH_POSITION_PROMISE_MS + 1, 0, 0 },
+      { STEP_WAIT, OH_POSITION_OFFER_TIMEOUT_MS + 1, 0, 0 },
       { EXPECT_TAKEN, 2, 1, 0 } } },
   { "a reserved position is offered to a flow that yields, or the others wait behind it",
     { { STEP_REFUSE, 1, 1, 0 },
