raft: comments on zone drains and first election timeouts

The declaration and the definition of oh_raft_record_zone_drain named its parameter differently, and comments did not say what is recorded or when a non-voter is left out. Comments and a parameter name only.

--- a/lib/core/raft_election.c
+++ b/lib/core/raft_election.c
@@ -130,9 +130,9 @@
 }
 
 /*
- * The first timeout of each voter lies in the first half of a part of the range of its own, by its rank:
- * after a restart of all replicas at once, all of three would otherwise become candidates together now and
- * then, and none win.
+ * The range is divided into one part per voter. The first timeout of a voter is random in the first half of
+ * the part of its rank. With timeouts from the whole range, all three voters sometimes became candidates
+ * together after a restart of all replicas, and none won.
  */
 static int64_t
 first_election_timeout_us (const oh_raft_t *raft)
--- a/lib/core/raft_private.h
+++ b/lib/core/raft_private.h
@@ -172,14 +172,14 @@
 
 /* raft_zone_drain.c */
 
-/* Computes the digest of the set, and forgets replicas that are not in it any more. */
+/* Computes the digest of the set and removes the records of replicas that are no longer in it. */
 void oh_raft_update_zone_drain_set (oh_raft_t *raft);
 
-/* Leader: records what a replica reports about itself. */
-void oh_raft_record_zone_drain (oh_raft_t *raft, uint64_t id, bool understands);
+/* Leader: records whether a replica reports that it understands drains of zones. */
+void oh_raft_record_zone_drain (oh_raft_t *raft, uint64_t id, bool understood);
 
-/* Leader: adds what is known about the set to a request. */
+/* Leader: adds to a request which replicas of the set understand drains of zones. */
 void oh_raft_fill_zone_drain (const oh_raft_t *raft, Oh__AppendRequest *request);
 
-/* Takes over what the leader knows, if it has the same set. */
+/* Follower: adopts the leader's record of the replicas, if the leader has the same set. */
 void oh_raft_adopt_zone_drain (oh_raft_t *raft, const Oh__AppendRequest *request);
--- a/lib/core/raft_zone_drain.c
+++ b/lib/core/raft_zone_drain.c
@@ -7,8 +7,8 @@
  * such a change as an invalid one, so that its state differs from then on; the leader therefore accepts one
  * only if all replicas of the set have said in an AppendReply that they understand it.
  *
- * What a leader knows goes to the others in its append requests. A new leader therefore accepts the change
- * although a replica, for instance the former leader, has stopped and cannot say so again.
+ * The leader sends its record to the others in its append requests. A new leader therefore accepts the change
+ * although a replica, for instance the former leader, has stopped and cannot report again.
  */
 
 static unsigned
@@ -40,14 +40,14 @@
 }
 
 void
-oh_raft_record_zone_drain (oh_raft_t *raft, uint64_t id, bool understands_now)
+oh_raft_record_zone_drain (oh_raft_t *raft, uint64_t id, bool understood)
 {
   const unsigned position = position_of (raft, id);
   const bool known = position < raft->zone_drain_ids->len;
 
-  if (understands_now && !known)
+  if (understood && !known)
     g_array_append_val (raft->zone_drain_ids, id);
-  else if (!understands_now && known)
+  else if (!understood && known)
     g_array_remove_index (raft->zone_drain_ids, position);
 }
 
@@ -71,9 +71,9 @@
                                (request->drains_zones & 1U << i) != 0);
 }
 
-/* A non-voter that is gone for good stays in the set until its place is needed, and nothing says what it
- * understood once all other replicas have been restarted. It would keep zones from being drained forever, so
- * after this time it counts like a replica that joins later. */
+/* True if the replica is a non-voter without contact for OH_RAFT_VOTER_TIMEOUT_US. A failed non-voter stays
+ * in the set until its place is needed, and once all other replicas have restarted, no record says whether it
+ * understands drains. It must not prevent them for good, so it counts like a replica that joins later. */
 static bool
 is_lost_learner (const oh_raft_t *raft, const oh_raft_replica_t *replica)
 {
