warmup_limit: clearer comments on the margin and a predecessor

They did not say which limit the margin belongs to, what the size of the bucket leaves room for, or what full_until_us prevents. Comments only.

--- a/lib/core/segment_agent_warmup.c
+++ b/lib/core/segment_agent_warmup.c
@@ -1,7 +1,7 @@
 #include "core/segment_agent_private.h"
 
 /* Time after the start of this process in which its predecessor may have delivered SYNs: it ended before this
- * process bound its socket, a moment after the start. */
+ * process bound its socket, shortly after the start. */
 #define PREDECESSOR_MS 100
 
 /* True if the settings ask for limits. */
--- a/lib/core/warmup_limit.h
+++ b/lib/core/warmup_limit.h
@@ -10,7 +10,8 @@
  * - In every span of one second that ends now, at most rate x overshoot + slack flows were delivered, this
  * one included (hard limit).
  * - A token bucket that is filled at the rate has a token (target). It holds at most half of what the hard
- * limit allows above the rate, so that a burst leaves room for flows whose times change on their way.
+ * limit allows above the rate. The rest is a margin for SYNs that reach the upstream closer together than the
+ * agent sent them.
  *
  * Every delivered SYN is counted, also while nothing is limited: the upstream may have been replaced a moment
  * before its first announcement, and a limit may come with the next view. The memory does not depend on the
@@ -24,7 +25,7 @@
   OH_WARMUP_SLICES = OH_WARMUP_SPAN_US / OH_WARMUP_SLICE_US + 1,
 };
 
-/* What the limit is above the rate, in thousandths. */
+/* Margin of the hard limit above the rate, in thousandths. */
 typedef struct
 {
   int64_t overshoot_milli; /* factor */
@@ -43,7 +44,7 @@
   oh_warmup_margin_t margin;
   uint32_t delivered[OH_WARMUP_SLICES]; /* SYNs in each of the last slices of time, as a ring */
   int64_t last_slice;                   /* number of the last slice with an entry */
-  int64_t full_until_us; /* the span is full until then, as it is not known what was delivered */
+  int64_t full_until_us; /* no flow is let in before, as the deliveries of a predecessor are not known */
   int64_t tokens;        /* in the bucket at tokens_us, in units of 1e-9 flows */
   int64_t tokens_us;
 } oh_warmup_limit_t;
@@ -52,7 +53,7 @@
  * delivered flows to the upstream before; 0: there was none. */
 void oh_warmup_limit_init (oh_warmup_limit_t *limit, const oh_warmup_margin_t *margin, int64_t full_until_us);
 
-/* To be called when it turns out that no other process has delivered flows to the upstream. */
+/* To be called once it is known that no other process has delivered flows to the upstream. */
 void oh_warmup_limit_clear_full (oh_warmup_limit_t *limit);
 
 /* The most flows that may be delivered in a span. */
