--- a/daemons/control_settings.h
+++ b/daemons/control_settings.h
@@ -20,7 +20,7 @@
   bool join;          /* never form a cluster from an empty data folder */
   int64_t tolerate;   /* number of failed replicas to survive; used with seeds */
   int64_t compact_entries;
-  char *zones;            /* of the deployment, separated by commas; "": not known */
+  char *zones;            /* availability zones of the deployment, separated by commas; "": not known */
   oh_address_t operators; /* HTTP interface for operators; port 0: none */
   char *key_file;
   char *log_level;
--- a/lib/core/control_core.c
+++ b/lib/core/control_core.c
@@ -206,7 +206,7 @@
     query_leader (core);
 }
 
-/* Tells the nodes at once that their views are confirmed. */
+/* Pushes the view to all nodes when this replica has become confirmed. */
 static void
 push_confirmation (oh_control_core_t *core)
 {
