--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -9,8 +9,8 @@
  * is below 1 because the real load is unknown and must not be the highest. */
 #define PACED_FRACTION 0.9
 
-/* Bounds of the pace of an upstream. A difference below PACE_NOISE is one of the requests, not of the
- * upstreams. */
+/* Bounds of the pace of an upstream, relative to the mean of its service. A pace closer to 1 than the factor
+ * PACE_NOISE counts as 1: the requests may differ, not the upstreams. */
 #define PACE_MIN 0.25
 #define PACE_MAX 4.0
 #define PACE_NOISE 1.25
--- a/lib/core/placement.h
+++ b/lib/core/placement.h
@@ -21,7 +21,8 @@
  * Services that the configuration manages (placement_view.h) are also placed by positions and by pace, as far
  * as their agents report them. A position is a request that the agent admits beyond those that it has. An
  * agent that has none, as far as is known, is chosen only if no other agent has one, and not again right
- * after it refused for overload or gave its last position away: only when a position may have become free.
+ * after it refused for overload or accepted an Open with its last position: only when a position may have
+ * become free.
  */
 
 enum
