--- a/lib/core/request_wait.h
+++ b/lib/core/request_wait.h
@@ -5,8 +5,8 @@
 /*
  * How long a flow that has just opened counts as work of its upstream before it brings its first request. A
  * caller that is alive sends the request a round trip after the SYN-ACK. One that has given up never does:
- * after a mass loss, when callers with old SYNs are many, flows that counted for long would fill all
- * positions of an upstream that is idle.
+ * after the loss of many processes there are many callers with old SYNs, whose flows would fill all positions
+ * of an idle upstream if they counted for long.
  *
  * The wait is the mean of the times that callers took plus four times their mean deviation, as for the
  * retransmission timer of TCP (RFC 6298). No I/O; times are passed in.
--- a/lib/core/service_set.h
+++ b/lib/core/service_set.h
@@ -21,8 +21,8 @@
 typedef struct
 {
   GArray *ids; /* of uint64_t, ascending; NULL before the first oh_service_set_assign */
-  GArray
-    *warmups; /* of oh_service_warmup_t, by service, for services with a limit only; NULL if there are none */
+  /* Of oh_service_warmup_t, by service, for services with a limit only; NULL if there are none. */
+  GArray *warmups;
   uint64_t digest; /* of ids and warmups; 0 before the first oh_service_set_assign */
 } oh_service_set_t;
 
@@ -35,7 +35,7 @@
 /* Sets the limits, in any order, after oh_service_set_assign; those of 0 are left out. */
 void oh_service_set_assign_warmups (oh_service_set_t *set, const oh_service_warmup_t *warmups, size_t n);
 
-/* Replaces the contents by those of another set, which is known. */
+/* Replaces the contents by those of another set, which must be known (oh_service_set_is_known). */
 void oh_service_set_copy (oh_service_set_t *set, const oh_service_set_t *from);
 
 /* Replaces the contents by the services of the configuration. */
