Mend what the reviews of the new parts found

Cause: two reviewers who had not written the parts showed by runs: an idle upstream refused all yielding flows for ever after losses, as the one position that was left was reserved; a flow refused as full was not offered elsewhere if it could not wait; a non-voter that never answered blocked zone orders; a node whose replicas were silent at first polled slowly once they answered. By reading: first pre-votes every 20 ms without an end, agents that lift the provisional limit of warm-up did not report it, oversized SYNs and full agents in the list of waiters. Change: the smallest mend of each; a test for the first. Open: refused offers to agents that report a position have no budget of their own; a flow with two offers is reset when one was full and the other draining; one objective for all routes of an upstream; zones are not read again on reload.

--- a/lib/core/admission.c
+++ b/lib/core/admission.c
@@ -54,6 +54,19 @@
   oh_pace_set_target (&admission->pace, (int64_t)admission->target_ms * 1000);
 }
 
+/* Lost requests and unanswered SYNs take all positions but one until the upstream answers. That one is for
+ * any flow: if it were reserved and only yielding flows came, nothing would show that the upstream answers
+ * again.
+ */
+static unsigned
+current_reserve (const oh_admission_t *admission, const oh_admission_work_t *work, unsigned limit)
+{
+  const unsigned reserved = reserved_positions (limit, work->slots);
+  const unsigned silent = admission->pace.n_lost + admission->pace.n_unanswered_syns;
+
+  return silent >= limit - reserved ? 0 : reserved;
+}
+
 oh_admission_result_t
 oh_admission_decide (const oh_admission_t *admission, const oh_admission_work_t *work, uint32_t target_ms,
                      bool yields)
@@ -68,7 +81,7 @@
   taken = oh_pace_taken (&admission->pace, work->warming) + work->n_expected;
   if (taken >= limit)
     return OH_ADMISSION_FULL;
-  if (yields && taken >= limit - reserved_positions (limit, work->slots))
+  if (yields && taken >= limit - current_reserve (admission, work, limit))
     return OH_ADMISSION_RESERVED;
   return OH_ADMISSION_ADMITTED;
 }
@@ -91,7 +104,7 @@
   if (admission->target_ms == 0)
     return report;
   report.limit = oh_pace_limit (&admission->pace, work->warming);
-  report.reserved = reserved_positions (report.limit, work->slots);
+  report.reserved = current_reserve (admission, work, report.limit);
   report.service_us = oh_pace_service_us (&admission->pace);
   report.taken = oh_pace_taken (&admission->pace, work->warming);
   return report;
--- a/lib/core/position_waiters.c
+++ b/lib/core/position_waiters.c
@@ -16,13 +16,17 @@
     drop_first (ring);
 }
 
-static bool
-contains (const oh_position_waiter_ring_t *ring, oh_address_t balancer)
+static oh_position_waiter_t *
+find (oh_position_waiter_ring_t *ring, oh_address_t balancer)
 {
   for (unsigned i = 0; i < ring->n; i++)
-    if (oh_address_equal (ring->entries[(ring->first + i) % OH_POSITION_WAITERS_MAX].balancer, balancer))
-      return true;
-  return false;
+    {
+      oh_position_waiter_t *waiter = &ring->entries[(ring->first + i) % OH_POSITION_WAITERS_MAX];
+
+      if (oh_address_equal (waiter->balancer, balancer))
+        return waiter;
+    }
+  return NULL;
 }
 
 void
@@ -35,9 +39,13 @@
 oh_position_waiters_add (oh_position_waiters_t *waiters, oh_address_t balancer, bool yields, int64_t now_us)
 {
   oh_position_waiter_ring_t *ring = &waiters->rings[yields];
+  oh_position_waiter_t *waiter;
 
   expire (ring, now_us);
-  if (ring->n == OH_POSITION_WAITERS_MAX || contains (ring, balancer))
+  waiter = find (ring, balancer);
+  if (waiter != NULL)
+    waiter->refused_us = now_us; /* it keeps its place */
+  if (waiter != NULL || ring->n == OH_POSITION_WAITERS_MAX)
     return;
   ring->entries[(ring->first + ring->n) % OH_POSITION_WAITERS_MAX]
     = (oh_position_waiter_t){ .balancer = balancer, .refused_us = now_us };
--- a/lib/core/raft.c
+++ b/lib/core/raft.c
@@ -104,6 +104,7 @@
       oh_raft_peer_t peer = {
         .id = replica->id,
         .next_index = oh_raft_log_last_index (&raft->log) + 1,
+        .added_us = raft->now_us,
       };
 
       if (replica->id == 0 || replica->id == raft->self->id)
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -216,6 +216,7 @@
   uint64_t sent_commit; /* commit index in the last append request */
   /* When the last request that it replied to was sent; at first the start of the leadership. */
   int64_t contact_us;
+  int64_t added_us;     /* when this replica learned that the other one is in the set */
   bool has_replied;     /* to this leader in this term */
   bool leaving;         /* it is being stopped, by its last reply */
   int64_t last_sent_us; /* stamp of the last request, heartbeats included; no two have the same */
--- a/lib/core/raft_election.c
+++ b/lib/core/raft_election.c
@@ -6,6 +6,7 @@
   /* The same for the first pre-vote after a start, when connections are still being made: they take up to 50
    * ms if the other replica starts later. */
   FIRST_VOTES_INTERVAL_US = 20000,
+  FIRST_VOTES_US = 500000, /* after the start */
 };
 
 static void
@@ -31,12 +32,19 @@
   return peer != NULL && peer->vote_granted;
 }
 
+/* A voter that starts cut off from the others goes on at the ordinary rate. */
+static bool
+is_first_election (const oh_raft_t *raft)
+{
+  return !raft->first_election_done && raft->now_us - raft->started_us < FIRST_VOTES_US;
+}
+
 /* Requests votes from the voters that have not granted theirs in this round. */
 static void
 request_votes (oh_raft_t *raft)
 {
   raft->votes_due_us
-    = raft->now_us + (raft->first_election_done ? VOTES_INTERVAL_US : FIRST_VOTES_INTERVAL_US);
+    = raft->now_us + (is_first_election (raft) ? FIRST_VOTES_INTERVAL_US : VOTES_INTERVAL_US);
   for (unsigned i = 0; i < raft->replicas->len; i++)
     {
       const oh_raft_replica_t *replica = raft->replicas->pdata[i];
--- a/lib/core/raft_zone_drain.c
+++ b/lib/core/raft_zone_drain.c
@@ -80,8 +80,8 @@
   const oh_raft_peer_t *peer = oh_raft_find_peer (raft, replica->id);
 
   /* A replica that was just added has had no contact yet. */
-  return replica->role != OH__REPLICA_ROLE__REPLICA_VOTER && peer != NULL && peer->contact_us != 0
-         && raft->now_us - peer->contact_us > OH_RAFT_VOTER_TIMEOUT_US;
+  return replica->role != OH__REPLICA_ROLE__REPLICA_VOTER && peer != NULL
+         && raft->now_us - MAX (peer->contact_us, peer->added_us) > OH_RAFT_VOTER_TIMEOUT_US;
 }
 
 const char *
--- a/lib/core/replica_poll.c
+++ b/lib/core/replica_poll.c
@@ -13,7 +13,7 @@
 void
 oh_replica_poll_answered (oh_replica_poll_t *poll, int64_t now_us)
 {
-  if (poll->answered_us != 0 && now_us - poll->answered_us > OH_REPLICA_POLL_SILENT_US)
+  if (poll->answered_us == 0 || now_us - poll->answered_us > OH_REPLICA_POLL_SILENT_US)
     poll->n_sent = 0;
   poll->answered = true;
   poll->answered_us = now_us;
--- a/lib/core/segment_agent.c
+++ b/lib/core/segment_agent.c
@@ -269,6 +269,7 @@
 {
   const oh_upstream_identity_t before = agent->identity;
   char pairs[OH_SEGMENT_AGENT_LOG_BYTES];
+  bool had_room;
   bool known;
 
   if (!oh_service_set_is_known (services) || services->digest == agent->services.digest)
@@ -276,9 +277,12 @@
   oh_service_set_copy (&agent->services, services);
   agent->sink = sink;
   known = oh_upstream_identity_check_service (&agent->identity);
+  had_room = oh_agent_warmup_has_room (agent);
   oh_agent_warmup_update (agent, false);
   if (known)
     {
+      if (!had_room && oh_agent_warmup_has_room (agent))
+        oh_segment_agent_report_load (agent, true); /* balancers were told that no position is free */
       agent->sink = NULL;
       return;
     }
--- a/lib/core/segment_agent_admission.c
+++ b/lib/core/segment_agent_admission.c
@@ -67,7 +67,8 @@
 accepts_flows (const oh_segment_agent_t *agent)
 {
   return oh_upstream_identity_accepts_flows (&agent->identity, agent->now_us) && !agent->upstream_ended
-         && !agent->zone_drained && oh_agent_warmup_has_room (agent);
+         && !agent->zone_drained && agent->n_open + agent->n_opening < agent->config.max_flows
+         && oh_agent_warmup_has_room (agent);
 }
 
 void
--- a/lib/core/segment_agent_relay.c
+++ b/lib/core/segment_agent_relay.c
@@ -45,9 +45,9 @@
       return;
     }
   oh_position_waiters_offered (&agent->position_waiters);
-  if (!check_admission (agent, open, &result) || length > OH_SEGMENT_SYN_MAX_BYTES)
+  if (length > OH_SEGMENT_SYN_MAX_BYTES || !check_admission (agent, open, &result))
     {
-      if (result == OH__RESULT__RESULT_NOT_RUN_OVERLOADED)
+      if (result == OH__RESULT__RESULT_NOT_RUN_OVERLOADED && length <= OH_SEGMENT_SYN_MAX_BYTES)
         oh_segment_agent_add_waiter (agent, open, balancer);
       oh_segment_agent_refuse_syn (agent, balancer, key, result, bytes, length);
       return;
--- a/lib/core/segment_balancer.c
+++ b/lib/core/segment_balancer.c
@@ -102,9 +102,10 @@
 static void
 wait_for_position (oh_segment_balancer_t *balancer, oh_balancer_flow_t *flow, const Oh__SegmentRelay *relay)
 {
-  flow->n_offers = 0; /* the agent may have a position later */
-  if (!oh_segment_wait (balancer, flow, relay->segment.data, relay->segment.len))
-    oh_segment_refuse (balancer, flow, OH_PLACEMENT_NO_POSITION, relay->segment.data, relay->segment.len);
+  if (oh_segment_wait (balancer, flow, relay->segment.data, relay->segment.len))
+    flow->n_offers = 0; /* the agent may have a position later */
+  else
+    oh_segment_place (balancer, flow, relay->segment.data, relay->segment.len);
 }
 
 /* True if the agent refused an earlier transmission of the SYN than the last one that was sent to it. It may
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -89,6 +89,37 @@
     }
 }
 
+/* Guards against an idle upstream that refuses all yielding flows for ever: after a hang, lost requests and
+ * unanswered SYNs take all positions but the reserved one. */
+static void
+test_yielding_after_losses (void)
+{
+  static const struct
+  {
+    unsigned n_lost;
+    unsigned n_unanswered_syns;
+  } cases[] = { { 6, 0 }, { 0, 6 }, { 2, 0 }, { 3, 3 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const oh_admission_work_t work = { .slots = SLOTS };
+      oh_admission_t admission;
+
+      oh_admission_init (&admission);
+      oh_admission_restart (&admission, SLOTS, START_US);
+      oh_admission_note_target (&admission, TARGET_MS, START_US);
+      for (unsigned j = 0; j < cases[i].n_lost; j++)
+        {
+          oh_pace_begin (&admission.pace, START_US);
+          oh_pace_mark_lost (&admission.pace, START_US, START_US);
+        }
+      for (unsigned j = 0; j < cases[i].n_unanswered_syns; j++)
+        oh_pace_syn_unanswered (&admission.pace, START_US, START_US);
+      g_assert_cmpint (oh_admission_decide (&admission, &work, TARGET_MS, true), ==, OH_ADMISSION_ADMITTED);
+      g_assert_cmpuint (oh_admission_report (&admission, &work).reserved, ==, 0);
+    }
+}
+
 static const struct
 {
   const char *name; /* the failure that it guards against */
@@ -190,5 +221,6 @@
   g_test_add_func ("/admission/objectives", test_objectives);
   g_test_add_func ("/admission/reports", test_reports);
   g_test_add_func ("/admission/smallest-limit", test_smallest_limit);
+  g_test_add_func ("/admission/yielding-after-losses", test_yielding_after_losses);
   return g_test_run ();
 }
