placement: few flows for upstreams that answer far too fast

Change: paces against the median, every 100 ms; six times faster than that is an outlier, which gets a tenth of the others' mean.

--- a/lib/core/placement.c
+++ b/lib/core/placement.c
@@ -1,6 +1,7 @@
 #include "core/placement.h"
 
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "core/locality.h"
@@ -9,17 +10,31 @@
  * is below 1 because the real load is unknown and must not be the highest. */
 #define PACED_FRACTION 0.9
 
+/* The same for an outlier: most requests that it gets fail, and a few show when that ends. */
+#define OUTLIER_FRACTION 0.1
+
 /* Bounds of the pace of an upstream, relative to the mean of its service. A pace closer to 1 than the factor
  * PACE_NOISE counts as 1: the requests may differ, not the upstreams. */
 #define PACE_MIN 0.25
 #define PACE_MAX 4.0
 #define PACE_NOISE 1.25
 
+enum
+{
+  /* An upstream that answers so much faster than the median of its service does not run its requests: VMs of
+   * one deployment differ by less. */
+  OUTLIER_FACTOR = 6,
+  OUTLIER_UPSTREAMS_MIN = 3, /* with a service time; a median of fewer says nothing */
+  PACE_INTERVAL_MS = 100,    /* between two computations of the paces of a service */
+};
+
 typedef struct
 {
   const oh_placement_service_t *config; /* NULL if the configuration does not name the service */
   GPtrArray *upstreams;                 /* of oh_placement_upstream_t *, borrowed, sorted by name */
-  unsigned service_us;                  /* mean of the upstreams as of the last choice; 0: not known */
+  GArray *service_times;                /* of unsigned: scratch space for the median, one for each upstream */
+  unsigned service_us;                  /* median of the upstreams; 0: not known */
+  int64_t paced_us;                     /* when it and the paces were computed; 0: never */
 } service_entry_t;
 
 static void
@@ -28,6 +43,7 @@
   service_entry_t *entry = data;
 
   g_ptr_array_unref (entry->upstreams);
+  g_array_unref (entry->service_times);
   g_free (entry);
 }
 
@@ -41,6 +57,7 @@
     {
       entry = g_new0 (service_entry_t, 1);
       entry->upstreams = g_ptr_array_new ();
+      entry->service_times = g_array_new (FALSE, FALSE, sizeof (unsigned));
       g_hash_table_insert (placement->services, g_memdup2 (&service, sizeof service), entry);
     }
   return entry;
@@ -101,6 +118,7 @@
   upstream->listed = true;
   upstream->drained = member->drained;
   upstream->pace = 0;
+  upstream->outlier = false;
   g_strlcpy (upstream->zone, member->zone, sizeof upstream->zone);
   if (!is_new && !accept_sequence (upstream, member->incarnation, member->sequence))
     return;
@@ -203,33 +221,58 @@
   return effective_slots (upstream) * (upstream->pace > 0 ? upstream->pace : 1);
 }
 
-/* Computes the paces of a managed service. The mean is that of the rates, so that one slow upstream does not
- * make all others look fast. */
-static void
-update_paces (service_entry_t *entry)
+static int
+compare_times (const void *a, const void *b)
 {
-  double rate = 0;
-  unsigned slots = 0;
+  const unsigned x = *(const unsigned *)a;
+  const unsigned y = *(const unsigned *)b;
+
+  return x < y ? -1 : x > y;
+}
+
+/* Median service time of the upstreams that do not drain; 0 if none is known. */
+static unsigned
+median_service_us (service_entry_t *entry, unsigned *n_known)
+{
+  unsigned *times = (unsigned *)(void *)entry->service_times->data;
+  unsigned n = 0;
 
-  if (!entry->config->managed)
-    return;
   for (guint i = 0; i < entry->upstreams->len; i++)
     {
-      oh_placement_upstream_t *upstream = g_ptr_array_index (entry->upstreams, i);
+      const oh_placement_upstream_t *upstream = g_ptr_array_index (entry->upstreams, i);
 
-      upstream->pace = 0;
-      if (upstream->service_us == 0 || is_draining (upstream))
-        continue;
-      rate += (double)effective_slots (upstream) / upstream->service_us;
-      slots += effective_slots (upstream);
+      if (upstream->service_us > 0 && !is_draining (upstream))
+        times[n++] = upstream->service_us;
     }
-  entry->service_us = rate > 0 ? (unsigned)(slots / rate) : 0;
-  for (guint i = 0; i < entry->upstreams->len && entry->service_us > 0; i++)
+  *n_known = n;
+  if (n == 0)
+    return 0;
+  qsort (times, n, sizeof times[0], compare_times);
+  return times[n / 2];
+}
+
+/* Computes the paces of a managed service against the median, which upstreams that fail at once and look fast
+ * do not move while they are few. */
+static void
+update_paces (service_entry_t *entry, int64_t now_us)
+{
+  unsigned n_known;
+
+  if (!entry->config->managed
+      || (entry->paced_us != 0 && now_us - entry->paced_us < (int64_t)PACE_INTERVAL_MS * 1000))
+    return;
+  entry->paced_us = now_us;
+  entry->service_us = median_service_us (entry, &n_known);
+  for (guint i = 0; i < entry->upstreams->len; i++)
     {
       oh_placement_upstream_t *upstream = g_ptr_array_index (entry->upstreams, i);
       const double pace = upstream->service_us > 0 ? (double)entry->service_us / upstream->service_us : 1;
 
-      upstream->pace = pace < PACE_NOISE && pace > 1 / PACE_NOISE ? 1 : CLAMP (pace, PACE_MIN, PACE_MAX);
+      upstream->outlier = n_known >= OUTLIER_UPSTREAMS_MIN && pace > OUTLIER_FACTOR;
+      if (upstream->service_us == 0 || entry->service_us == 0)
+        upstream->pace = 0;
+      else
+        upstream->pace = pace < PACE_NOISE && pace > 1 / PACE_NOISE ? 1 : CLAMP (pace, PACE_MIN, PACE_MAX);
     }
 }
 
@@ -378,7 +421,7 @@
 static bool
 is_distrusted (const oh_placement_upstream_t *upstream, int64_t now_us)
 {
-  return upstream->false_reports >= OH_PLACEMENT_FALSE_REPORTS_LIMIT
+  return upstream->false_reports >= OH_PLACEMENT_FALSE_REPORTS_LIMIT || upstream->outlier
          || suspicion (upstream, now_us) != SUSPICION_NONE;
 }
 
@@ -423,26 +466,37 @@
     }
 }
 
-/* Returns the distrusted candidate with the fewest recent Opens per slot, or NULL if there is none or it has
- * reached its limit. */
+/* Greatest number of recent Opens per slot of a distrusted upstream, as a fraction of the mean of the trusted
+ * ones. */
+static double
+paced_fraction (const oh_placement_upstream_t *upstream)
+{
+  return upstream->outlier ? OUTLIER_FRACTION : PACED_FRACTION;
+}
+
+/* Returns the distrusted candidate with the fewest recent Opens per slot of those below their limits, or NULL
+ * if there is none. */
 static oh_placement_upstream_t *
 find_paced_candidate (oh_placement_upstream_t *const *distrusted, unsigned n_distrusted,
                       oh_placement_upstream_t *const *trusted, unsigned n_trusted, int64_t now_us)
 {
   oh_placement_upstream_t *fewest = NULL;
-  double sum = 0;
+  double mean = 0;
 
-  for (unsigned i = 0; i < n_distrusted; i++)
-    if (n_trusted > 0 && suspicion (distrusted[i], now_us) == SUSPICION_UNANSWERED)
-      continue; /* another unanswered Open tells nothing new and costs a caller one retransmission interval */
-    else if (fewest == NULL
-             || recent_opens_per_slot (distrusted[i], now_us) < recent_opens_per_slot (fewest, now_us))
-      fewest = distrusted[i];
   for (unsigned i = 0; i < n_trusted; i++)
-    sum += recent_opens_per_slot (trusted[i], now_us);
-  if (fewest != NULL && n_trusted > 0
-      && recent_opens_per_slot (fewest, now_us) >= PACED_FRACTION * sum / n_trusted)
-    return NULL;
+    mean += recent_opens_per_slot (trusted[i], now_us) / n_trusted;
+  for (unsigned i = 0; i < n_distrusted; i++)
+    {
+      const double recent = recent_opens_per_slot (distrusted[i], now_us);
+
+      /* Another unanswered Open tells nothing new and costs a caller one retransmission interval. */
+      if (n_trusted > 0
+          && (suspicion (distrusted[i], now_us) == SUSPICION_UNANSWERED
+              || recent >= paced_fraction (distrusted[i]) * mean))
+        continue;
+      if (fewest == NULL || recent < recent_opens_per_slot (fewest, now_us))
+        fewest = distrusted[i];
+    }
   return fewest;
 }
 
@@ -540,8 +594,10 @@
     {
       const oh_placement_member_t *member = &g_array_index (view->members, oh_placement_member_t, i);
 
-      g_ptr_array_add (ensure_service_entry (placement, member->service)->upstreams,
-                       g_hash_table_lookup (placement->upstreams, member->name));
+      service_entry_t *entry = ensure_service_entry (placement, member->service);
+
+      g_ptr_array_add (entry->upstreams, g_hash_table_lookup (placement->upstreams, member->name));
+      g_array_set_size (entry->service_times, entry->upstreams->len);
     }
 }
 
@@ -627,7 +683,7 @@
   if (request->n_tried >= OH_PLACEMENT_TRIED_MAX)
     return refuse (decision, OH_PLACEMENT_TRIED_ALL, OH__RESULT__RESULT_NO_UPSTREAM);
   /* Suspicion excludes at most a third of the upstreams that do not drain. */
-  update_paces (entry);
+  update_paces (entry, now_us);
   choose_candidate (placement, entry, request, OH_POSITION_FREE, eligible / 3, now_us, decision);
   if (decision->upstream == NULL && decision->full > 0 && request->position < OH_POSITION_FREE)
     choose_candidate (placement, entry, request, OH_POSITION_POSSIBLE, eligible / 3, now_us, decision);
--- a/lib/core/placement.h
+++ b/lib/core/placement.h
@@ -85,8 +85,9 @@
   unsigned limit;      /* requests that the agent admits at the same time; 0: not reported */
   unsigned reserved;   /* part of the limit that flows which yield do not get */
   unsigned service_us; /* mean time that the upstream works on a request; 0: not known */
-  double pace;         /* of a slot, relative to the mean of the service; 0: not known */
-  int64_t full_us[2];  /* when the agent was last full, for flows that yield [1] or not [0]; 0: it is not */
+  double pace;         /* of a slot, relative to the median of the service; 0: not known */
+  bool outlier; /* it answers so much faster than the others that it probably fails its requests at once */
+  int64_t full_us[2]; /* when the agent was last full, for flows that yield [1] or not [0]; 0: it is not */
   Oh__UpstreamState state;
   bool drained;            /* by an operator */
   unsigned false_reports;  /* accepted Opens in a row whose load report shows no work */
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -675,6 +675,63 @@
     }
 }
 
+/* Guards against an upstream that fails its requests at once, so that it looks fast and idle, and gets most
+ * of the flows. */
+static void
+test_outlier (void)
+{
+  static const struct
+  {
+    unsigned service_us; /* of p3; the others take 16 ms */
+    unsigned least;      /* share of 1,000 flows */
+    unsigned most;
+  } cases[] = {
+    { 1000, 1, 60 },     /* a tenth of the mean of the others */
+    { 7000, 300, 1000 }, /* a faster VM */
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const oh_placement_request_t request = { .service = oh_service_id ("plan-fetch") };
+      uint64_t sequence = 1;
+      unsigned n = 0;
+      fixture_t fixture;
+
+      managed_fixture_init (&fixture, three_equal);
+      for (unsigned flow = 0; flow < 1000; flow++)
+        {
+          const int64_t now_us = (int64_t)(flow + 1) * 10000;
+          oh_placement_decision_t decision;
+
+          for (unsigned u = 0; u < 3; u++)
+            {
+              /* The others are busier at times. */
+              Oh__Load load = make_load (three_equal[u].name, "plan-fetch", fixture_incarnation (u),
+                                         ++sequence, u < 2 ? 1 + flow % 2 : 0);
+
+              load.limit = 9;
+              load.service_us = u < 2 ? 16000 : cases[i].service_us;
+              g_assert_true (oh_placement_apply_load (&fixture.placement, &load, now_us));
+            }
+          g_assert_true (oh_placement_choose_position (&fixture.placement, &request, now_us, &decision));
+          n += strcmp (decision.upstream->name, "p3") == 0;
+          oh_placement_open_sent (&fixture.placement, decision.upstream, flow, now_us);
+          for (unsigned u = 0; u < 3; u++)
+            if (strcmp (decision.upstream->name, three_equal[u].name) == 0)
+              {
+                const Oh__Load load
+                  = make_load (three_equal[u].name, "plan-fetch", fixture_incarnation (u), ++sequence, 1);
+
+                oh_placement_open_answered (&fixture.placement, &load, flow, true, now_us);
+              }
+        }
+      g_test_message ("service time %u us: %u of 1000 flows", cases[i].service_us, n);
+      g_assert_cmpuint (n, >=, cases[i].least);
+      g_assert_cmpuint (n, <=, cases[i].most);
+      fixture_finish (&fixture);
+    }
+}
+
 /* Guards against offers to an agent that has just refused for overload, against a wait that does not end, and
  * against a refusal of a flow that yields that keeps the others from the reserved part. Guards also against
  * an offer whose answer was lost, which took a position for 2 s. */
@@ -746,5 +803,6 @@
   g_test_add_func ("/placement/membership", test_membership);
   g_test_add_func ("/placement/positions", test_positions);
   g_test_add_func ("/placement/full-agent", test_full_agent);
+  g_test_add_func ("/placement/outlier", test_outlier);
   return g_test_run ();
 }
